--- /dev/null
+++ b/internal/caller/output.go
@@ -0,0 +1,61 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// output writes to one caller with a time limit on each write, so that a slow reader can't hold a stream for ever.
+type output struct {
+	ex      *Exchange
+	control *http.ResponseController
+	timeout time.Duration
+}
+
+func newOutput(ex *Exchange, timeout time.Duration) *output {
+	return &output{ex: ex, control: http.NewResponseController(ex.Writer), timeout: timeout}
+}
+
+// head sends the status line once.
+func (ou *output) head(status int) {
+	if ou.ex.HeadSent {
+		return
+	}
+	ou.ex.HeadSent = true
+	ou.ex.Writer.WriteHeader(status)
+}
+
+// write sends the pieces and flushes them.
+func (ou *output) write(pieces ...[]byte) error {
+	if err := ou.control.SetWriteDeadline(time.Now().Add(ou.timeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Wrap(err, "set the write deadline")
+	}
+	for _, piece := range pieces {
+		if _, err := ou.ex.Writer.Write(piece); err != nil {
+			return errors.Wrap(err, "write to the caller")
+		}
+	}
+	if err := ou.control.Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return errors.Wrap(err, "flush to the caller")
+	}
+	return nil
+}
+
+var (
+	eventPrefix = []byte("data: ")
+	eventSuffix = []byte("\n\n")
+	doneEvent   = []byte("data: [DONE]\n\n")
+)
+
+// writeEvent writes one server-sent event.
+func writeEvent(writer io.Writer, data []byte) error {
+	for _, piece := range [][]byte{eventPrefix, data, eventSuffix} {
+		if _, err := writer.Write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,127 @@
+package caller
+
+import (
+	"crypto/rand"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+const (
+	chatPath             = "/v1/chat/completions"
+	defaultWriteTimeout  = 30 * time.Second
+	defaultReadTimeout   = 30 * time.Second
+	defaultHeaderTimeout = 10 * time.Second
+	maxHeaderBytes       = 64 << 10
+	// maxOpenRequests bounds the memory that callers can occupy on one host.
+	defaultMaxOpenRequests = 20_000
+)
+
+// Observer learns of each finished exchange.
+type Observer func(ex *Exchange, refusal *chestnutroad.Refusal)
+
+// Server turns HTTP requests into forwarded calls.
+type Server struct {
+	directory    func() chestnutroad.Directory
+	forwarder    chestnutroad.Forwarder
+	observe      Observer
+	ready        func() bool
+	now          func() time.Time
+	writeTimeout time.Duration
+	readTimeout  time.Duration
+	random       io.Reader
+	open         chan struct{}
+	handler      Handler
+}
+
+// Option changes a server's defaults.
+type Option func(sv *Server)
+
+// WithObserver has fn told of each finished exchange.
+func WithObserver(fn Observer) Option { return func(sv *Server) { sv.observe = fn } }
+
+// WithReady has requests refused as Draining while fn returns false.
+func WithReady(fn func() bool) Option { return func(sv *Server) { sv.ready = fn } }
+
+// WithWriteTimeout bounds the time that one write to a slow caller may take.
+func WithWriteTimeout(limit time.Duration) Option {
+	return func(sv *Server) { sv.writeTimeout = limit }
+}
+
+// WithReadTimeout bounds the time that a caller may take to send its body.
+func WithReadTimeout(limit time.Duration) Option {
+	return func(sv *Server) { sv.readTimeout = limit }
+}
+
+// WithMaxOpenRequests bounds the number of requests that are open at once.
+func WithMaxOpenRequests(limit int) Option {
+	return func(sv *Server) { sv.open = make(chan struct{}, limit) }
+}
+
+// New returns a server that asks directory for the configuration in force at each request.
+func New(directory func() chestnutroad.Directory, forwarder chestnutroad.Forwarder, opts ...Option) *Server {
+	sv := &Server{
+		directory:    directory,
+		forwarder:    forwarder,
+		observe:      func(*Exchange, *chestnutroad.Refusal) {},
+		ready:        func() bool { return true },
+		now:          time.Now,
+		writeTimeout: defaultWriteTimeout,
+		readTimeout:  defaultReadTimeout,
+		random:       rand.Reader,
+		open:         make(chan struct{}, defaultMaxOpenRequests),
+	}
+	for _, opt := range opts {
+		opt(sv)
+	}
+	sv.handler = sv.chain()
+	return sv
+}
+
+// chain lists the filters in the order in which a request passes them.
+func (sv *Server) chain() Handler {
+	filters := []Filter{
+		sv.limitOpen,
+		sv.checkReady,
+		sv.identify,
+		sv.authenticate,
+		sv.readBody,
+		sv.route,
+		sv.authorise,
+		sv.requireKey,
+		sv.setDeadline,
+	}
+	handler := Handler(sv.forward)
+	for index := len(filters) - 1; index >= 0; index-- {
+		handler = filters[index](handler)
+	}
+	return handler
+}
+
+// ServeHTTP serves one request of a caller.
+func (sv *Server) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
+	ex := &Exchange{Writer: writer, HTTP: req, Directory: sv.directory(), Started: sv.now()}
+	err := sv.handler(ex)
+	var refusal *chestnutroad.Refusal
+	if err != nil {
+		refusal = chestnutroad.RefusalOf(err)
+	}
+	sv.observe(ex, refusal)
+	if refusal != nil {
+		writeRefusal(ex, refusal)
+	}
+}
+
+// HTTPServer returns a net/http server with the limits that protect the host from slow or endless headers.
+func (sv *Server) HTTPServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("/", sv)
+	return &http.Server{
+		Handler:           mux,
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       2 * time.Minute,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/caller/wholeanswer.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// maxWholeAnswerBytes bounds the memory of an answer that is collected before it is sent.
+const maxWholeAnswerBytes = 4 << 20
+
+// chatChunk is one event of a streamed chat completion.
+type chatChunk struct {
+	ID      string `json:"id"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+}
+
+// chatCompletion is the whole answer to a chat that was not streamed.
+type chatCompletion struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   chatUsage    `json:"usage"`
+}
+
+type chatChoice struct {
+	Index        int         `json:"index"`
+	Message      chatContent `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+type chatContent struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatUsage struct {
+	CompletionTokens chestnutroad.Tokens `json:"completion_tokens"`
+}
+
+// wholeAnswer collects a streamed chat and sends it as one document.
+type wholeAnswer struct {
+	out     *output
+	status  int
+	header  http.Header
+	first   chatChunk
+	reason  string
+	content strings.Builder
+	// raw holds an error document of the engine.
+	raw    []byte
+	tokens chestnutroad.Tokens
+}
+
+// Head keeps the status until the answer is whole.
+func (an *wholeAnswer) Head(status int, header http.Header) error {
+	an.status = status
+	an.header = header
+	return nil
+}
+
+// Chunk adds one event to the answer.
+func (an *wholeAnswer) Chunk(data []byte, tokens chestnutroad.Tokens) error {
+	if an.content.Len()+len(an.raw)+len(data) > maxWholeAnswerBytes {
+		return chestnutroad.Refuse(chestnutroad.BadAnswer, "the engine's answer is over 4 MiB; ask for a streamed answer")
+	}
+	if an.status != http.StatusOK {
+		an.raw = append(an.raw, data...)
+		return nil
+	}
+	var chunk chatChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return chestnutroad.Refuse(chestnutroad.BadAnswer, "the engine sent an event that is not JSON")
+	}
+	an.add(&chunk)
+	an.tokens += tokens
+	return nil
+}
+
+func (an *wholeAnswer) add(chunk *chatChunk) {
+	if an.first.ID == "" {
+		an.first = *chunk
+	}
+	for _, choice := range chunk.Choices {
+		an.content.WriteString(choice.Delta.Content)
+		if choice.FinishReason != nil {
+			an.reason = *choice.FinishReason
+		}
+	}
+}
+
+func (an *wholeAnswer) finish() error {
+	if an.status != http.StatusOK {
+		an.out.ex.Writer.Header().Set("Content-Type", an.header.Get("Content-Type"))
+		an.out.head(an.status)
+		return an.out.write(an.raw)
+	}
+	body, err := json.Marshal(an.completion())
+	if err != nil {
+		return err
+	}
+	target := an.out.ex.Writer.Header()
+	target.Set("Content-Type", "application/json")
+	target.Set("Content-Length", strconv.Itoa(len(body)))
+	an.out.head(http.StatusOK)
+	return an.out.write(body)
+}
+
+func (an *wholeAnswer) completion() chatCompletion {
+	return chatCompletion{
+		ID:      an.first.ID,
+		Object:  "chat.completion",
+		Created: an.first.Created,
+		Model:   an.first.Model,
+		Choices: []chatChoice{{
+			Message:      chatContent{Role: "assistant", Content: an.content.String()},
+			FinishReason: an.reason,
+		}},
+		Usage: chatUsage{CompletionTokens: an.tokens},
+	}
+}
