--- a/internal/caller/output.go
+++ b/internal/caller/output.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"io"
 	"net/http"
 	"time"
@@ -47,7 +48,8 @@
 var (
 	eventPrefix = []byte("data: ")
 	eventSuffix = []byte("\n\n")
-	doneEvent   = []byte("data: [DONE]\n\n")
+	dataField   = []byte("data:")
+	doneData    = []byte("[DONE]")
 )
 
 // writeEvent writes one server-sent event.
@@ -59,3 +61,13 @@
 	}
 	return nil
 }
+
+// eventData returns the payload of an event with one data line, as chat completions send them.
+func eventData(event []byte) []byte {
+	for line := range bytes.Lines(event) {
+		if payload, found := bytes.CutPrefix(line, dataField); found {
+			return bytes.TrimSpace(payload)
+		}
+	}
+	return nil
+}
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -167,7 +167,7 @@
 const chatRequest = `{"model":"laces","messages":[{"role":"user","content":"hello"}],"stream":`
 
 func chunkOf(content string) []byte {
-	return []byte(`{"id":"1","model":"laces","choices":[{"delta":{"content":"` + content + `"}}]}`)
+	return []byte(`data: {"id":"1","model":"laces","choices":[{"delta":{"content":"` + content + `"}}]}` + "\n\n")
 }
 
 func answerWords(words ...string) forwardFunc {
@@ -183,7 +183,7 @@
 				return err
 			}
 		}
-		return nil
+		return answer.Chunk([]byte("data: [DONE]\n\n"), 0)
 	}
 }
 
@@ -205,8 +205,11 @@
 
 // TestBrokenStreamIsVisible guards against a caller taking the part of an answer for the whole.
 func TestBrokenStreamIsVisible(t *testing.T) {
-	server := startServer(t, func(ctx context.Context, call *chestnutroad.Call, answer chestnutroad.Answer) error {
-		if err := answerWords("a")(ctx, call, answer); err != nil {
+	server := startServer(t, func(_ context.Context, _ *chestnutroad.Call, answer chestnutroad.Answer) error {
+		if err := answer.Head(http.StatusOK, http.Header{}); err != nil {
+			return err
+		}
+		if err := answer.Chunk(chunkOf("a"), 1); err != nil {
 			return err
 		}
 		return chestnutroad.Refuse(chestnutroad.StreamBroken, "no engine left")
--- a/internal/caller/streamanswer.go
+++ b/internal/caller/streamanswer.go
@@ -9,8 +9,6 @@
 // streamAnswer passes a chat on as server-sent events.
 type streamAnswer struct {
 	out *output
-	// passThrough is true when the engine answered with an error document instead of a stream.
-	passThrough bool
 }
 
 // Head starts the event stream; a second head, of a resumed call, changes nothing.
@@ -20,7 +18,6 @@
 	}
 	target := an.out.ex.Writer.Header()
 	if status != http.StatusOK {
-		an.passThrough = true
 		target.Set("Content-Type", header.Get("Content-Type"))
 		an.out.head(status)
 		return nil
@@ -31,17 +28,9 @@
 	return nil
 }
 
-// Chunk passes on one event.
-func (an *streamAnswer) Chunk(data []byte, _ chestnutroad.Tokens) error {
-	if an.passThrough {
-		return an.out.write(data)
-	}
-	return an.out.write(eventPrefix, data, eventSuffix)
+// Chunk passes on one event as the engine framed it.
+func (an *streamAnswer) Chunk(event []byte, _ chestnutroad.Tokens) error {
+	return an.out.write(event)
 }
 
-func (an *streamAnswer) finish() error {
-	if an.passThrough {
-		return nil
-	}
-	return an.out.write(doneEvent)
-}
+func (an *streamAnswer) finish() error { return nil }
--- a/internal/caller/wholeanswer.go
+++ b/internal/caller/wholeanswer.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -79,8 +80,12 @@
 		an.raw = append(an.raw, data...)
 		return nil
 	}
+	payload := eventData(data)
+	if len(payload) == 0 || bytes.Equal(payload, doneData) {
+		return nil
+	}
 	var chunk chatChunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
+	if err := json.Unmarshal(payload, &chunk); err != nil {
 		return chestnutroad.Refuse(chestnutroad.BadAnswer, "the engine sent an event that is not JSON")
 	}
 	an.add(&chunk)
--- a/target.go
+++ b/target.go
@@ -23,7 +23,8 @@
 type Answer interface {
 	// Head is called once, before any chunk.
 	Head(status int, header http.Header) error
-	// Chunk is called for each piece of the body; for a streamed chat each chunk is one server-sent event.
+	// Chunk is called for each piece of the body; for a streamed chat each chunk is one server-sent event with its framing.
+	// The data is valid during the call only.
 	Chunk(data []byte, tokens Tokens) error
 }
 
