--- /dev/null
+++ b/cmd/standin/engine.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"time"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	"github.com/chestnutroad/chestnutroad/internal/standin/engine"
+)
+
+type engineCommand struct {
+	common
+	ID          string        `arg:"--id" default:"engine" help:"name in load reports and cache events"`
+	BatchSlots  int           `arg:"--batch-slots" default:"16" help:"sequences that run at once"`
+	Waiting     int           `arg:"--waiting" default:"256" help:"requests that may wait before the engine refuses"`
+	TokenTime   time.Duration `arg:"--token-time" default:"20ms" help:"time of one generated token"`
+	BatchTime   time.Duration `arg:"--batch-time" default:"1ms" help:"added time for each sequence in the batch"`
+	CacheTokens int64         `arg:"--cache-tokens" default:"200000" help:"size of the prefix cache in tokens"`
+	Output      int64         `arg:"--output" default:"64" help:"tokens of an answer whose request sets no limit"`
+}
+
+func (ec *engineCommand) start() (*standin.Server, error) {
+	switches, err := ec.switches()
+	if err != nil {
+		return nil, err
+	}
+	return engine.Start(ec.Listen,
+		engine.WithSwitches(switches),
+		engine.WithID(chestnutroad.TargetID(ec.ID)),
+		engine.WithBatch(ec.BatchSlots, ec.Waiting),
+		engine.WithTokenTime(ec.TokenTime, ec.BatchTime),
+		engine.WithCacheTokens(chestnutroad.Tokens(ec.CacheTokens)),
+		engine.WithOutput(chestnutroad.Tokens(ec.Output)),
+	)
+}
--- /dev/null
+++ b/cmd/standin/service.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	"github.com/chestnutroad/chestnutroad/internal/standin/service"
+)
+
+type serviceCommand struct {
+	common
+	Deduplicate bool          `arg:"--deduplicate" help:"answer a repeated idempotency key with the first receipt"`
+	WorkTime    time.Duration `arg:"--work-time" help:"time of each execution"`
+}
+
+func (sc *serviceCommand) start() (*standin.Server, error) {
+	switches, err := sc.switches()
+	if err != nil {
+		return nil, err
+	}
+	options := []service.Option{service.WithSwitches(switches), service.WithWorkTime(sc.WorkTime)}
+	if sc.Deduplicate {
+		options = append(options, service.WithDeduplication())
+	}
+	return service.Start(sc.Listen, options...)
+}
--- /dev/null
+++ b/internal/platform/doc.go
@@ -0,0 +1,2 @@
+// Package platform is the client of the platform's log service and host list.
+package platform
--- /dev/null
+++ b/internal/platform/exchange.go
@@ -0,0 +1,64 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/target"
+)
+
+// exchanger sends JSON requests to one service of the platform.
+type exchanger struct {
+	address   string
+	transport *http.Transport
+}
+
+// reply is a response whose body was read to its end.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// exchange sends one request; nothing re-sends it but net/http, which does so only for a GET.
+func (ex *exchanger) exchange(ctx context.Context, at *target.Attempt, call *chestnutroad.Call) (*reply, error) {
+	req, err := target.NewRequest(at.Context(ctx), ex.address, call)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := ex.transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > answerLimit {
+		return nil, errors.New("the answer is over the size limit")
+	}
+	return &reply{status: resp.StatusCode, header: resp.Header, body: body}, nil
+}
+
+// get sends a GET request and decodes the answer.
+func (ex *exchanger) get(ctx context.Context, path string, into any) error {
+	call := &chestnutroad.Call{Method: http.MethodGet, Path: path, Repeat: chestnutroad.RepeatAllowed}
+	rp, err := ex.exchange(ctx, target.NewAttempt(0), call)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if rp.status != http.StatusOK {
+		return fmt.Errorf("%w: status %d", ErrUnavailable, rp.status)
+	}
+	err = json.Unmarshal(rp.body, into)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/wire.go
@@ -0,0 +1,18 @@
+package platform
+
+import chestnutroad "github.com/chestnutroad/chestnutroad"
+
+// AppendRequest is the body of POST /streams/{stream}/records.
+type AppendRequest struct {
+	Data []byte
+}
+
+// AppendResponse is the answer to an append.
+type AppendResponse struct {
+	Offset chestnutroad.Offset
+}
+
+// HostsResponse is the answer to GET /hosts.
+type HostsResponse struct {
+	Hosts []chestnutroad.ListedHost
+}
--- /dev/null
+++ b/internal/target/header.go
@@ -0,0 +1,91 @@
+package target
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+)
+
+// The headers between the fleet and its targets.
+const (
+	// HeaderRequest carries the request id; a target that echoes it lets the fleet detect an answer to another request.
+	HeaderRequest = "Chestnutroad-Request"
+	// HeaderAttempt carries the number of the attempt.
+	HeaderAttempt = "Chestnutroad-Attempt"
+	// HeaderChat carries the chat id, by which an engine keys its prefix cache.
+	HeaderChat = "Chestnutroad-Chat"
+	// HeaderResumeAt carries the number of answer tokens already delivered; an engine that resumes echoes it.
+	HeaderResumeAt = "Chestnutroad-Resume-At"
+	// HeaderNotRun is "true" on a 503 answer of a target that did not start the request.
+	HeaderNotRun = "Chestnutroad-Not-Run"
+	// HeaderKey carries the caller's idempotency key.
+	HeaderKey = "Idempotency-Key"
+)
+
+// hopHeaders concern one connection only and are not forwarded (RFC 9110, section 7.6.1). Expect is dropped because
+// the body is already at hand, and Content-Length because it is set from the body.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// requestHeader returns the call's header as it is sent to the target.
+func requestHeader(call *chestnutroad.Call) http.Header {
+	header := forwardable(call.Header)
+	header.Set(HeaderRequest, string(call.Request))
+	header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
+	header.Del(HeaderResumeAt)
+	if call.ResumeAt > 0 {
+		header.Set(HeaderResumeAt, strconv.FormatInt(int64(call.ResumeAt), 10))
+	}
+	if header.Get("User-Agent") == "" {
+		header["User-Agent"] = nil
+	}
+	return header
+}
+
+// ResponseHeader removes the headers that concern only the connection to the target.
+func ResponseHeader(resp *http.Response) http.Header {
+	header := forwardable(resp.Header)
+	if resp.ContentLength >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
+	}
+	return header
+}
+
+func forwardable(from http.Header) http.Header {
+	header := from.Clone()
+	if header == nil {
+		header = make(http.Header)
+	}
+	for _, list := range from["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	return header
+}
+
+// RefusalBy returns the refusal that the target's answer states, or nil when the answer is not a refusal before start.
+func RefusalBy(resp *http.Response) *chestnutroad.Refusal {
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get(HeaderNotRun) != "true" {
+		return nil
+	}
+	refusal := chestnutroad.Refuse(chestnutroad.TargetRefused, "the target refused the request before it started")
+	return refusal.After(RetryAfter(resp.Header))
+}
+
+// RetryAfter returns the wait that a Retry-After header in seconds asks for, or zero.
+func RetryAfter(header http.Header) time.Duration {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
