Add settings, the command's verbs, the operators' port, logging and the timeline

Settings are read with the syntax tree of go-toml, since its decoder stops at the first fault; all faults of all files are reported at once with file, line and key. The verbs serve, demo, load and replay, and the log's publisher, are functions that the main sets; until then they end with exit code 4.

--- a/cmd/chestnutroad/main.go
+++ b/cmd/chestnutroad/main.go
@@ -1,4 +1,21 @@
 // Command chestnutroad routes requests of teams to engines and plain services.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/chestnutroad/chestnutroad/internal/cli"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, stop)
+	return cli.New().Run(ctx, os.Args[1:])
+}
--- /dev/null
+++ b/internal/cli/application.go
@@ -0,0 +1,171 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alexflint/go-arg"
+	"github.com/cockroachdb/errors"
+)
+
+const program = "chestnutroad"
+
+// Environment is what verbs use of the world around them.
+type Environment struct {
+	Out    io.Writer
+	Err    io.Writer
+	Client *http.Client
+
+	publisher func(log netip.AddrPort) (Publisher, error)
+	serve     func(ctx context.Context, env *Environment, arguments *Serve) error
+	demo      func(ctx context.Context, env *Environment, arguments *Demo) error
+	load      func(ctx context.Context, env *Environment, arguments *Load) error
+	replay    func(ctx context.Context, env *Environment, arguments *Replay) error
+}
+
+// Application runs verbs.
+type Application struct {
+	env *Environment
+}
+
+// Option changes an Application.
+type Option func(*Environment)
+
+// WithOutput replaces standard output and standard error.
+func WithOutput(out, err io.Writer) Option {
+	return func(env *Environment) {
+		env.Out = out
+		env.Err = err
+	}
+}
+
+// WithClient replaces the client that asks hosts.
+func WithClient(client *http.Client) Option {
+	return func(env *Environment) { env.Client = client }
+}
+
+// New returns an application; verbs whose function is not set end with CodeUnavailable.
+func New(options ...Option) *Application {
+	env := &Environment{Out: os.Stdout, Err: os.Stderr, Client: http.DefaultClient}
+	for _, option := range options {
+		option(env)
+	}
+	return &Application{env: env}
+}
+
+// Run runs the verb that the arguments name and returns the exit code.
+func (ap *Application) Run(ctx context.Context, arguments []string) int {
+	if len(arguments) == 0 {
+		ap.writeOverview(ap.env.Err, "")
+		return int(CodeUsage)
+	}
+	switch arguments[0] {
+	case "help":
+		return ap.help(arguments[1:])
+	case "--help", "-h":
+		return ap.help(nil)
+	case "--version":
+		printf(ap.env.Out, "%s %s\n", program, version())
+		return int(CodeOK)
+	}
+	vb, rest, known := find(arguments)
+	if !known {
+		return ap.unknown(arguments)
+	}
+	return int(ap.runVerb(ctx, vb, rest))
+}
+
+func version() string {
+	info, known := debug.ReadBuildInfo()
+	if !known {
+		return "(unknown)"
+	}
+	return info.Main.Version
+}
+
+func (ap *Application) runVerb(ctx context.Context, vb Verb, arguments []string) Code {
+	command := vb.New()
+	parser, err := arg.NewParser(arg.Config{Program: program + " " + vb.Name, IgnoreEnv: true}, command)
+	if err != nil {
+		return ap.report(vb, err)
+	}
+	err = parser.Parse(arguments)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		writeHelp(ap.env.Out, vb, parser)
+		return CodeOK
+	case err != nil:
+		printf(ap.env.Err, "%s %s: %s\n", program, vb.Name, err)
+		parser.WriteUsage(ap.env.Err)
+		return CodeUsage
+	}
+	return ap.report(vb, command.Run(ctx, ap.env))
+}
+
+func (ap *Application) report(vb Verb, err error) Code {
+	code := codeOf(err)
+	if err != nil && !errors.Is(err, errFinding) {
+		for line := range strings.SplitSeq(err.Error(), "\n") {
+			printf(ap.env.Err, "%s %s: %s\n", program, vb.Name, line)
+		}
+	}
+	return code
+}
+
+// help prints the help of a verb, of a group of verbs, or of the command.
+func (ap *Application) help(names []string) int {
+	if len(names) == 0 {
+		ap.writeOverview(ap.env.Out, "")
+		return int(CodeOK)
+	}
+	vb, _, known := find(names)
+	if !known {
+		return ap.unknown(names)
+	}
+	return int(ap.runVerb(context.Background(), vb, []string{"--help"}))
+}
+
+// unknown answers a name that is no verb; the name of a group lists its verbs.
+func (ap *Application) unknown(names []string) int {
+	if len(inGroup(names[0])) == 0 {
+		printf(ap.env.Err, "%s: no verb is named %q; see %s help\n", program, names[0], program)
+		return int(CodeUsage)
+	}
+	if len(names) > 1 && !strings.HasPrefix(names[1], "-") {
+		printf(ap.env.Err, "%s: no verb is named %q\n", program, names[0]+" "+names[1])
+		ap.writeOverview(ap.env.Err, names[0])
+		return int(CodeUsage)
+	}
+	if len(names) > 1 {
+		ap.writeOverview(ap.env.Out, names[0])
+		return int(CodeOK)
+	}
+	ap.writeOverview(ap.env.Err, names[0])
+	return int(CodeUsage)
+}
+
+// writeOverview lists the verbs of a group, or all of them.
+func (ap *Application) writeOverview(writer io.Writer, group string) {
+	printf(writer, "Usage: %s VERB [ARGUMENTS]\n\nVerbs:\n", program)
+	verbs := Verbs()
+	if group != "" {
+		verbs = inGroup(group)
+	}
+	for _, vb := range verbs {
+		printf(writer, "  %-15s %s\n", vb.Name, vb.Help)
+	}
+	printf(writer, "\n%s help VERB shows the arguments of a verb and an example.\n", program)
+	writeCodes(writer)
+}
+
+func writeHelp(writer io.Writer, vb Verb, parser *arg.Parser) {
+	printf(writer, "%s %s: %s.\n\n", program, vb.Name, vb.Help)
+	parser.WriteHelp(writer)
+	printf(writer, "\nExample:\n  %s\n", vb.Example)
+	writeCodes(writer)
+}
--- /dev/null
+++ b/internal/cli/demo.go
@@ -0,0 +1,30 @@
+package cli
+
+import (
+	"context"
+	"time"
+)
+
+// Demo holds the arguments of demo.
+type Demo struct {
+	Base     string        `arg:"--base" placeholder:"FILE" default:"examples/warta/base.toml" help:"base settings"`
+	Overlay  []string      `arg:"--overlay" placeholder:"FILE" help:"overlays of the base settings"`
+	Site     string        `arg:"--site" placeholder:"SITE" help:"site to run [default: the only one]"`
+	Hosts    int           `arg:"--hosts" default:"3" help:"number of hosts"`
+	Duration time.Duration `arg:"--duration" default:"30s" help:"time to run; 0s runs until a signal"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"seed of all random choices"`
+	JSON     bool          `arg:"--json" help:"print JSON"`
+}
+
+// WithDemo sets the function that runs a small site.
+func WithDemo(demo func(ctx context.Context, env *Environment, arguments *Demo) error) Option {
+	return func(env *Environment) { env.demo = demo }
+}
+
+// Run runs a small site with stand-ins.
+func (cm *Demo) Run(ctx context.Context, env *Environment) error {
+	if env.demo == nil {
+		return errNotBuiltIn
+	}
+	return env.demo(ctx, env, cm)
+}
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,32 @@
+package cli
+
+import (
+	"context"
+	"net/netip"
+	"time"
+)
+
+// Load holds the arguments of load.
+type Load struct {
+	Rate     float64          `arg:"--rate" default:"10" help:"requests a second"`
+	Duration time.Duration    `arg:"--duration" default:"30s" help:"time to send requests"`
+	Service  string           `arg:"--service" placeholder:"SERVICE" help:"model or plain service to ask"`
+	Token    string           `arg:"--token" placeholder:"TOKEN" help:"bearer token of the team"`
+	Chats    int              `arg:"--chats" default:"100" help:"number of chats that return"`
+	Seed     uint64           `arg:"--seed" default:"1" help:"seed of all random choices"`
+	JSON     bool             `arg:"--json" help:"print JSON"`
+	Entries  []netip.AddrPort `arg:"positional,required" placeholder:"IP:PORT" help:"callers' addresses of entry hosts"`
+}
+
+// WithLoad sets the function that sends requests.
+func WithLoad(load func(ctx context.Context, env *Environment, arguments *Load) error) Option {
+	return func(env *Environment) { env.load = load }
+}
+
+// Run sends requests and prints the measures.
+func (cm *Load) Run(ctx context.Context, env *Environment) error {
+	if env.load == nil {
+		return errNotBuiltIn
+	}
+	return env.load(ctx, env, cm)
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+// printf prints to a stream of the process; when nobody reads it, there is nobody to tell either.
+func printf(writer io.Writer, format string, arguments ...any) {
+	_, _ = fmt.Fprintf(writer, format, arguments...)
+}
+
+// writeJSON prints the value as indented JSON.
+func writeJSON(writer io.Writer, value any) error {
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(value)
+}
+
+// writeTable prints rows in aligned columns, the first row as the heading.
+func writeTable(writer io.Writer, rows [][]string) error {
+	tabs := tabwriter.NewWriter(writer, 0, 4, 2, ' ', 0)
+	for _, row := range rows {
+		printf(tabs, "%s\n", strings.Join(row, "\t"))
+	}
+	return tabs.Flush()
+}
+
+// loadSettings reads the files; one that can't be read ends the verb with CodeUnreachable.
+func loadSettings(files []string) (*settings.Settings, error) {
+	st, err := settings.Load(files[0], files[1:]...)
+	var faults settings.Errors
+	if err != nil && !errors.As(err, &faults) {
+		return nil, Exit(CodeUnreachable, err)
+	}
+	return st, err
+}
--- /dev/null
+++ b/internal/cli/testdata/cases/help.cmd
@@ -0,0 +1,4 @@
+chestnutroad
+chestnutroad help config check
+chestnutroad timeline --help
+chestnutroad help nothing
--- /dev/null
+++ b/internal/cli/testdata/cases/status-json.cmd
@@ -0,0 +1,1 @@
+chestnutroad status --json $UNREADY
--- /dev/null
+++ b/internal/cli/testdata/cases/status-unreachable.cmd
@@ -0,0 +1,2 @@
+chestnutroad status $NOSTATUS $GARBAGE
+chestnutroad status --timeout 50ms $SILENT
--- /dev/null
+++ b/internal/cli/testdata/cases/status.cmd
@@ -0,0 +1,3 @@
+chestnutroad status $READY
+chestnutroad status --shards $READY $PARTLY
+chestnutroad status $READY $UNREADY
--- /dev/null
+++ b/internal/cli/verbs.go
@@ -0,0 +1,106 @@
+package cli
+
+import (
+	"context"
+	"strings"
+)
+
+// Command is one verb with its arguments; go-arg fills in the fields.
+type Command interface {
+	Run(ctx context.Context, env *Environment) error
+}
+
+// Verb is an entry of the table of verbs.
+type Verb struct {
+	// Name is one word, or a group and a word.
+	Name    string
+	Help    string
+	Example string
+	New     func() Command
+}
+
+var verbTable = []Verb{
+	{
+		"config check", "report all faults of settings files",
+		"chestnutroad config check base.toml wielkopolska.toml",
+		func() Command { return &ConfigCheck{} },
+	},
+	{
+		"config show", "print the effective settings of a site and the file that each came from",
+		"chestnutroad config show --site wielkopolska base.toml wielkopolska.toml",
+		func() Command { return &ConfigShow{} },
+	},
+	{
+		"config diff", "print the effective settings that differ between two sets of files",
+		"chestnutroad config diff --before old/base.toml --after new/base.toml new/wielkopolska.toml",
+		func() Command { return &ConfigDiff{} },
+	},
+	{
+		"config publish", "check settings files and publish them as the next version",
+		"chestnutroad config publish --log 127.0.0.1:6000 base.toml wielkopolska.toml",
+		func() Command { return &ConfigPublish{} },
+	},
+	{
+		"config history", "list the published versions and whether each was accepted",
+		"chestnutroad config history --log 127.0.0.1:6000",
+		func() Command { return &ConfigHistory{} },
+	},
+	{
+		"status", "show what hosts say of themselves",
+		"chestnutroad status 127.0.0.1:9000 127.0.0.2:9000",
+		func() Command { return &Status{} },
+	},
+	{
+		"timeline", "merge the events of several hosts, cause before effect",
+		"chestnutroad timeline --request r-17 host-1.jsonl host-2.jsonl",
+		func() Command { return &Timeline{} },
+	},
+	{
+		"serve", "run a host",
+		"chestnutroad serve --host host.toml --base base.toml --overlay wielkopolska.toml",
+		func() Command { return &Serve{} },
+	},
+	{
+		"demo", "run a small site with stand-ins on this machine",
+		"chestnutroad demo --base examples/warta/base.toml --overlay examples/warta/wielkopolska.toml",
+		func() Command { return &Demo{} },
+	},
+	{
+		"load", "send requests to entry hosts and measure the answers",
+		"chestnutroad load --rate 50 --duration 30s 127.0.0.1:8080",
+		func() Command { return &Load{} },
+	},
+	{
+		"replay", "send the requests of a recorded trace again",
+		"chestnutroad replay --entry 127.0.0.1:8080 --speed 2 trace.jsonl",
+		func() Command { return &Replay{} },
+	},
+}
+
+// Verbs returns the table of verbs.
+func Verbs() []Verb { return append([]Verb(nil), verbTable...) }
+
+// find returns the verb that the arguments start with, and the arguments after its name.
+func find(arguments []string) (Verb, []string, bool) {
+	for _, vb := range verbTable {
+		words := strings.Fields(vb.Name)
+		if len(arguments) < len(words) {
+			continue
+		}
+		if strings.Join(arguments[:len(words)], " ") == vb.Name {
+			return vb, arguments[len(words):], true
+		}
+	}
+	return Verb{}, nil, false
+}
+
+// inGroup returns the verbs whose name starts with the group's.
+func inGroup(group string) []Verb {
+	var verbs []Verb
+	for _, vb := range verbTable {
+		if strings.HasPrefix(vb.Name, group+" ") {
+			verbs = append(verbs, vb)
+		}
+	}
+	return verbs
+}
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,128 @@
+package operator
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// The paths of the operators' port.
+const (
+	PathMetrics = "/metrics"
+	PathHealth  = "/health"
+	PathReady   = "/ready"
+	PathStatus  = "/status"
+	PathProfile = "/debug/pprof/"
+)
+
+// Readiness is the answer of /ready.
+type Readiness struct {
+	Ready   bool
+	Reasons []Reason
+}
+
+// Handler serves the operators' port.
+type Handler struct {
+	mux       *http.ServeMux
+	set       *metrics.Set
+	reasons   func() []Reason
+	status    func() Status
+	profiling bool
+}
+
+// Option changes what a Handler serves.
+type Option func(*Handler)
+
+// WithMetrics serves the set beside the metrics of the process.
+func WithMetrics(set *metrics.Set) Option {
+	return func(hd *Handler) { hd.set = set }
+}
+
+// WithReadiness serves the reasons for which the host is not ready; without it a host is always ready.
+func WithReadiness(reasons func() []Reason) Option {
+	return func(hd *Handler) { hd.reasons = reasons }
+}
+
+// WithStatus serves the status; without it /status answers with an empty one.
+func WithStatus(status func() Status) Option {
+	return func(hd *Handler) { hd.status = status }
+}
+
+// WithProfiling serves /debug/pprof when allowed is true.
+func WithProfiling(allowed bool) Option {
+	return func(hd *Handler) { hd.profiling = allowed }
+}
+
+// New returns a handler with the options.
+func New(options ...Option) *Handler {
+	hd := &Handler{
+		mux:     http.NewServeMux(),
+		set:     metrics.NewSet(),
+		reasons: func() []Reason { return nil },
+		status:  func() Status { return Status{} },
+	}
+	for _, option := range options {
+		option(hd)
+	}
+	hd.register()
+	return hd
+}
+
+func (hd *Handler) register() {
+	hd.mux.HandleFunc("GET "+PathMetrics, hd.serveMetrics)
+	hd.mux.HandleFunc("GET "+PathHealth, hd.serveHealth)
+	hd.mux.HandleFunc("GET "+PathReady, hd.serveReady)
+	hd.mux.HandleFunc("GET "+PathStatus, hd.serveStatus)
+	if !hd.profiling {
+		return
+	}
+	hd.mux.HandleFunc(PathProfile, pprof.Index)
+	hd.mux.HandleFunc(PathProfile+"cmdline", pprof.Cmdline)
+	hd.mux.HandleFunc(PathProfile+"profile", pprof.Profile)
+	hd.mux.HandleFunc(PathProfile+"symbol", pprof.Symbol)
+	hd.mux.HandleFunc(PathProfile+"trace", pprof.Trace)
+}
+
+// ServeHTTP answers one request of an operator.
+func (hd *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	hd.mux.ServeHTTP(writer, request)
+}
+
+func (hd *Handler) serveMetrics(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+	hd.set.WritePrometheus(writer)
+	metrics.WriteProcessMetrics(writer)
+}
+
+// serveHealth answers as long as the process can answer at all; a host that is not ready is still healthy.
+func (hd *Handler) serveHealth(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, struct{ Healthy bool }{true})
+}
+
+func (hd *Handler) serveReady(writer http.ResponseWriter, _ *http.Request) {
+	reasons := hd.reasons()
+	answer := Readiness{Ready: ready(reasons), Reasons: append([]Reason{}, reasons...)}
+	status := http.StatusOK
+	if !answer.Ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(writer, status, answer)
+}
+
+func (hd *Handler) serveStatus(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, hd.status())
+}
+
+func writeJSON(writer http.ResponseWriter, status int, answer any) {
+	data, err := json.MarshalIndent(answer, "", "  ")
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// The client may have gone; there is nobody else to tell.
+	_, _ = writer.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/settings/host.go
@@ -0,0 +1,221 @@
+package settings
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Host holds the process settings of one serve process.
+type Host struct {
+	ID         chestnutroad.HostID
+	Site       chestnutroad.SiteID
+	DataCentre chestnutroad.DataCentreID
+
+	// CallerAddress is where callers connect; an empty address of a listener means that it is off.
+	CallerAddress netip.AddrPort
+	// PeerAddress is where other hosts connect and send datagrams.
+	PeerAddress netip.AddrPort
+	// OperatorAddress serves metrics, health, readiness and status.
+	OperatorAddress netip.AddrPort
+	// Peers are the peer addresses of some other hosts, to join by.
+	Peers []netip.AddrPort
+	// LogAddress is the platform's log service.
+	LogAddress netip.AddrPort
+	// HostListAddress is the platform's host list.
+	HostListAddress netip.AddrPort
+
+	// ClusterKey authenticates messages between hosts.
+	ClusterKey []byte
+	// CertificateFile and KeyFile turn on TLS towards callers.
+	CertificateFile string
+	KeyFile         string
+	// TimelineFile receives events; empty turns them off.
+	TimelineFile string
+	// LogLevel is the least level that is logged.
+	LogLevel string
+	// Profiling opens /debug/pprof on the operators' port.
+	Profiling bool
+	// Values lists each key with its value and origin; the cluster key's value is left out.
+	Values []Value
+}
+
+const minClusterKey = 32
+
+// LoadHost reads the process settings of a host; relative files in it are relative to its own directory.
+func LoadHost(path string) (*Host, error) {
+	files, err := readFiles([]string{path})
+	if err != nil {
+		return nil, err
+	}
+	return ParseHost(files[0])
+}
+
+// ParseHost checks the process settings of a host; faults come back as Errors.
+func ParseHost(fl File) (*Host, error) {
+	rp := newReport([]File{fl})
+	tb, readable := parseFile(fl, rp)
+	root := newReader(rp, tb, !readable)
+	if root.tb.entries["Host"] == nil {
+		root.missing("Host")
+	}
+	var ht *Host
+	if rd := root.table("Host"); rd != nil {
+		ht = readHost(rd, filepath.Dir(fl.Name))
+		ht.Values = sortValues(*root.values)
+	}
+	root.finish()
+	if err := rp.err(); err != nil {
+		return nil, err
+	}
+	return ht, nil
+}
+
+func readHost(rd *reader, directory string) *Host {
+	ht := &Host{
+		ID:              chestnutroad.HostID(rd.hostID("ID")),
+		Site:            chestnutroad.SiteID(rd.hostID("Site")),
+		DataCentre:      chestnutroad.DataCentreID(rd.hostID("DataCentre")),
+		CallerAddress:   rd.needAddress("CallerAddress", false),
+		PeerAddress:     rd.needAddress("PeerAddress", false),
+		OperatorAddress: rd.needAddress("OperatorAddress", false),
+		Peers:           rd.addresses("Peers"),
+		LogAddress:      rd.needAddress("LogAddress", true),
+		HostListAddress: rd.needAddress("HostListAddress", true),
+		ClusterKey:      readClusterKey(rd, directory),
+		CertificateFile: rd.file("CertificateFile", directory),
+		KeyFile:         rd.file("KeyFile", directory),
+		TimelineFile:    rd.file("TimelineFile", directory),
+		LogLevel:        rd.choice("LogLevel", "info", "debug", "info", "warn", "error"),
+		Profiling:       rd.flag("Profiling", false),
+	}
+	rd.together("CertificateFile", "KeyFile")
+	rd.advertised("PeerAddress", ht.PeerAddress)
+	rd.finish()
+	return ht
+}
+
+func (rd *reader) hostID(key string) string {
+	text := rd.required(key)
+	if fault := idFault(text); text != "" && fault != "" {
+		rd.faultf(key, rd.tb.entries[key], "%s", fault)
+	}
+	return text
+}
+
+func (rd *reader) needAddress(key string, remote bool) netip.AddrPort {
+	if rd.tb.entries[key] == nil {
+		rd.used[key] = true
+		rd.missing(key)
+		return netip.AddrPort{}
+	}
+	return rd.address(key, remote)
+}
+
+func (rd *reader) addresses(key string) []netip.AddrPort {
+	texts := rd.texts(key, func(text string) string {
+		_, fault := parseAddress(text, true)
+		return fault
+	})
+	addresses := make([]netip.AddrPort, 0, len(texts))
+	for _, text := range texts {
+		address, _ := parseAddress(text, true)
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// advertised reports an address that other hosts could not connect to.
+func (rd *reader) advertised(key string, address netip.AddrPort) {
+	if address.IsValid() && address.Addr().IsUnspecified() {
+		rd.faultf(key, rd.tb.entries[key], "%s is no address that other hosts can connect to", address)
+	}
+}
+
+// together reports one of two keys that stands without the other.
+func (rd *reader) together(one, two string) {
+	first, second := rd.tb.entries[one], rd.tb.entries[two]
+	if first != nil && second == nil {
+		rd.faultf(one, first, "needs %s too", two)
+	}
+	if second != nil && first == nil {
+		rd.faultf(two, second, "needs %s too", one)
+	}
+}
+
+func (rd *reader) file(key, directory string) string {
+	text := rd.optional(key)
+	if text == "" || filepath.IsAbs(text) {
+		return text
+	}
+	return filepath.Join(directory, text)
+}
+
+// readClusterKey takes the key from its own key or from a file, exactly one of them.
+func readClusterKey(rd *reader, directory string) []byte {
+	value, file := rd.take("ClusterKey"), rd.take("ClusterKeyFile")
+	switch {
+	case value != nil && file != nil:
+		rd.faultf("ClusterKeyFile", file, "is stated together with ClusterKey; state one of them")
+		return nil
+	case value != nil:
+		text, en := rd.text("ClusterKey", "a text of hexadecimal digits")
+		if en == nil {
+			return nil
+		}
+		return rd.clusterKey("ClusterKey", en, text)
+	case file != nil:
+		return rd.clusterKeyFile(file, directory)
+	default:
+		rd.missing("ClusterKeyFile")
+		return nil
+	}
+}
+
+func (rd *reader) clusterKeyFile(en *entry, directory string) []byte {
+	path := rd.file("ClusterKeyFile", directory)
+	if path == "" {
+		return nil
+	}
+	text, err := os.ReadFile(filepath.Clean(path))
+	if err != nil {
+		rd.faultf("ClusterKeyFile", en, "the file can't be read: %s", err)
+		return nil
+	}
+	return rd.clusterKey("ClusterKeyFile", en, strings.TrimSpace(string(text)))
+}
+
+func (rd *reader) clusterKey(key string, en *entry, text string) []byte {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) < minClusterKey {
+		rd.faultf(key, en, "the cluster key must be at least %d bytes in hexadecimal digits", minClusterKey)
+		return nil
+	}
+	return raw
+}
+
+// Check returns Errors when the settings don't know the host's site or data centre.
+func (ht *Host) Check(st *Settings) error {
+	rp := newReport(nil)
+	ef, known := st.Effective(ht.Site)
+	if !known {
+		ht.faultf(rp, "Host.Site", "no site is named %q", string(ht.Site))
+		return rp.err()
+	}
+	if !ef.Site.HasDataCentre(ht.DataCentre) {
+		ht.faultf(rp, "Host.DataCentre", "site %s has no data centre named %q", ht.Site, string(ht.DataCentre))
+	}
+	return rp.err()
+}
+
+func (ht *Host) faultf(rp *report, key, format string, arguments ...any) {
+	for _, value := range ht.Values {
+		if value.Key == key {
+			rp.addf(value.File, value.Line, key, format, arguments...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/service.go
@@ -0,0 +1,230 @@
+package settings
+
+import (
+	"math"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// ServiceKind tells model engines from plain services.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	KindEngine ServiceKind = "Engine"
+	KindPlain  ServiceKind = "Plain"
+)
+
+// Service describes what teams ask for by name.
+type Service struct {
+	ID   chestnutroad.ServiceID
+	Kind ServiceKind
+	// Model is the name by which callers ask for the service; only engines have one.
+	Model string
+	// Routes are the calls of a plain service.
+	Routes []Route
+	// Deadline is the time that a request may take when its caller names none.
+	Deadline time.Duration
+	// Multiple is the most load that a target carries, as a multiple of the pool's mean.
+	Multiple float64
+	// LoadFloor is the load below which a target is never called overloaded.
+	LoadFloor chestnutroad.WorkUnits
+	// QueueLimit is the number of requests that wait in one shard.
+	QueueLimit int
+	// Slots is the number of requests that a target runs at once.
+	Slots int
+	// SlowStart is the time in which a new target reaches its full weight.
+	SlowStart time.Duration
+	// BodyLimit is the largest request body.
+	BodyLimit chestnutroad.Bytes
+	// MaxPromptTokens is the largest prompt; only engines have one.
+	MaxPromptTokens chestnutroad.Tokens
+	// MaxOutputTokens is the most tokens that one request may generate; only engines have one.
+	MaxOutputTokens chestnutroad.Tokens
+	// ExpectedTargets is the number of targets that the site should have; zero means unknown.
+	ExpectedTargets int
+}
+
+// Route is one call of a plain service.
+type Route struct {
+	Method string
+	// Path is a path pattern of net/http's mux, such as /orders/{id}.
+	Path     string
+	Repeat   chestnutroad.Repeat
+	Priority chestnutroad.Priority
+}
+
+// Pattern returns the route as a pattern of net/http's mux.
+func (rt Route) Pattern() string { return rt.Method + " " + rt.Path }
+
+var routeMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+const (
+	defaultMultiple        = 1.25
+	defaultMaxPromptTokens = 8192
+	defaultMaxOutputTokens = 1024
+	plainCallWork          = 1
+)
+
+func readService(rd *reader) Service {
+	kind := ServiceKind(rd.choice("Kind", "", string(KindEngine), string(KindPlain)))
+	if rd.tb.entries["Kind"] == nil {
+		rd.missing("Kind")
+	}
+	sv := Service{
+		ID:              chestnutroad.ServiceID(rd.id("Services")),
+		Kind:            kind,
+		Deadline:        rd.duration("Deadline", defaultDeadline(kind), 10*time.Millisecond, 24*time.Hour),
+		Multiple:        rd.ratio("Multiple", defaultMultiple, 1.01, 10),
+		QueueLimit:      int(rd.count("QueueLimit", 1000, 0, 1_000_000)),
+		Slots:           int(rd.count("Slots", 32, 1, 100_000)),
+		SlowStart:       rd.duration("SlowStart", 30*time.Second, 0, time.Hour),
+		BodyLimit:       rd.size("BodyLimit", 1<<20, 1, 64<<20),
+		ExpectedTargets: int(rd.count("ExpectedTargets", 0, 0, 10_000)),
+	}
+	readEngineKeys(rd, &sv)
+	sv.Routes = readRoutes(rd, kind)
+	floor := defaultLoadFloor(sv)
+	sv.LoadFloor = chestnutroad.WorkUnits(rd.count("LoadFloor", int64(floor), 1, math.MaxInt32))
+	rd.finish()
+	return sv
+}
+
+func defaultDeadline(kind ServiceKind) time.Duration {
+	if kind == KindEngine {
+		return 2 * time.Minute
+	}
+	return 10 * time.Second
+}
+
+// defaultLoadFloor returns the work of the largest request of an engine.
+//
+// Calls of a plain service all count as one unit. A pool whose targets carry L equal calls each can start another one only
+// if L is at least 1/(Multiple-1); a floor of one call would therefore hold such a pool at one call a target.
+func defaultLoadFloor(sv Service) chestnutroad.WorkUnits {
+	if sv.Kind == KindEngine {
+		return chestnutroad.WorkOf(sv.MaxPromptTokens, sv.MaxOutputTokens)
+	}
+	return chestnutroad.WorkUnits(math.Ceil(plainCallWork / (sv.Multiple - 1)))
+}
+
+// readEngineKeys reads what only engines have.
+func readEngineKeys(rd *reader, sv *Service) {
+	if sv.Kind == KindPlain {
+		rd.onlyFor(KindEngine, "Model", "MaxPromptTokens", "MaxOutputTokens")
+		return
+	}
+	sv.Model = rd.optional("Model")
+	if sv.Kind == KindEngine && rd.tb.entries["Model"] == nil {
+		rd.missing("Model")
+	}
+	sv.MaxPromptTokens = chestnutroad.Tokens(rd.count("MaxPromptTokens", defaultMaxPromptTokens, 1, 10_000_000))
+	sv.MaxOutputTokens = chestnutroad.Tokens(rd.count("MaxOutputTokens", defaultMaxOutputTokens, 1, 1_000_000))
+}
+
+// onlyFor reports keys that services of another kind have.
+func (rd *reader) onlyFor(kind ServiceKind, keys ...string) {
+	for _, key := range keys {
+		if en := rd.take(key); en != nil {
+			rd.faultf(key, en, "only a service of kind %s has this key", kind)
+		}
+	}
+}
+
+func readRoutes(rd *reader, kind ServiceKind) []Route {
+	if kind == KindEngine {
+		rd.onlyFor(KindPlain, "Routes")
+		return nil
+	}
+	readers := rd.tables("Routes", routeFault)
+	routes := make([]Route, 0, len(readers))
+	for _, route := range readers {
+		routes = append(routes, readRoute(route, rd.name("Routes")))
+	}
+	if kind == KindPlain && len(routes) == 0 {
+		rd.missing("Routes")
+	}
+	return routes
+}
+
+func readRoute(rd *reader, parent string) Route {
+	method, path, _ := strings.Cut(rd.id(parent), " ")
+	rt := Route{
+		Method:   method,
+		Path:     path,
+		Repeat:   rd.repeat(defaultRepeat(method)),
+		Priority: rd.priority(chestnutroad.PriorityLookup),
+	}
+	rd.finish()
+	return rt
+}
+
+// defaultRepeat allows repetition only for methods that HTTP defines as safe.
+func defaultRepeat(method string) chestnutroad.Repeat {
+	if method == http.MethodGet || method == http.MethodHead {
+		return chestnutroad.RepeatAllowed
+	}
+	return chestnutroad.RepeatNever
+}
+
+func (rd *reader) repeat(fallback chestnutroad.Repeat) chestnutroad.Repeat {
+	return chestnutroad.Repeat(rd.choice("Repeat", string(fallback),
+		string(chestnutroad.RepeatAllowed), string(chestnutroad.RepeatNever), string(chestnutroad.RepeatTargetDeduplicates)))
+}
+
+func routeFault(pattern string) string {
+	method, path, _ := strings.Cut(pattern, " ")
+	for _, known := range routeMethods {
+		if method == known && strings.HasPrefix(path, "/") {
+			return registerFault(http.NewServeMux(), pattern)
+		}
+	}
+	return `a route is named by method and path, as in "GET /orders/{id}"; the methods are ` + strings.Join(routeMethods, ", ")
+}
+
+// registerFault says why the mux refuses the pattern, or nothing; the mux reports that by a panic.
+func registerFault(mux *http.ServeMux, pattern string) (fault string) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			fault = errors.Newf("%v", cause).Error()
+		}
+	}()
+	mux.Handle(pattern, http.NotFoundHandler())
+	return ""
+}
+
+// checkServices reports routes that can't be told apart and model names that two services share.
+func checkServices(rd *reader) {
+	mux := http.NewServeMux()
+	models := map[string]string{}
+	for _, service := range rd.children("Services") {
+		for _, route := range service.children("Routes") {
+			pattern := route.id(service.name("Routes"))
+			if routeFault(pattern) != "" {
+				continue
+			}
+			if registerFault(mux, pattern) != "" {
+				route.rp.addf(route.tb.file, route.tb.line, route.path, "another route matches the same calls")
+			}
+		}
+		service.checkModel(models)
+	}
+}
+
+func (rd *reader) checkModel(models map[string]string) {
+	model, stated := rd.tb.ownText("Model")
+	if !stated {
+		return
+	}
+	if other, taken := models[model]; taken {
+		rd.faultf("Model", rd.tb.entries["Model"], "%s has the same model name", other)
+	}
+	models[model] = rd.path
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,339 @@
+package settings
+
+import (
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Settings is a base file with the overlays of its sites, checked and merged.
+type Settings struct {
+	files []File
+	sites []*Effective
+}
+
+// Effective is what holds at one site.
+type Effective struct {
+	Site     Site
+	Fleet    Fleet
+	Teams    []Team
+	Services []Service
+	// Values lists each key with its value and origin, in the order of keys.
+	Values []Value
+
+	teams    map[chestnutroad.TeamID]int
+	services map[chestnutroad.ServiceID]int
+	tokens   map[TokenHash]int
+}
+
+// Load reads a base file and the overlays of its sites; faults of the settings come back as Errors.
+func Load(base string, overlays ...string) (*Settings, error) {
+	files, err := readFiles(append([]string{base}, overlays...))
+	if err != nil {
+		return nil, err
+	}
+	return Parse(files...)
+}
+
+// readFiles names each file as it was given.
+func readFiles(paths []string) ([]File, error) {
+	files := make([]File, 0, len(paths))
+	for _, path := range paths {
+		text, err := os.ReadFile(filepath.Clean(path))
+		if err != nil {
+			return nil, errors.Wrap(err, "the settings can't be read")
+		}
+		files = append(files, File{Name: path, Text: string(text)})
+	}
+	return files, nil
+}
+
+// Parse checks and merges a base file and the overlays of its sites; faults come back as Errors.
+func Parse(files ...File) (*Settings, error) {
+	if len(files) == 0 {
+		return nil, errors.New("no settings file was given")
+	}
+	rp := newReport(files)
+	roots := make([]*table, 0, len(files))
+	readable := true
+	for index, fl := range files {
+		root, whole := parseFile(fl, rp)
+		readable = readable && whole
+		checkAlone(rp, root, index > 0)
+		roots = append(roots, root)
+	}
+	checkNames(rp, files)
+	checkOwners(rp, roots)
+	st := &Settings{files: slices.Clone(files)}
+	if readable {
+		// Keys behind a syntax error are unknown, so that a merge would report them as missing.
+		st.sites = mergeSites(rp, roots)
+	}
+	if err := rp.err(); err != nil {
+		return nil, err
+	}
+	return st, nil
+}
+
+// checkNames reports a file that was given twice.
+func checkNames(rp *report, files []File) {
+	seen := map[string]bool{}
+	for _, fl := range files {
+		if seen[fl.Name] {
+			rp.addf(fl.Name, 1, "", "the file was given twice")
+		}
+		seen[fl.Name] = true
+	}
+}
+
+// checkAlone checks one file by itself, so that a value that another file replaces is checked too.
+func checkAlone(rp *report, root *table, overlay bool) {
+	rd := newReader(rp, root, true)
+	site := rd.siteName(overlay)
+	for _, other := range rd.children("Sites") {
+		if id := other.id("Sites"); overlay && site != "" && id != site {
+			rp.addf(other.tb.file, other.tb.line, other.path, "an overlay describes only its own site, %s", site)
+		}
+	}
+	rd.readAll()
+}
+
+// siteName returns the site that an overlay is for.
+func (rd *reader) siteName(overlay bool) string {
+	en := rd.take("Site")
+	if !overlay {
+		if en != nil {
+			rd.faultf("Site", en, "only an overlay names its site")
+		}
+		return ""
+	}
+	if en == nil {
+		rd.rp.addf(rd.tb.file, 1, "Site", "missing; an overlay names the site that it is for")
+		return ""
+	}
+	site, _ := rd.text("Site", "the id of a site")
+	return site
+}
+
+// readAll reads everything under the root, except for the references between its parts.
+func (rd *reader) readAll() *Effective {
+	ef := &Effective{}
+	if fleet := rd.tableOrEmpty("Fleet"); fleet != nil {
+		ef.Fleet = readFleet(fleet)
+	}
+	for _, team := range rd.tables("Teams", idFault) {
+		ef.Teams = append(ef.Teams, readTeam(team))
+	}
+	for _, service := range rd.tables("Services", idFault) {
+		ef.Services = append(ef.Services, readService(service))
+	}
+	for _, site := range rd.tables("Sites", idFault) {
+		readSite(site)
+	}
+	rd.finish()
+	return ef
+}
+
+// tableOrEmpty returns an empty table for a missing one, so that its defaults apply.
+func (rd *reader) tableOrEmpty(key string) *reader {
+	if rd.tb.entries[key] == nil {
+		rd.used[key] = true
+		return rd.child(key, newTable(rd.tb.file, rd.tb.line))
+	}
+	return rd.table(key)
+}
+
+// children returns a reader for each table under the key and reports nothing.
+func (rd *reader) children(key string) []*reader {
+	en := rd.tb.entries[key]
+	if en == nil {
+		return nil
+	}
+	tb, isTable := en.value.(*table)
+	if !isTable {
+		return nil
+	}
+	parent := rd.child(key, tb)
+	var readers []*reader
+	for _, name := range slices.Sorted(maps.Keys(tb.entries)) {
+		if inner, isInner := tb.entries[name].value.(*table); isInner {
+			readers = append(readers, parent.child(name, inner))
+		}
+	}
+	return readers
+}
+
+// checkOwners reports a team that two files declare with different owners, whichever sites they are for.
+func checkOwners(rp *report, roots []*table) {
+	first := map[string]*entry{}
+	for _, root := range roots {
+		for _, team := range newReader(rp, root, true).children("Teams") {
+			owner, stated := team.tb.ownText("Owner")
+			if !stated {
+				continue
+			}
+			en := team.tb.entries["Owner"]
+			other, known := first[team.path]
+			if !known {
+				first[team.path] = en
+				continue
+			}
+			if other.value != owner {
+				team.faultf("Owner", en, "%q here, but %q in %s:%d; a team has one owner", owner, other.value, other.file, other.line)
+			}
+		}
+	}
+}
+
+// mergeSites returns what holds at each site that any file describes.
+func mergeSites(rp *report, roots []*table) []*Effective {
+	base := roots[0]
+	overlays := map[string]*table{}
+	for _, root := range roots[1:] {
+		addOverlay(rp, overlays, root)
+	}
+	ids := map[string]bool{}
+	for _, root := range roots {
+		for _, site := range newReader(rp, root, true).children("Sites") {
+			ids[site.id("Sites")] = true
+		}
+	}
+	if len(ids) == 0 {
+		rp.addf(base.file, 1, "Sites", "missing; no file describes a site")
+	}
+	for id, overlay := range overlays {
+		if !ids[id] {
+			rd := newReader(rp, overlay, true)
+			rd.faultf("Site", overlay.entries["Site"], "no site is named %q", id)
+		}
+	}
+	sites := make([]*Effective, 0, len(ids))
+	for _, id := range slices.Sorted(maps.Keys(ids)) {
+		root := base
+		if overlay := overlays[id]; overlay != nil {
+			root = merge(base, overlay)
+		}
+		sites = append(sites, mergeSite(rp, root, id))
+	}
+	return sites
+}
+
+func addOverlay(rp *report, overlays map[string]*table, root *table) {
+	id, stated := root.ownText("Site")
+	if !stated {
+		return
+	}
+	en := root.entries["Site"]
+	if other := overlays[id]; other != nil {
+		rp.addf(en.file, en.line, "Site", "%s is an overlay for %s too", other.file, id)
+		return
+	}
+	overlays[id] = root
+}
+
+// mergeSite reads the merged files of one site.
+func mergeSite(rp *report, root *table, id string) *Effective {
+	rd := newReader(rp, onlySite(root, id), false)
+	rd.used["Site"] = true
+	ef := rd.readAll()
+	for _, site := range rd.children("Sites") {
+		quiet := newReader(newReport(nil), site.tb, false)
+		quiet.path = site.path
+		ef.Site = readSite(quiet)
+	}
+	ef.index()
+	checkTeams(rd, ef)
+	checkServices(rd)
+	ef.Values = sortValues(*rd.values)
+	return ef
+}
+
+// onlySite returns the root without the other sites.
+func onlySite(root *table, id string) *table {
+	copied := newTable(root.file, root.line)
+	maps.Copy(copied.entries, root.entries)
+	en := root.entries["Sites"]
+	if en == nil {
+		return copied
+	}
+	all, isTable := en.value.(*table)
+	if !isTable {
+		return copied
+	}
+	only := newTable(all.file, all.line)
+	if site := all.entries[id]; site != nil {
+		only.entries[id] = site
+	}
+	copied.entries["Sites"] = &entry{file: en.file, line: en.line, value: only}
+	return copied
+}
+
+// Sites returns the ids of all sites in order.
+func (st *Settings) Sites() []chestnutroad.SiteID {
+	ids := make([]chestnutroad.SiteID, 0, len(st.sites))
+	for _, ef := range st.sites {
+		ids = append(ids, ef.Site.ID)
+	}
+	return ids
+}
+
+// Files returns the files that the settings were read from, the base first.
+func (st *Settings) Files() []File { return slices.Clone(st.files) }
+
+// Effective returns what holds at the site, and whether there is such a site.
+func (st *Settings) Effective(site chestnutroad.SiteID) (*Effective, bool) {
+	for _, ef := range st.sites {
+		if ef.Site.ID == site {
+			return ef, true
+		}
+	}
+	return nil, false
+}
+
+// index makes the look-ups by id and token, which each request uses.
+func (ef *Effective) index() {
+	ef.teams = map[chestnutroad.TeamID]int{}
+	ef.tokens = map[TokenHash]int{}
+	ef.services = map[chestnutroad.ServiceID]int{}
+	for index, tm := range ef.Teams {
+		ef.teams[tm.ID] = index
+		for _, hash := range tm.TokenHashes {
+			ef.tokens[hash] = index
+		}
+	}
+	for index, sv := range ef.Services {
+		ef.services[sv.ID] = index
+	}
+}
+
+// Team returns the team of that id, and whether there is one.
+func (ef *Effective) Team(id chestnutroad.TeamID) (Team, bool) {
+	index, known := ef.teams[id]
+	if !known {
+		return Team{}, false
+	}
+	return ef.Teams[index], true
+}
+
+// TeamByToken returns the team that holds the bearer token, and whether there is one.
+func (ef *Effective) TeamByToken(token string) (Team, bool) {
+	index, known := ef.tokens[HashToken(token)]
+	if !known {
+		return Team{}, false
+	}
+	return ef.Teams[index], true
+}
+
+// Service returns the service of that id, and whether there is one.
+func (ef *Effective) Service(id chestnutroad.ServiceID) (Service, bool) {
+	index, known := ef.services[id]
+	if !known {
+		return Service{}, false
+	}
+	return ef.Services[index], true
+}
--- /dev/null
+++ b/internal/settings/site.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Site describes one installation.
+type Site struct {
+	ID          chestnutroad.SiteID
+	DataCentres []chestnutroad.DataCentreID
+	// OneWayLatency is the time of a message between two data centres.
+	OneWayLatency time.Duration
+	// ClientLatency is the time of a message between a caller and the site.
+	ClientLatency time.Duration
+	// ExpectedHosts is the number of entry hosts that the site should have; zero means unknown.
+	ExpectedHosts int
+}
+
+// HasDataCentre reports whether the data centre belongs to the site.
+func (st Site) HasDataCentre(id chestnutroad.DataCentreID) bool {
+	for _, known := range st.DataCentres {
+		if known == id {
+			return true
+		}
+	}
+	return false
+}
+
+func readSite(rd *reader) Site {
+	st := Site{
+		ID:            chestnutroad.SiteID(rd.id("Sites")),
+		DataCentres:   readDataCentres(rd),
+		OneWayLatency: rd.duration("OneWayLatency", time.Millisecond, 0, time.Second),
+		ClientLatency: rd.duration("ClientLatency", 3*time.Millisecond, 0, 10*time.Second),
+		ExpectedHosts: int(rd.count("ExpectedHosts", 0, 0, 10_000)),
+	}
+	rd.finish()
+	return st
+}
+
+func readDataCentres(rd *reader) []chestnutroad.DataCentreID {
+	texts := rd.texts("DataCentres", idFault)
+	ids := make([]chestnutroad.DataCentreID, 0, len(texts))
+	for _, text := range texts {
+		ids = append(ids, chestnutroad.DataCentreID(text))
+	}
+	rd.needItems("DataCentres", len(ids))
+	return ids
+}
+
+// needItems reports a list that is missing or empty.
+func (rd *reader) needItems(key string, count int) {
+	en := rd.tb.entries[key]
+	if en == nil {
+		rd.missing(key)
+		return
+	}
+	if items, isList := en.value.([]any); isList && len(items) == 0 && count == 0 {
+		rd.faultf(key, en, "must list at least one item")
+	}
+}
--- /dev/null
+++ b/internal/settings/team.go
@@ -0,0 +1,92 @@
+package settings
+
+import (
+	"slices"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Team describes one tenant.
+type Team struct {
+	ID chestnutroad.TeamID
+	// Owner is the organisation that is billed.
+	Owner string
+	// TokenHashes are the hashes of the bearer tokens that the team may use; two allow a change of token without a gap.
+	TokenHashes []TokenHash
+	// Weight is the team's share relative to the others.
+	Weight int
+	// Services are the services that the team may reach.
+	Services []chestnutroad.ServiceID
+	// Priority is the priority of the team's requests to engines.
+	Priority chestnutroad.Priority
+}
+
+// MayReach reports whether the team may use the service.
+func (tm Team) MayReach(id chestnutroad.ServiceID) bool { return slices.Contains(tm.Services, id) }
+
+func priorityNames() []string {
+	names := make([]string, 0, chestnutroad.PriorityCount)
+	for pr := chestnutroad.PriorityOrder; pr < chestnutroad.PriorityCount; pr++ {
+		names = append(names, pr.String())
+	}
+	return names
+}
+
+func (rd *reader) priority(fallback chestnutroad.Priority) chestnutroad.Priority {
+	name := rd.choice("Priority", fallback.String(), priorityNames()...)
+	pr, _ := chestnutroad.ParsePriority(name)
+	return pr
+}
+
+func readTeam(rd *reader) Team {
+	tm := Team{
+		ID:          chestnutroad.TeamID(rd.id("Teams")),
+		Owner:       rd.required("Owner"),
+		TokenHashes: readTokenHashes(rd),
+		Weight:      int(rd.count("Weight", 1, 1, 10_000)),
+		Services:    readServiceNames(rd),
+		Priority:    rd.priority(chestnutroad.PriorityChat),
+	}
+	rd.finish()
+	return tm
+}
+
+func readTokenHashes(rd *reader) []TokenHash {
+	texts := rd.texts("TokenHashes", tokenHashFault)
+	hashes := make([]TokenHash, 0, len(texts))
+	for _, text := range texts {
+		hash, _ := parseTokenHash(text)
+		hashes = append(hashes, hash)
+	}
+	rd.needItems("TokenHashes", len(hashes))
+	return hashes
+}
+
+func readServiceNames(rd *reader) []chestnutroad.ServiceID {
+	texts := rd.texts("Services", idFault)
+	ids := make([]chestnutroad.ServiceID, 0, len(texts))
+	for _, text := range texts {
+		ids = append(ids, chestnutroad.ServiceID(text))
+	}
+	rd.needItems("Services", len(ids))
+	return ids
+}
+
+// checkTeams reports references to services that don't exist and tokens that two teams share.
+func checkTeams(rd *reader, ef *Effective) {
+	holders := map[TokenHash]chestnutroad.TeamID{}
+	for _, team := range rd.children("Teams") {
+		tm, _ := ef.Team(chestnutroad.TeamID(team.id("Teams")))
+		for _, id := range tm.Services {
+			if _, known := ef.Service(id); !known {
+				team.faultf("Services", team.tb.entries["Services"], "no service is named %q", string(id))
+			}
+		}
+		for _, hash := range tm.TokenHashes {
+			if holder, taken := holders[hash]; taken {
+				team.faultf("TokenHashes", team.tb.entries["TokenHashes"], "team %s has the same token", holder)
+			}
+			holders[hash] = tm.ID
+		}
+	}
+}
