--- /dev/null
+++ b/internal/config/option.go
@@ -0,0 +1,49 @@
+package config
+
+import "time"
+
+// Defaults of the settings.
+const (
+	DefaultRetention      = 7 * 24 * time.Hour
+	DefaultPublishTimeout = 10 * time.Second
+	DefaultHistory        = 16
+)
+
+// settings are the tunable values of a Reader.
+type settings struct {
+	// retention is how long the log keeps records.
+	retention time.Duration
+	// publishTimeout limits the wait for a verdict on a published configuration.
+	publishTimeout time.Duration
+	// history is the number of accepted configurations and of verdicts that a reader remembers.
+	history int
+	// through and highest switch mechanisms off for the baseline in tests.
+	through bool
+	highest bool
+}
+
+// Option changes a setting of a Reader.
+type Option func(*settings)
+
+// WithRetention sets the time for which the log keeps records.
+func WithRetention(retention time.Duration) Option {
+	return func(st *settings) { st.retention = retention }
+}
+
+// WithPublishTimeout sets the time after which a publish without a verdict ends as unknown.
+func WithPublishTimeout(timeout time.Duration) Option {
+	return func(st *settings) { st.publishTimeout = timeout }
+}
+
+// WithHistory sets the number of accepted configurations and of verdicts that a reader remembers.
+func WithHistory(count int) Option {
+	return func(st *settings) { st.history = count }
+}
+
+func newSettings(opts []Option) settings {
+	st := settings{retention: DefaultRetention, publishTimeout: DefaultPublishTimeout, history: DefaultHistory}
+	for _, opt := range opts {
+		opt(&st)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/config/publisher.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// PublishState says how far a publish is.
+type PublishState int
+
+// The states of a publish.
+const (
+	PublishPending PublishState = iota
+	// PublishAccepted means that the configuration is in force.
+	PublishAccepted
+	// PublishRefused means that the configuration is not in force and never will be by this publish.
+	PublishRefused
+	// PublishUnknown means that the configuration may have been accepted or may still be.
+	PublishUnknown
+)
+
+// PublishResult is the answer to an operator.
+type PublishResult struct {
+	State   PublishState
+	Version chestnutroad.Version
+	Reason  Reason
+	Message string
+	// Difference shows, after a lost race, the lines that differ between the configuration in force and the proposed one.
+	Difference string
+}
+
+// Publisher takes one configuration through the log. Its record is appended at most once.
+type Publisher struct {
+	reader   *Reader
+	id       record.PublishID
+	body     []byte
+	deadline time.Time
+	result   PublishResult
+}
+
+// Publish proposes a body as the successor of the parent, which is the version that the operator edited. It returns the
+// record to append, or none when the result is already known.
+func (rd *Reader) Publish(
+	now time.Time, id record.PublishID, parent chestnutroad.Version, body []byte,
+) (*Publisher, []byte) {
+	pb := &Publisher{reader: rd, id: id, body: body, deadline: now.Add(rd.set.publishTimeout)}
+	if verdict, found := rd.Verdict(id); found {
+		pb.decide(verdict)
+		return pb, nil
+	}
+	if !rd.Ready() {
+		pb.refuse(ReasonNotReady, "the host has not read the configuration stream yet")
+		return pb, nil
+	}
+	proposal := record.Config{PublishID: id, Parent: parent, Version: parent + 1, Body: body}
+	if reason, message := judge(&proposal, rd.inForce.Version, rd.state.check); reason != ReasonNone {
+		pb.refuse(reason, message)
+		return pb, nil
+	}
+	return pb, record.EncodeConfig(proposal)
+}
+
+// Result returns the state of the publish.
+func (pb *Publisher) Result() PublishResult { return pb.result }
+
+// AppendResult takes what is known of the append. An unknown one is settled by reading, never by a second append.
+func (pb *Publisher) AppendResult(result record.AppendOutcome) PublishResult {
+	if pb.result.State == PublishPending && result == record.AppendFailed {
+		pb.refuse(ReasonLog, "the platform's log did not take the record; nothing was changed")
+	}
+	return pb.result
+}
+
+// Observe takes the verdicts of the reader. A verdict that comes after the timeout still settles an unknown result.
+func (pb *Publisher) Observe(verdicts []Verdict) PublishResult {
+	for _, verdict := range verdicts {
+		if verdict.PublishID == pb.id && pb.open() {
+			pb.decide(verdict)
+		}
+	}
+	// A reader that took a snapshot as base has no verdicts on what it covers.
+	if inForce := pb.reader.inForce; inForce.PublishID == pb.id && pb.open() {
+		pb.result = PublishResult{State: PublishAccepted, Version: inForce.Version}
+	}
+	return pb.result
+}
+
+// Tick ends the wait for a verdict when it takes too long.
+func (pb *Publisher) Tick(now time.Time) PublishResult {
+	if pb.result.State == PublishPending && !now.Before(pb.deadline) {
+		pb.result.State = PublishUnknown
+		pb.result.Message = fmt.Sprintf("no verdict on publish %s has been read; ask again with the same id", pb.id)
+	}
+	return pb.result
+}
+
+func (pb *Publisher) open() bool {
+	return pb.result.State == PublishPending || pb.result.State == PublishUnknown
+}
+
+func (pb *Publisher) decide(verdict Verdict) {
+	if !verdict.Accepted {
+		pb.refuse(verdict.Reason, verdict.Message)
+		return
+	}
+	pb.result = PublishResult{State: PublishAccepted, Version: verdict.Version}
+}
+
+func (pb *Publisher) refuse(reason Reason, message string) {
+	pb.result = PublishResult{State: PublishRefused, Reason: reason, Message: message}
+	if reason == ReasonParent {
+		pb.result.Version = pb.reader.inForce.Version
+		pb.result.Difference = Difference(pb.reader.inForce.Body, pb.body)
+	}
+}
--- /dev/null
+++ b/internal/config/reader.go
@@ -0,0 +1,103 @@
+package config
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// Reader follows the configuration stream on one host. It isn't safe for concurrent use.
+type Reader struct {
+	self   record.Writer
+	set    settings
+	state  *state
+	reader *record.Reader
+	// inForce is the highest version seen. It stays while the state is rebuilt from an older base.
+	inForce  Accepted
+	accepted []Accepted
+	verdicts []Verdict
+}
+
+// NewReader returns a reader that knows no configuration.
+func NewReader(self record.Writer, check Check, opts ...Option) *Reader {
+	st := &state{check: check}
+	rd := &Reader{self: self, set: newSettings(opts), state: st}
+	rd.reader = record.NewReader(record.TypeConfigSnapshot, st)
+	if rd.set.through {
+		rd.reader.IgnoreThrough()
+	}
+	return rd
+}
+
+// From returns the offset from which the next batch of the configuration stream is to be read.
+func (rd *Reader) From() chestnutroad.Offset { return rd.reader.From() }
+
+// Ready reports whether the reader has seen the whole stream, so that it can judge and publish.
+func (rd *Reader) Ready() bool { return rd.reader.Ready() }
+
+// InForce returns the configuration in force; version 0 means that none is known.
+func (rd *Reader) InForce() Accepted { return rd.inForce }
+
+// ReadBatch takes records that were read from From on and returns the verdicts on the new ones.
+func (rd *Reader) ReadBatch(now time.Time, batch chestnutroad.Batch) []Verdict {
+	rd.reader.Read(now, batch)
+	verdicts := rd.state.takeVerdicts()
+	rd.verdicts = append(rd.verdicts, verdicts...)
+	rd.verdicts = rd.verdicts[max(0, len(rd.verdicts)-rd.set.history):]
+	rd.advance()
+	return verdicts
+}
+
+// advance puts the state's configuration in force unless a higher version already is.
+func (rd *Reader) advance() {
+	if rd.state.last.Version == rd.inForce.Version {
+		return
+	}
+	if rd.state.last.Version < rd.inForce.Version && !rd.set.highest {
+		return
+	}
+	rd.inForce = rd.state.last
+	rd.accepted = append(rd.accepted, rd.inForce)
+	rd.accepted = rd.accepted[max(0, len(rd.accepted)-rd.set.history):]
+}
+
+// Verdict returns the verdict on a publish if it is among the latest ones.
+func (rd *Reader) Verdict(id record.PublishID) (Verdict, bool) {
+	for _, verdict := range rd.verdicts {
+		if verdict.PublishID == id {
+			return verdict, true
+		}
+	}
+	return Verdict{}, false
+}
+
+// Version returns an accepted configuration if it is among the latest ones. Publishing its body is a rollback.
+func (rd *Reader) Version(version chestnutroad.Version) (Accepted, bool) {
+	for _, accepted := range rd.accepted {
+		if accepted.Version == version {
+			return accepted, true
+		}
+	}
+	return Accepted{}, false
+}
+
+// SnapshotDue reports whether the writer of snapshots should append one.
+func (rd *Reader) SnapshotDue(now time.Time) bool {
+	return rd.reader.SnapshotDue(now, rd.set.retention)
+}
+
+// Snapshot returns the records of a snapshot, which are to be appended in order; none while the reader has no state.
+func (rd *Reader) Snapshot(now time.Time) [][]byte { return rd.reader.WriteSnapshot(now, rd.self) }
+
+// Export returns the state for a peer, and false while the reader has none.
+func (rd *Reader) Export() (record.Snapshot, bool) { return rd.reader.Export(rd.self) }
+
+// Import takes the state of a peer if it is further than the own one, and reports whether it did.
+func (rd *Reader) Import(state record.Snapshot) bool {
+	imported := rd.reader.Import(state)
+	if imported {
+		rd.advance()
+	}
+	return imported
+}
--- /dev/null
+++ b/internal/order/append.go
@@ -0,0 +1,182 @@
+package order
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// lostAnswerFactor times the append timeout is when an append without any result counts as unknown.
+const lostAnswerFactor = 2
+
+// appendAt is the time from which on the next append fits into the budget.
+func (mc *Machine) appendAt() time.Time {
+	if mc.lastSent.IsZero() {
+		return time.Unix(0, 0)
+	}
+	return sooner(time.Time{}, laterOf(mc.lastSent.Add(mc.set.interval(mc.owners)), mc.log.retryAt()))
+}
+
+func laterOf(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+// flush starts the next append. One append at a time is enough, since it takes all that has gathered meanwhile.
+func (mc *Machine) flush(now time.Time) {
+	if mc.batch != nil || mc.queue.empty() || now.Before(mc.appendAt()) || mc.log.down(now) {
+		return
+	}
+	mc.batchID++
+	ba := &batch{id: mc.batchID, sent: now}
+	mc.fillWrites(ba)
+	mc.fillClaims(now, ba)
+	if len(ba.entries) == 0 {
+		return
+	}
+	mc.batch = ba
+	mc.lastSent = now
+	mc.watch(now.Add(lostAnswerFactor * mc.set.appendTimeout))
+	mc.do(Append{BatchID: ba.id, Data: record.EncodeOrders(ba.entries)})
+	if mc.set.off.readBack {
+		mc.runUnread(now, ba)
+	}
+}
+
+func (mc *Machine) fillWrites(ba *batch) {
+	waiting := mc.queue.writes
+	mc.queue.writes = nil
+	for _, wr := range waiting {
+		switch {
+		case wr.state != writeQueued || !mc.wanted(wr):
+		case ba.full():
+			mc.queue.writes = append(mc.queue.writes, wr)
+		default:
+			ba.addWrite(wr)
+		}
+	}
+}
+
+// wanted reports whether the write is still the latest of its kind for its key and not in the log yet.
+func (mc *Machine) wanted(wr *write) bool {
+	return mc.writes(wr)[wr.key] == wr && !wr.done(mc.table)
+}
+
+func (mc *Machine) writes(wr *write) map[Key]*write {
+	if wr.step.Type == record.EntryRelease {
+		return mc.releases
+	}
+	return mc.outcomes
+}
+
+func (mc *Machine) fillClaims(now time.Time, ba *batch) {
+	waiting := mc.queue.claims
+	mc.queue.claims = nil
+	for _, fl := range waiting {
+		switch {
+		case fl.phase != phaseQueued || mc.flights[fl.key] != fl:
+		case ba.full():
+			mc.queue.claims = append(mc.queue.claims, fl)
+		default:
+			mc.addRelease(ba, fl.key)
+			ba.addClaim(fl, mc.set.keep())
+			mc.watch(now.Add(mc.set.appendTimeout))
+		}
+	}
+}
+
+// addRelease repeats a release whose append has an unknown result in front of the next claim for the same key, which
+// would lose otherwise.
+func (mc *Machine) addRelease(ba *batch, key Key) {
+	wr := mc.releases[key]
+	if wr != nil && wr.state == writeInDoubt && !wr.done(mc.table) {
+		ba.addWrite(wr)
+	}
+}
+
+// runUnread is the baseline without the wait for the claim in the log.
+func (mc *Machine) runUnread(now time.Time, ba *batch) {
+	for _, fl := range ba.claims {
+		mc.run(now, fl)
+	}
+}
+
+// AppendResult takes what is known of an append. A claim that may be in the log is not appended again; the order waits
+// until it is read or given up.
+func (mc *Machine) AppendResult(now time.Time, id BatchID, result record.AppendOutcome) []Action {
+	mc.expire(now)
+	if mc.batch != nil && mc.batch.id == id {
+		mc.endBatch(now, result)
+	}
+	return mc.finish(now)
+}
+
+func (mc *Machine) endBatch(now time.Time, result record.AppendOutcome) {
+	ba := mc.batch
+	mc.batch = nil
+	switch result {
+	case record.AppendOK:
+		mc.log.appended()
+		mc.setWrites(ba, writeStored)
+	case record.AppendFailed:
+		mc.log.failed(now)
+		mc.requeue(now, ba)
+	case record.AppendUnknown:
+		mc.log.failed(now)
+		mc.setWrites(ba, writeInDoubt)
+		mc.watch(ba.sent.Add(mc.set.appendTimeout))
+	}
+	if mc.log.down(now) {
+		mc.refuseQueued(now)
+	}
+}
+
+func (mc *Machine) setWrites(ba *batch, state writeState) {
+	for _, wr := range ba.writes {
+		if wr.state == writeSent && wr.batch == ba.id {
+			wr.state = state
+		}
+	}
+}
+
+// requeue takes back what was certainly not appended.
+func (mc *Machine) requeue(now time.Time, ba *batch) {
+	for _, wr := range ba.writes {
+		if wr.state == writeSent && wr.batch == ba.id {
+			mc.queue.addWrite(wr)
+		}
+	}
+	for index, fl := range ba.claims {
+		if fl.phase == phaseSent && fl.claim.Sequence == ba.sequences[index] && mc.flights[fl.key] == fl {
+			fl.phase = phaseQueued
+			mc.queue.addClaim(fl)
+		}
+	}
+	mc.watch(now.Add(retryAfter))
+}
+
+// refuseQueued refuses the orders whose claims were not appended, since the log is down.
+func (mc *Machine) refuseQueued(now time.Time) {
+	waiting := mc.queue.claims
+	mc.queue.claims = nil
+	for _, fl := range waiting {
+		if fl.phase == phaseQueued && mc.flights[fl.key] == fl {
+			mc.refuseAll(now, fl, refuseLog())
+		}
+	}
+}
+
+// expireBatch stops waiting for the result of an append.
+func (mc *Machine) expireBatch(now time.Time) {
+	if mc.batch == nil {
+		return
+	}
+	limit := mc.batch.sent.Add(lostAnswerFactor * mc.set.appendTimeout)
+	if now.Before(limit) {
+		mc.watch(limit)
+		return
+	}
+	mc.endBatch(now, record.AppendUnknown)
+}
--- /dev/null
+++ b/internal/order/health.go
@@ -0,0 +1,52 @@
+package order
+
+import "time"
+
+// failuresUntilDown is the number of failed appends in a row after which the log counts as down; a single lost answer
+// must not stop the orders.
+const failuresUntilDown = 2
+
+// logHealth is what the host knows of the log's availability.
+type logHealth struct {
+	// unread is true while the log can't be read.
+	unread   bool
+	failures int
+	// retry is when the next append may be tried after failures.
+	retry time.Time
+}
+
+func (lh *logHealth) appended() { lh.failures = 0 }
+
+func (lh *logHealth) failed(now time.Time) {
+	lh.failures++
+	if lh.failures >= failuresUntilDown {
+		lh.retry = now.Add(retryAfter)
+	}
+}
+
+// retryAt returns the time before which no append is tried; it is zero while appends succeed.
+func (lh *logHealth) retryAt() time.Time {
+	if lh.failures < failuresUntilDown {
+		return time.Time{}
+	}
+	return lh.retry
+}
+
+// down reports whether an order that needs the log has no chance now. After the retry time, orders are let through to
+// find out.
+func (lh *logHealth) down(now time.Time) bool { return lh.unread || now.Before(lh.retryAt()) }
+
+// LogDown tells that the log can't be read. The next batch ends it.
+func (mc *Machine) LogDown(now time.Time) []Action {
+	mc.expire(now)
+	mc.log.unread = true
+	mc.refuseQueued(now)
+	return mc.finish(now)
+}
+
+// LogUp tells that the log can be read again.
+func (mc *Machine) LogUp(now time.Time) []Action {
+	mc.log.unread = false
+	mc.expire(now)
+	return mc.finish(now)
+}
--- /dev/null
+++ b/internal/order/resolve.go
@@ -0,0 +1,133 @@
+package order
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// resolve brings a flight that isn't running in line with what the log says of its key.
+func (mc *Machine) resolve(now time.Time, fl *flight) {
+	if fl.phase == phaseRunning || !mc.Ready() {
+		return
+	}
+	en := mc.table.live(fl.key)
+	switch {
+	case en == nil || !en.taken():
+		mc.resolveFree(now, fl, en)
+	case fl.phase == phaseSent && en.claimant == fl.claim:
+		mc.log.appended()
+		mc.run(now, fl)
+	case mc.abandoned(fl.key, en):
+		mc.releaseAbandoned(now, fl.key, en.claimant)
+		mc.resolveFree(now, fl, en)
+	case en.digest != fl.digest:
+		mc.refuseAll(now, fl, refuseKeyReused())
+	case en.known():
+		mc.replyAll(fl, *en.outcome)
+	case en.outcome != nil || mc.own(en.claimant) || mc.isGone(en.claimant):
+		mc.resolveUnknown(now, fl, en.claimant)
+	default:
+		mc.resolveTaken(fl, en)
+	}
+}
+
+// abandoned reports whether the key is held by a claim of this host that it has given up before the order ran. It must
+// not be called while the order is running here. A claim that has run has an outcome, which stays in outcomes until it
+// is read back. If the table is behind that, the release comes later in the log than the outcome and has no effect.
+func (mc *Machine) abandoned(key Key, en *entry) bool {
+	return en.taken() && mc.own(en.claimant) && en.outcome == nil && mc.outcomes[key] == nil
+}
+
+// releaseAbandoned frees the key of an abandoned claim, unless a release is already under way.
+func (mc *Machine) releaseAbandoned(now time.Time, key Key, claim record.Claimant) {
+	wr := mc.releases[key]
+	if wr == nil || wr.step.Claimant.Sequence < claim.Sequence {
+		mc.release(now, key, claim)
+	}
+}
+
+// resolveFree claims the key, unless a claim is already on its way and may still win.
+func (mc *Machine) resolveFree(now time.Time, fl *flight, en *entry) {
+	lost := fl.phase == phaseSent && en != nil && en.bars(fl.claim)
+	if fl.phase != phaseWaiting && !lost {
+		return
+	}
+	if mc.log.down(now) {
+		mc.refuseAll(now, fl, refuseLog())
+		return
+	}
+	fl.phase = phaseQueued
+	fl.claim = mc.newClaim()
+	fl.created = now
+	mc.queue.addClaim(fl)
+	mc.watch(now.Add(mc.set.appendTimeout))
+}
+
+// resolveUnknown handles a key whose order may have run without a known answer.
+func (mc *Machine) resolveUnknown(now time.Time, fl *flight, claimant record.Claimant) {
+	if fl.repeat != chestnutroad.RepeatTargetDeduplicates {
+		mc.refuseAll(now, fl, refuseUnknown())
+		return
+	}
+	mc.giveUpClaim(now, fl)
+	fl.claim = claimant
+	fl.created = now
+	fl.again = true
+	mc.start(fl)
+}
+
+// resolveTaken waits for the answer of another host. A claim of our own that hasn't been read back stays under way,
+// since the other host may release the key before it.
+func (mc *Machine) resolveTaken(fl *flight, en *entry) {
+	if fl.phase == phaseSent && !en.bars(fl.claim) {
+		return
+	}
+	fl.phase = phaseWaiting
+}
+
+// run sends the order to a target if a request still waits for it.
+func (mc *Machine) run(now time.Time, fl *flight) {
+	if !now.Before(fl.created.Add(mc.set.orderLimit)) {
+		mc.refuseAll(now, fl, refuseLate(true))
+		return
+	}
+	mc.refuseExpired(now, fl)
+	if len(fl.waiters) > 0 || mc.set.off.abandon {
+		mc.start(fl)
+	}
+}
+
+func (mc *Machine) start(fl *flight) {
+	fl.phase = phaseRunning
+	if len(fl.waiters) > 0 {
+		fl.runner = fl.waiters[0].request
+	}
+	mc.running[fl.runner] = fl
+	mc.do(Run{Request: fl.runner})
+}
+
+func (mc *Machine) replyAll(fl *flight, outcome Outcome) {
+	for _, wt := range fl.waiters {
+		delete(mc.keys, wt.request)
+		mc.do(Reply{Request: wt.request, Outcome: outcome})
+	}
+	fl.waiters = nil
+	mc.drop(fl)
+}
+
+func (mc *Machine) refuseAll(now time.Time, fl *flight, refusal *chestnutroad.Refusal) {
+	mc.refuseEach(fl, refusal)
+	mc.giveUpClaim(now, fl)
+	mc.drop(fl)
+}
+
+func (mc *Machine) refuseEach(fl *flight, refusal *chestnutroad.Refusal) {
+	for _, wt := range fl.waiters {
+		delete(mc.keys, wt.request)
+		copied := *refusal
+		mc.refuse(wt.request, &copied)
+	}
+	fl.waiters = nil
+}
--- /dev/null
+++ b/internal/order/snapshot.go
@@ -0,0 +1,81 @@
+package order
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// storedEntry is the form of an entry in a snapshot.
+type storedEntry struct {
+	Team      chestnutroad.TeamID
+	Key       chestnutroad.IdempotencyKey
+	Claimant  *record.Claimant `json:",omitempty"`
+	Digest    string           `json:",omitempty"`
+	ExpiresMs int64
+	Outcome   *record.Outcome   `json:",omitempty"`
+	Barred    []record.Claimant `json:",omitempty"`
+}
+
+// storedTable is the payload of an OrderSnapshot.
+type storedTable struct {
+	ClockMs int64
+	Claims  []storedEntry
+}
+
+// Payload returns the table without expired entries, in an order that depends on its content alone.
+func (tb *table) Payload() []byte {
+	tb.dropExpired()
+	stored := storedTable{ClockMs: tb.clock, Claims: make([]storedEntry, 0, len(tb.entries))}
+	for key, en := range tb.entries {
+		stored.Claims = append(stored.Claims, storeEntry(key, en))
+	}
+	slices.SortFunc(stored.Claims, compareStored)
+	data, err := json.Marshal(stored)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode %d claims", len(stored.Claims)))
+	}
+	return data
+}
+
+func compareStored(one, other storedEntry) int {
+	return cmp.Or(cmp.Compare(one.Team, other.Team), cmp.Compare(one.Key, other.Key))
+}
+
+func storeEntry(key Key, en *entry) storedEntry {
+	stored := storedEntry{
+		Team: key.Team, Key: key.Key, Digest: en.digest, ExpiresMs: en.expires, Outcome: en.outcome, Barred: en.barred,
+	}
+	if en.taken() {
+		stored.Claimant = &en.claimant
+	}
+	return stored
+}
+
+// Load replaces the table by the one in the payload.
+func (tb *table) Load(payload []byte) error {
+	var stored storedTable
+	if err := json.Unmarshal(payload, &stored); err != nil {
+		return errors.Wrap(err, "decode order snapshot")
+	}
+	tb.Reset()
+	tb.clock = stored.ClockMs
+	for index := range stored.Claims {
+		tb.loadEntry(&stored.Claims[index])
+	}
+	return nil
+}
+
+func (tb *table) loadEntry(stored *storedEntry) {
+	en := &entry{digest: stored.Digest, expires: stored.ExpiresMs, outcome: stored.Outcome, barred: stored.Barred}
+	if stored.Claimant != nil {
+		en.claimant = *stored.Claimant
+		tb.noteLife(en.claimant)
+	}
+	tb.entries[Key{Team: stored.Team, Key: stored.Key}] = en
+}
--- /dev/null
+++ b/internal/order/submit.go
@@ -0,0 +1,104 @@
+package order
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Submit takes a request to run an order. A request that is submitted again while it waits is answered once.
+func (mc *Machine) Submit(now time.Time, order Order) []Action {
+	mc.expire(now)
+	mc.submit(now, order)
+	return mc.finish(now)
+}
+
+func (mc *Machine) submit(now time.Time, order Order) {
+	wt := waiter{request: order.Request, deadline: mc.deadline(now, order.Deadline)}
+	if !now.Before(wt.deadline) {
+		mc.refuse(order.Request, refuseLate(true))
+		return
+	}
+	key := Key{Team: order.Team, Key: order.Key}
+	if fl := mc.flights[key]; fl != nil {
+		mc.joinFlight(fl, wt, order.Digest)
+		return
+	}
+	if mc.replyOwn(key, order) {
+		return
+	}
+	if !mc.Ready() {
+		mc.refuse(order.Request, refuseNotReady())
+		return
+	}
+	mc.startFlight(now, key, wt, order)
+}
+
+// deadline limits the order's own deadline; a missing one is the limit.
+func (mc *Machine) deadline(now, wanted time.Time) time.Time {
+	limit := now.Add(mc.set.orderLimit)
+	if wanted.IsZero() || wanted.After(limit) {
+		return limit
+	}
+	return wanted
+}
+
+func (mc *Machine) joinFlight(fl *flight, wt waiter, digest string) {
+	if fl.digest != digest {
+		mc.refuse(wt.request, refuseKeyReused())
+		return
+	}
+	fl.join(wt)
+	mc.keys[wt.request] = fl.key
+	mc.watch(wt.deadline)
+}
+
+// replyOwn answers from an outcome of this host that is still on its way into the log.
+func (mc *Machine) replyOwn(key Key, order Order) bool {
+	wr := mc.outcomes[key]
+	if wr == nil || wr.step.Outcome.Unknown {
+		return false
+	}
+	if wr.step.Digest != order.Digest {
+		mc.refuse(order.Request, refuseKeyReused())
+		return true
+	}
+	mc.do(Reply{Request: order.Request, Outcome: *wr.step.Outcome})
+	return true
+}
+
+func (mc *Machine) startFlight(now time.Time, key Key, wt waiter, order Order) {
+	mc.flightCount++
+	fl := &flight{
+		number: mc.flightCount, key: key, digest: order.Digest, repeat: order.Repeat,
+		phase: phaseWaiting, waiters: []waiter{wt}, runner: wt.request,
+	}
+	mc.flights[key] = fl
+	mc.keys[wt.request] = key
+	mc.watch(wt.deadline)
+	mc.resolve(now, fl)
+}
+
+// Cancel withdraws a request that needs no answer any more. An order that is running goes on.
+func (mc *Machine) Cancel(now time.Time, request chestnutroad.RequestID) []Action {
+	mc.expire(now)
+	mc.cancel(now, request)
+	return mc.finish(now)
+}
+
+func (mc *Machine) cancel(now time.Time, request chestnutroad.RequestID) {
+	fl := mc.flights[mc.keys[request]]
+	delete(mc.keys, request)
+	if fl == nil {
+		return
+	}
+	fl.leave(request)
+	if len(fl.waiters) == 0 && fl.phase != phaseRunning {
+		mc.giveUpClaim(now, fl)
+		mc.drop(fl)
+	}
+}
+
+func (mc *Machine) refuse(request chestnutroad.RequestID, refusal *chestnutroad.Refusal) {
+	mc.do(Refuse{Request: request, Refusal: refusal})
+}
--- /dev/null
+++ b/internal/order/write.go
@@ -0,0 +1,53 @@
+package order
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// writeState says how far an outcome or release is on its way into the log.
+type writeState int
+
+const (
+	writeQueued writeState = iota
+	writeSent
+	// writeInDoubt means that the append's result is unknown; the entry is sent again, which does no harm.
+	writeInDoubt
+	// writeStored means that the entry is in the log but has not been read back.
+	writeStored
+)
+
+// write is an outcome or a release that has to get into the log.
+type write struct {
+	key   Key
+	step  record.Entry
+	state writeState
+	batch BatchID
+	sent  time.Time
+	since time.Time
+}
+
+// done reports whether the table shows what the write says.
+func (wr *write) done(tb *table) bool {
+	en := tb.live(wr.key)
+	if en == nil {
+		return false
+	}
+	if wr.step.Type == record.EntryRelease {
+		return en.bars(wr.step.Claimant)
+	}
+	if en.claimant != wr.step.Claimant {
+		return false
+	}
+	return en.known() || wr.step.Outcome.Unknown && en.outcome != nil
+}
+
+func anyUnstored(writes map[Key]*write) bool {
+	for _, wr := range writes {
+		if wr.state != writeStored {
+			return true
+		}
+	}
+	return false
+}
