--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,202 @@
+package engine_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/engine"
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	enginestandin "github.com/chestnutroad/chestnutroad/internal/standin/engine"
+)
+
+type discard struct{ header http.Header }
+
+func (di *discard) Head(_ int, header http.Header) error {
+	di.header = header
+	return nil
+}
+
+func (*discard) Chunk([]byte, chestnutroad.Tokens) error { return nil }
+
+func start(t *testing.T, options ...enginestandin.Option) (*enginestandin.Engine, *engine.Client) {
+	t.Helper()
+	options = append([]enginestandin.Option{enginestandin.WithID("e1"), enginestandin.WithTokenTime(0, 0)}, options...)
+	stand := enginestandin.New(options...)
+	server, err := standin.Start("127.0.0.1:0", stand.Switches(), stand.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return stand, engine.New(server.Address())
+}
+
+// chat runs a chat of 4 tokens and returns the prompt tokens that the engine reused.
+func chat(t *testing.T, client *engine.Client, id string) string {
+	t.Helper()
+	answer := &discard{}
+	err := client.Do(t.Context(), &chestnutroad.Call{
+		Request: "r", Method: http.MethodPost, Path: "/v1/chat/completions", Header: http.Header{"Chestnutroad-Chat": {id}},
+		Body:   []byte(`{"stream":true,"max_tokens":4,"messages":[{"role":"user","content":"0123456789012345678901"}]}`),
+		Repeat: chestnutroad.RepeatAllowed,
+	}, answer)
+	if err != nil {
+		t.Error(err)
+	}
+	return answer.header.Get(enginestandin.HeaderReused)
+}
+
+func events(t *testing.T, client *engine.Client, after uint64) []chestnutroad.CacheEvent {
+	t.Helper()
+	answer, err := client.CacheEvents(t.Context(), after)
+	if err != nil {
+		t.Error(err)
+	}
+	return answer.Events
+}
+
+// TestCache guards against a stand-in that reuses context it had no room for, or hides evictions; a chat takes 11 tokens.
+func TestCache(t *testing.T) {
+	t.Parallel()
+	_, client := start(t, enginestandin.WithCacheTokens(25))
+	for index, step := range []struct{ chat, reused string }{{"a", "0"}, {"b", "0"}, {"a", "7"}, {"c", "0"}, {"b", "0"}, {"c", "7"}} {
+		if reused := chat(t, client, step.chat); reused != step.reused {
+			t.Errorf("step %d: chat %s reused %s tokens, want %s", index, step.chat, reused, step.reused)
+		}
+	}
+	evicted := 0
+	for _, event := range events(t, client, 0) {
+		if event.Cached == 0 {
+			evicted++
+		}
+	}
+	if evicted != 2 {
+		t.Errorf("%d evictions in the events", evicted)
+	}
+}
+
+// TestLateAndGappyEvents guards against switches for cache events that have no effect.
+func TestLateAndGappyEvents(t *testing.T) {
+	t.Parallel()
+	stand, client := start(t)
+	chat(t, client, "a")
+	chat(t, client, "b")
+	chat(t, client, "c")
+	tests := []struct {
+		faults standin.Faults
+		after  uint64
+		count  int
+	}{
+		{standin.Faults{}, 0, 3},
+		{standin.Faults{}, 2, 1},
+		{standin.Faults{EventGap: 3}, 0, 2},
+		{standin.Faults{EventDelay: standin.Duration(time.Minute)}, 0, 0},
+	}
+	for _, test := range tests {
+		stand.Switches().Set(test.faults)
+		if list := events(t, client, test.after); len(list) != test.count {
+			t.Errorf("%+v: %+v", test, list)
+		}
+	}
+}
+
+// TestLoad guards against reports without the running work, and against a lag that has no effect.
+func TestLoad(t *testing.T) {
+	t.Parallel()
+	stand, client := start(t, enginestandin.WithTokenTime(50*time.Millisecond, 0), enginestandin.WithBatch(2, 1))
+	time.Sleep(50 * time.Millisecond)
+	var group sync.WaitGroup
+	for range 3 {
+		group.Go(func() { chat(t, client, "a") })
+	}
+	time.Sleep(75 * time.Millisecond)
+	present, err := client.Load(t.Context())
+	if err != nil || present.Running != 2 || present.Work < 5 || present.BatchSlots != 2 || present.Target != "e1" {
+		t.Errorf("report %+v, error %v", present, err)
+	}
+	stand.Switches().Set(standin.Faults{Lag: standin.Duration(100 * time.Millisecond)})
+	past, err := client.Load(t.Context())
+	if err != nil || past.Running != 0 || past.Work != 0 || !past.Taken.Before(present.Taken) {
+		t.Errorf("lagging report %+v, error %v", past, err)
+	}
+	err = client.Do(t.Context(), &chestnutroad.Call{
+		Method: http.MethodPost, Path: "/v1/chat/completions",
+		Body: []byte(`{"messages":[{}]}`), Repeat: chestnutroad.RepeatAllowed,
+	}, &discard{})
+	if refusal := chestnutroad.RefusalOf(err); err == nil || !refusal.NotRun {
+		t.Errorf("a fourth chat was not refused: %v", err)
+	}
+	group.Wait()
+	stand.Switches().Set(standin.Faults{})
+	if idle, err := client.Load(t.Context()); err != nil || idle.Running != 0 || idle.Work != 0 {
+		t.Errorf("report %+v of an idle engine, error %v", idle, err)
+	}
+}
+
+// TestFencing guards against an old order that is obeyed, and against a switch to ignore the number without effect.
+func TestFencing(t *testing.T) {
+	t.Parallel()
+	stand, client := start(t)
+	tests := []struct {
+		number chestnutroad.FencingNumber
+		ignore bool
+		obeyed bool
+	}{{5, false, true}, {5, false, true}, {4, false, false}, {4, true, true}, {4, false, false}, {6, false, true}}
+	for index, test := range tests {
+		stand.Switches().Set(standin.Faults{IgnoreFencing: test.ignore})
+		err := client.Order(t.Context(), chestnutroad.EngineOrder{Number: test.number, Load: "m"})
+		if (err == nil) != test.obeyed {
+			t.Errorf("step %d: error %v", index, err)
+		}
+		if err != nil && chestnutroad.RefusalOf(err).Kind != chestnutroad.TargetRefused {
+			t.Errorf("step %d: error %v", index, err)
+		}
+	}
+}
+
+// TestPollAfterRestart guards against a cursor from an engine's former life that hides the events of the new one.
+func TestPollAfterRestart(t *testing.T) {
+	t.Parallel()
+	former, latter := enginestandin.New(enginestandin.WithTokenTime(0, 0)), enginestandin.New(enginestandin.WithTokenTime(0, 0))
+	handler := former.Handler()
+	var mu sync.Mutex
+	server, err := standin.Start("127.0.0.1:0", standin.NewSwitches(standin.Faults{}),
+		http.HandlerFunc(func(rw http.ResponseWriter, req *http.Request) {
+			mu.Lock()
+			present := handler
+			mu.Unlock()
+			present.ServeHTTP(rw, req)
+		}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	client := engine.New(server.Address())
+	chat(t, client, "a")
+	chat(t, client, "b")
+	seen := make(chan chestnutroad.CacheEvent, 16)
+	go client.PollCacheEvents(t.Context(), 10*time.Millisecond, func(list engine.Events, _ error) {
+		for _, event := range list.Events {
+			seen <- event
+		}
+	})
+	want := []chestnutroad.ChatID{0xa, 0xb, 0xc}
+	for index, id := range want {
+		if index == 2 {
+			mu.Lock()
+			handler = latter.Handler()
+			mu.Unlock()
+			chat(t, client, "c")
+		}
+		select {
+		case event := <-seen:
+			if event.Chat != id {
+				t.Errorf("event %+v, want chat %v", event, id)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("no event of chat %v", id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,64 @@
+package service_test
+
+import (
+	"net/http"
+	"testing"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/service"
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	servicestandin "github.com/chestnutroad/chestnutroad/internal/standin/service"
+)
+
+type discard struct{}
+
+func (discard) Head(int, http.Header) error { return nil }
+
+func (discard) Chunk([]byte, chestnutroad.Tokens) error { return nil }
+
+// TestExecutions guards against a stand-in that miscounts executions, which would hide an order that ran twice or never.
+func TestExecutions(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		faults  standin.Faults
+		options []servicestandin.Option
+		kinds   []chestnutroad.Kind
+		count   int
+	}{
+		{"each order counts", standin.Faults{}, nil, []chestnutroad.Kind{"", ""}, 2},
+		{"deduplicated", standin.Faults{}, []servicestandin.Option{servicestandin.WithDeduplication()}, []chestnutroad.Kind{"", ""}, 1},
+		{"answer lost after the write", standin.Faults{LoseAnswers: 1}, nil, []chestnutroad.Kind{chestnutroad.OutcomeUnknown}, 1},
+		{"refused before the write", standin.Faults{RefuseNotRun: 1}, nil, []chestnutroad.Kind{chestnutroad.TargetRefused, ""}, 1},
+		{"out of service", standin.Faults{Unavailable: true}, nil, []chestnutroad.Kind{""}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			stand := servicestandin.New(test.options...)
+			server, err := standin.Start("127.0.0.1:0", stand.Switches(), stand.Handler())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
+			stand.Switches().Set(test.faults)
+			client := service.New(server.Address())
+			for _, kind := range test.kinds {
+				err := client.Do(t.Context(), &chestnutroad.Call{
+					Method: http.MethodPost, Path: "/bookings", Header: http.Header{"Idempotency-Key": {"k"}},
+					Body: []byte("{}"), Repeat: chestnutroad.RepeatNever,
+				}, discard{})
+				if (err == nil) != (kind == "") || (err != nil && chestnutroad.RefusalOf(err).Kind != kind) {
+					t.Errorf("error %v, want %q", err, kind)
+				}
+			}
+			count := 0
+			for _, execution := range stand.Executions().Executions {
+				count += execution.Count
+			}
+			if count != test.count {
+				t.Errorf("ran %d times, want %d", count, test.count)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/target/engine_test.go
@@ -0,0 +1,242 @@
+package target_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/engine"
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	enginestandin "github.com/chestnutroad/chestnutroad/internal/standin/engine"
+)
+
+const (
+	tokenEvent = `data: {"choices":[{"index":0,"delta":{"content":" a"}}]}` + "\n\n"
+	doneEvent  = "data: [DONE]\n\n"
+)
+
+// streamFaults guards against a truncated or malformed stream that passes for a whole answer, against wrong token counts,
+// which would make a resumed stream lose or repeat tokens, and against memory that a stream without line ends takes.
+var streamFaults = []struct {
+	name   string
+	text   string
+	again  string
+	want   chestnutroad.Kind
+	tokens chestnutroad.Tokens
+}{
+	{"whole", tokenEvent + tokenEvent + doneEvent, "", success, 2},
+	{"without the last event", tokenEvent + tokenEvent, "", chestnutroad.StreamBroken, 2},
+	{"cut in an event", tokenEvent + tokenEvent[:20], "", chestnutroad.StreamBroken, 1},
+	{"empty", "", "", chestnutroad.StreamBroken, 0},
+	{"event that is not JSON", tokenEvent + "data: }{\n\n", "", chestnutroad.BadAnswer, 1},
+	{"event that is not an object", "data: 7\n\n", "", chestnutroad.BadAnswer, 0},
+	{"error event", tokenEvent + `data: {"error":{"message":"out of memory"}}` + "\n\n", "", chestnutroad.StreamBroken, 1},
+	{"line that never ends", tokenEvent + "data: ", "aaaaaaaaaaaaaaaa", chestnutroad.BadAnswer, 1},
+	{"event that never ends", tokenEvent, "data: 1\n", chestnutroad.BadAnswer, 1},
+	{"carriage returns", strings.ReplaceAll(tokenEvent+doneEvent, "\n", "\r\n"), "", success, 1},
+	{"comment and padding", ": wait\n\n\n" + tokenEvent + doneEvent, "", success, 1},
+	{"data in two lines", "data: {\"choices\":[{\"delta\":\ndata: {\"content\":\"a\"}}]}\n\n" + doneEvent, "", success, 1},
+	{"role and usage carry no token", `data: {"choices":[{"delta":{"role":"assistant","content":""}}]}` + "\n\n" +
+		`data: {"choices":[{"delta":{"content":null}}]}` + "\n\n" + `data: {"choices":[],"usage":{"a":"\"content\":\"b\""}}` + "\n\n" + doneEvent, "", success, 0},
+}
+
+func TestStreamFaults(t *testing.T) {
+	t.Parallel()
+	for _, test := range streamFaults {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			client := engine.New(serveStream(t, test.text, test.again), engine.WithEventLimit(1<<16))
+			answer := &recorder{}
+			err := client.Do(t.Context(), chatCall("mark", true, chestnutroad.RepeatAllowed), answer)
+			checkOutcome(t, err, test.want, false)
+			if answer.tokens != test.tokens {
+				t.Errorf("%d tokens, want %d", answer.tokens, test.tokens)
+			}
+		})
+	}
+}
+
+func serveStream(t *testing.T, text, again string) string {
+	t.Helper()
+	return serve(t, func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Type", "text/event-stream; charset=utf-8")
+		_, err := rw.Write([]byte(text))
+		for err == nil && again != "" {
+			_, err = rw.Write([]byte(again))
+		}
+	})
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) string {
+	t.Helper()
+	server, err := standin.Start("127.0.0.1:0", standin.NewSwitches(standin.Faults{}), handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = server.Close() })
+	return server.Address()
+}
+
+// TestNotHTTP2 guards against a peer that does not speak HTTP/2 being waited for or being called "not run".
+func TestNotHTTP2(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		answer func(net.Conn)
+		want   chestnutroad.Kind
+	}{
+		{"HTTP/1.1", func(raw net.Conn) { say("HTTP/1.1 400 Bad Request\r\n\r\n")(raw, nil) }, chestnutroad.BadAnswer},
+		{"closed at once", func(raw net.Conn) { _ = raw.Close() }, chestnutroad.StreamBroken},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // a listener on loopback does not block
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = listener.Close() }()
+			go func() {
+				for {
+					raw, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					test.answer(raw)
+				}
+			}()
+			err = engine.New(listener.Addr().String()).Do(t.Context(), chatCall("mark", true, chestnutroad.RepeatAllowed), &recorder{})
+			checkOutcome(t, err, test.want, false)
+		})
+	}
+}
+
+// resumeFaults guards against tokens that are lost or repeated when a stream breaks and is resumed.
+var resumeFaults = []struct {
+	name   string
+	breaks func(*standin.Server)
+}{
+	{"cut with a reset", func(server *standin.Server) { server.Switches().Set(standin.Faults{CutStreams: 1, CutAfter: 7}) }},
+	{"cut cleanly", func(server *standin.Server) {
+		server.Switches().Set(standin.Faults{CutStreams: 1, CutAfter: 7, CutCleanly: true})
+	}},
+	{"cut before the first token", func(server *standin.Server) { server.Switches().Set(standin.Faults{CutStreams: 1}) }},
+	{"silent connection", func(server *standin.Server) { time.AfterFunc(8*time.Millisecond, server.Silence) }},
+}
+
+func TestResumeIsExact(t *testing.T) {
+	t.Parallel()
+	for _, test := range resumeFaults {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			server, err := startEngine()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
+			client := newEngineClient(server.Address())
+			unbroken, broken := &recorder{}, &recorder{}
+			call := chatCall("mark", true, chestnutroad.RepeatAllowed)
+			checkOutcome(t, client.Do(t.Context(), call, unbroken), success, false)
+			test.breaks(server)
+			checkOutcome(t, client.Do(t.Context(), call, broken), chestnutroad.StreamBroken, false)
+			call.ResumeAt = broken.tokens
+			call.Attempt++
+			checkOutcome(t, client.Do(t.Context(), call, broken), success, false)
+			if string(broken.body) != string(unbroken.body) || broken.tokens != 20 {
+				t.Errorf("resumed at %d:\n%s\nwant:\n%s", call.ResumeAt, broken.body, unbroken.body)
+			}
+		})
+	}
+}
+
+// TestWrongStream guards against the answer to another request, and against a stream that starts over instead of resuming.
+func TestWrongStream(t *testing.T) {
+	t.Parallel()
+	for _, faults := range []standin.Faults{{Misrouted: 1}, {IgnoreResume: true}} {
+		server, err := startEngine()
+		if err != nil {
+			t.Fatal(err)
+		}
+		server.Switches().Set(faults)
+		call, answer := chatCall("mark", true, chestnutroad.RepeatAllowed), &recorder{}
+		call.ResumeAt = 3
+		checkOutcome(t, newEngineClient(server.Address()).Do(t.Context(), call, answer), chestnutroad.BadAnswer, false)
+		if answer.heads != 0 {
+			t.Errorf("%+v: the answer was handed over", faults)
+		}
+		_ = server.Close()
+	}
+}
+
+// TestSilentAndSlow guards against a silent connection that holds a stream until its deadline, and against taking a slow
+// engine for a silent one. The case without pings is the baseline.
+func TestSilentAndSlow(t *testing.T) {
+	t.Parallel()
+	const sendPing, ping = 100 * time.Millisecond, 200 * time.Millisecond
+	tests := []struct {
+		name   string
+		silent bool
+		pings  engine.Option
+		want   chestnutroad.Kind
+		within time.Duration
+	}{
+		{"silent connection", true, engine.WithPings(sendPing, ping), chestnutroad.StreamBroken, sendPing + ping + 500*time.Millisecond},
+		{"silent connection without pings", true, engine.WithPings(0, 0), chestnutroad.DeadlineExceeded, 4 * time.Second},
+		{"slow engine", false, engine.WithPings(sendPing, ping), success, 4 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			server, err := enginestandin.Start("127.0.0.1:0", enginestandin.WithTokenTime(700*time.Millisecond, 0), enginestandin.WithOutput(3))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = server.Close() }()
+			call := chatCall("mark", true, chestnutroad.RepeatAllowed)
+			call.Body = []byte(strings.Replace(string(call.Body), `"max_tokens":20,`, "", 1))
+			silenced := time.Now()
+			answer := &recorder{fail: func(rc *recorder) error {
+				if test.silent && rc.tokens == 1 {
+					server.Silence()
+					silenced = time.Now()
+				}
+				return nil
+			}}
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			err = engine.New(server.Address(), test.pings).Do(ctx, call, answer)
+			checkOutcome(t, err, test.want, false)
+			if took := time.Since(silenced); took > test.within {
+				t.Errorf("took %v", took)
+			}
+		})
+	}
+}
+
+// TestCancelReachesEngine guards against an engine that goes on working for a caller that is gone.
+func TestCancelReachesEngine(t *testing.T) {
+	t.Parallel()
+	stand := enginestandin.New(enginestandin.WithTokenTime(10*time.Millisecond, 0))
+	server, err := standin.Start("127.0.0.1:0", stand.Switches(), stand.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	for index, repeat := range []chestnutroad.Repeat{chestnutroad.RepeatAllowed, chestnutroad.RepeatNever} {
+		answer := &recorder{fail: func(*recorder) error { return errAnswer }}
+		call := chatCall(fmt.Sprint(index), true, repeat)
+		_ = newEngineClient(server.Address()).Do(t.Context(), call, answer)
+		for wait := 0; stand.Statistics().Cancelled != index+1; wait++ {
+			if wait == 100 {
+				t.Fatalf("%s: %+v", repeat, stand.Statistics())
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
