--- a/internal/cli/verbs.go
+++ b/internal/cli/verbs.go
@@ -22,7 +22,7 @@
 var verbTable = []Verb{
 	{
 		"config check", "report all faults of settings files",
-		"chestnutroad config check base.toml wielkopolska.toml",
+		"chestnutroad config check --host host.toml base.toml wielkopolska.toml",
 		func() Command { return &ConfigCheck{} },
 	},
 	{
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -85,6 +86,24 @@
 	hd.mux.HandleFunc(PathProfile+"trace", pprof.Trace)
 }
 
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = time.Minute
+	maxHeader         = 16 * 1024
+)
+
+// NewServer returns a server for the operators' port. It bounds the time to read a request but not the time to answer one,
+// since a profile runs for as long as the request asks.
+func NewServer(hd *Handler) *http.Server {
+	return &http.Server{
+		Handler:           hd,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
 // ServeHTTP answers one request of an operator.
 func (hd *Handler) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	hd.mux.ServeHTTP(writer, request)
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"crypto/tls"
 	"encoding/hex"
 	"net/netip"
 	"os"
@@ -93,7 +94,7 @@
 		LogLevel:        rd.choice("LogLevel", "info", "debug", "info", "warn", "error"),
 		Profiling:       rd.flag("Profiling", false),
 	}
-	rd.together("CertificateFile", "KeyFile")
+	rd.checkCertificate(ht)
 	rd.advertised("PeerAddress", ht.PeerAddress)
 	rd.finish()
 	return ht
@@ -136,6 +137,17 @@
 	}
 }
 
+// checkCertificate reports a certificate without its key, and a pair that can't be used.
+func (rd *reader) checkCertificate(ht *Host) {
+	rd.together("CertificateFile", "KeyFile")
+	if ht.CertificateFile == "" || ht.KeyFile == "" {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(ht.CertificateFile, ht.KeyFile); err != nil {
+		rd.faultf("CertificateFile", rd.tb.entries["CertificateFile"], "the certificate and key can't be used: %s", err)
+	}
+}
+
 // together reports one of two keys that stands without the other.
 func (rd *reader) together(one, two string) {
 	first, second := rd.tb.entries[one], rd.tb.entries[two]
--- /dev/null
+++ b/internal/timeline/clock_test.go
@@ -0,0 +1,80 @@
+package timeline_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/timeline"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// wall is a wall clock that a test sets.
+type wall struct{ now time.Time }
+
+func (wl *wall) read() time.Time { return wl.now }
+
+// TestClockMonotone guards against stamps that repeat or go back when the wall clock stands still or is set back.
+func TestClockMonotone(t *testing.T) {
+	t.Parallel()
+	wl := &wall{now: start}
+	ck := timeline.NewClock(timeline.WithWall(wl.read))
+	last := ck.Now()
+	for index := range 200_000 {
+		if index == 100_000 {
+			wl.now = start.Add(-time.Hour)
+		}
+		next := ck.Now()
+		if next.Compare(last) <= 0 {
+			t.Fatalf("%s is not after %s", next, last)
+		}
+		last = next
+	}
+}
+
+// TestObserve guards against an effect that is stamped before its cause, and against a damaged stamp that sets the clock
+// ahead for good.
+func TestObserve(t *testing.T) {
+	t.Parallel()
+	at := timeline.Stamp{Physical: start.UnixMilli()}
+	cases := []struct {
+		Name   string
+		Ahead  time.Duration
+		Taken  bool
+		Expect timeline.Stamp
+	}{
+		{"Behind", -5 * time.Minute, true, at},
+		{"Same", 0, true, timeline.Stamp{Physical: at.Physical, Logical: 1}},
+		{"MinutesAhead", 5 * time.Minute, true, timeline.Stamp{Physical: at.Physical + 300_000, Logical: 1}},
+		{"TooFarAhead", 2 * time.Hour, false, at},
+	}
+	for _, cs := range cases {
+		t.Run(cs.Name, func(t *testing.T) {
+			t.Parallel()
+			ck := timeline.NewClock(timeline.WithWall((&wall{now: start}).read), timeline.WithMaxAhead(time.Hour))
+			peer := timeline.Stamp{Physical: start.Add(cs.Ahead).UnixMilli()}
+			if taken := ck.Observe(peer); taken != cs.Taken {
+				t.Errorf("taken %t, want %t", taken, cs.Taken)
+			}
+			if got := ck.Now(); got != cs.Expect {
+				t.Errorf("next stamp %s, want %s", got, cs.Expect)
+			}
+			if ignored := ck.Ignored() == 1; ignored == cs.Taken {
+				t.Errorf("ignored %d stamps", ck.Ignored())
+			}
+		})
+	}
+}
+
+// TestPack guards against packed stamps that lose bits or sort differently.
+func TestPack(t *testing.T) {
+	t.Parallel()
+	one := timeline.Stamp{Physical: start.UnixMilli(), Logical: 65535}
+	two := timeline.Stamp{Physical: start.UnixMilli() + 1}
+	if timeline.Unpack(one.Pack()) != one || timeline.Unpack(two.Pack()) != two {
+		t.Error("a stamp changed on its way")
+	}
+	if one.Pack() >= two.Pack() {
+		t.Error("packed stamps sort differently")
+	}
+}
