--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -227,3 +227,27 @@
 		}
 	})
 }
+
+// TestReference guards against a key or default that the reference in examples/README.md lacks or states wrongly.
+func TestReference(t *testing.T) {
+	t.Parallel()
+	reference, err := os.ReadFile("../../examples/README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	st, err := settings.Parse(readCase(t, "testdata/cases/overlay")...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ef, _ := st.Effective("south")
+	for _, value := range ef.Values {
+		key := value.Key[strings.LastIndex(value.Key, ".")+1:]
+		row := "| `" + key + "` | "
+		if value.File == "" && key != "LoadFloor" && key != "Deadline" && key != "Repeat" {
+			row += value.Value + " | "
+		}
+		if !strings.Contains(string(reference), row) {
+			t.Errorf("%s: no row starts with %q", value.Key, row)
+		}
+	}
+}
