--- /dev/null
+++ b/internal/pool/baseline/router.go
@@ -0,0 +1,152 @@
+package baseline
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// retryAfter is the Retry-After of a refusal for want of a target.
+const retryAfter = 2 * time.Second
+
+// chooser picks one of the targets, of which there is at least one.
+type chooser interface {
+	choose(now time.Time, req *running, targets []chestnutroad.TargetID) chestnutroad.TargetID
+	started(req *running)
+	ended(req *running)
+	reported(report chestnutroad.LoadReport)
+}
+
+// running is a request on a target.
+type running struct {
+	chestnutroad.Request
+	sent   chestnutroad.Tokens
+	resume bool
+	target chestnutroad.TargetID
+	work   chestnutroad.WorkUnits
+	cached chestnutroad.Tokens
+}
+
+// router starts each request at once on the target that its chooser picks, and repeats what may be repeated.
+type router struct {
+	chooser chooser
+	targets []chestnutroad.TargetID
+	// heard holds the targets that a peer called leaving and the list still holds.
+	heard    []chestnutroad.TargetID
+	requests map[chestnutroad.RequestID]*running
+}
+
+func newRouter(ch chooser) *router {
+	return &router{chooser: ch, requests: map[chestnutroad.RequestID]*running{}}
+}
+
+// SetTargets takes the present list of targets.
+func (rt *router) SetTargets(_ time.Time, listed []pool.Target) []pool.Action {
+	rt.targets = rt.targets[:0]
+	var heard []chestnutroad.TargetID
+	for _, entry := range listed {
+		switch {
+		case entry.Leaving:
+		case slices.Contains(rt.heard, entry.ID):
+			heard = append(heard, entry.ID)
+		default:
+			rt.targets = append(rt.targets, entry.ID)
+		}
+	}
+	rt.heard = heard
+	return nil
+}
+
+// SetLeaving takes a peer's word that a target is leaving.
+func (rt *router) SetLeaving(_ time.Time, id chestnutroad.TargetID) []pool.Action {
+	rt.heard = append(rt.heard, id)
+	rt.targets = slices.DeleteFunc(rt.targets, func(other chestnutroad.TargetID) bool { return other == id })
+	return nil
+}
+
+// Submit starts the request, or refuses it when there is no target.
+func (rt *router) Submit(now time.Time, req chestnutroad.Request, _ ...pool.SubmitOption) []pool.Action {
+	return rt.start(now, &running{Request: req}, rt.targets)
+}
+
+func (rt *router) start(now time.Time, rn *running, targets []chestnutroad.TargetID) []pool.Action {
+	if len(targets) == 0 {
+		refusal := chestnutroad.Refuse(chestnutroad.NoTarget, "there is no target").After(retryAfter)
+		refusal.NotRun = !rn.resume
+		return []pool.Action{{Type: pool.ActionRefuse, Request: rn.ID, Refusal: refusal}}
+	}
+	rn.cached = 0
+	rn.target = rt.chooser.choose(now, rn, targets)
+	rn.work = chestnutroad.WorkOf(max(0, rn.Prompt+rn.sent-rn.cached), max(0, rn.MaxOutput-rn.sent))
+	rt.requests[rn.ID] = rn
+	rt.chooser.started(rn)
+	return []pool.Action{{
+		Type: pool.ActionStart, Request: rn.ID, Target: rn.target, Cached: rn.cached, Resume: rn.resume, Work: rn.work,
+	}}
+}
+
+// Progress records how many tokens of the answer the caller has.
+func (rt *router) Progress(_ time.Time, id chestnutroad.RequestID, sent chestnutroad.Tokens) {
+	if rn := rt.requests[id]; rn != nil {
+		rn.sent = max(rn.sent, sent)
+	}
+}
+
+// Finish ends a request.
+func (rt *router) Finish(_ time.Time, id chestnutroad.RequestID) []pool.Action {
+	rt.end(id)
+	return nil
+}
+
+// Cancel ends a request that its caller gave up.
+func (rt *router) Cancel(_ time.Time, id chestnutroad.RequestID) []pool.Action {
+	rt.end(id)
+	return nil
+}
+
+// Fail repeats the request on another target if it may be repeated, and refuses it otherwise.
+func (rt *router) Fail(now time.Time, id chestnutroad.RequestID, kind pool.FailureKind) []pool.Action {
+	rn := rt.end(id)
+	if rn == nil {
+		return nil
+	}
+	if kind == pool.FailureBadAnswer || (kind == pool.FailureBroken && rn.Repeat == chestnutroad.RepeatNever) {
+		refusal := chestnutroad.Refuse(chestnutroad.OutcomeUnknown, "the target broke off")
+		return []pool.Action{{Type: pool.ActionRefuse, Request: id, Refusal: refusal}}
+	}
+	rn.resume = rn.resume || kind == pool.FailureBroken
+	others := slices.DeleteFunc(slices.Clone(rt.targets), func(other chestnutroad.TargetID) bool { return other == rn.target })
+	return rt.start(now, rn, others)
+}
+
+func (rt *router) end(id chestnutroad.RequestID) *running {
+	rn := rt.requests[id]
+	if rn != nil {
+		delete(rt.requests, id)
+		rt.chooser.ended(rn)
+	}
+	return rn
+}
+
+// Report passes the report to the chooser.
+func (rt *router) Report(_ time.Time, report chestnutroad.LoadReport) []pool.Action {
+	rt.chooser.reported(report)
+	return nil
+}
+
+// CacheEvent is ignored.
+func (rt *router) CacheEvent(time.Time, chestnutroad.CacheEvent) []pool.Action { return nil }
+
+// Tick has nothing to do.
+func (rt *router) Tick(time.Time) []pool.Action { return nil }
+
+// blind is the part of a chooser that learns nothing.
+type blind struct{}
+
+func (blind) started(*running) {}
+
+func (blind) ended(*running) {}
+
+func (blind) reported(chestnutroad.LoadReport) {}
--- /dev/null
+++ b/internal/pool/baseline/singlerouter.go
@@ -0,0 +1,64 @@
+package baseline
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// singleMultiple is the multiple of the mean up to which the single router keeps a chat at its target.
+const singleMultiple = 1.25
+
+// singleRouter sees every request of the pool at once: it has the exact load and an unbounded record of placements. A
+// chat stays at its target up to the multiple of the mean; otherwise the least loaded target takes it.
+type singleRouter struct {
+	loads  map[chestnutroad.TargetID]chestnutroad.WorkUnits
+	places map[chestnutroad.ChatID]place
+}
+
+type place struct {
+	target chestnutroad.TargetID
+	cached chestnutroad.Tokens
+}
+
+func newSingleRouter(Setup) pool.Policy {
+	return newRouter(&singleRouter{
+		loads:  map[chestnutroad.TargetID]chestnutroad.WorkUnits{},
+		places: map[chestnutroad.ChatID]place{},
+	})
+}
+
+func (sr *singleRouter) choose(_ time.Time, rn *running, targets []chestnutroad.TargetID) chestnutroad.TargetID {
+	least := targets[0]
+	var total chestnutroad.WorkUnits
+	known := false
+	pl, recorded := sr.places[rn.Chat]
+	for _, id := range targets {
+		total += sr.loads[id]
+		known = known || (recorded && id == pl.target)
+		if sr.loads[id] < sr.loads[least] {
+			least = id
+		}
+	}
+	if !known {
+		return least
+	}
+	work := chestnutroad.WorkOf(max(0, rn.Prompt+rn.sent-pl.cached), max(0, rn.MaxOutput-rn.sent))
+	if float64(sr.loads[pl.target]+work) > singleMultiple*float64(total+work)/float64(len(targets)) && pl.target != least {
+		return least
+	}
+	rn.cached = min(pl.cached, rn.Prompt+rn.sent)
+	return pl.target
+}
+
+func (sr *singleRouter) started(rn *running) { sr.loads[rn.target] += rn.work }
+
+func (sr *singleRouter) ended(rn *running) {
+	sr.loads[rn.target] -= rn.work
+	if rn.Chat != 0 {
+		sr.places[rn.Chat] = place{target: rn.target, cached: rn.Prompt + rn.sent}
+	}
+}
+
+func (sr *singleRouter) reported(chestnutroad.LoadReport) {}
--- /dev/null
+++ b/internal/pool/bound.go
@@ -0,0 +1,114 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// poolLoad is the load and the number of the targets that the owner can reach.
+type poolLoad struct {
+	work    float64
+	targets float64
+}
+
+func (pl poolLoad) mean() float64 {
+	if pl.targets == 0 {
+		return 0
+	}
+	return pl.work / pl.targets
+}
+
+// ownLoad sums the shard's own targets that may receive work.
+func (ow *Owner) ownLoad(now time.Time) poolLoad {
+	var pl poolLoad
+	for _, tg := range ow.targets {
+		if tg.eligible(now) {
+			pl.work += float64(tg.knownLoad(now))
+			pl.targets++
+		}
+	}
+	return pl
+}
+
+// admissionLoad takes other shards at the least load that they may have by now, so that an old summary makes the bound
+// stricter.
+func (ow *Owner) admissionLoad(now time.Time) poolLoad {
+	pl := ow.ownLoad(now)
+	for _, rs := range ow.remotes {
+		if rs.fresh(now, ow.settings.summaryMaxAge) {
+			pl.work += rs.leastWork(now)
+			pl.targets += float64(rs.last.Targets)
+		}
+	}
+	return pl
+}
+
+// reportedLoad takes other shards at their last summary, so that a summary's age alone never moves a stream.
+func (ow *Owner) reportedLoad(now time.Time) poolLoad {
+	pl := ow.ownLoad(now)
+	for _, rs := range ow.remotes {
+		if rs.fresh(now, ow.settings.summaryMaxAge) {
+			pl.work += float64(rs.last.Work)
+			pl.targets += float64(rs.last.Targets)
+		}
+	}
+	return pl
+}
+
+// fits is the admission rule for work on a target of that load:
+//
+//	load + work <= max(Multiple * (T + work) / n, LoadFloor)
+//
+// A target at or below the mean may always take one request. Without this a pool of equal requests stops at one request
+// a target until the mean reaches 1/(Multiple-1) requests, and a request above LoadFloor starves.
+func (st *settings) fits(load, work chestnutroad.WorkUnits, pl poolLoad) bool {
+	if pl.targets == 0 {
+		return false
+	}
+	after := float64(load + work)
+	if after <= float64(st.loadFloor) || float64(load) <= pl.mean() {
+		return true
+	}
+	return after <= st.multiple*(pl.work+float64(work))/pl.targets
+}
+
+// over says whether a target breaks the bound: it is above the multiple of the mean and the floor, and above the mean
+// even without its largest request.
+func (st *settings) over(load, largest chestnutroad.WorkUnits, pl poolLoad) bool {
+	if load <= st.loadFloor || float64(load) <= st.multiple*pl.mean() {
+		return false
+	}
+	return float64(load-largest) > pl.mean()
+}
+
+// slotsFor returns the slots that a request of this urgency may use on the target.
+func (ow *Owner) slotsFor(tg *target, urgent bool) int {
+	slots := tg.slots
+	if slots <= 0 {
+		slots = ow.settings.slots
+	}
+	if urgent {
+		return slots
+	}
+	return max(1, slots-int(float64(slots)*ow.settings.reservedShare))
+}
+
+// open says whether the target may receive the request at all, whatever its load.
+func (ow *Owner) open(now time.Time, tg *target, rq *request) bool {
+	if !tg.eligible(now) || rq.excludes(tg.id) {
+		return false
+	}
+	return tg.busy(now) < ow.slotsFor(tg, rq.urgent())
+}
+
+// admissible says whether the target may take the request as so much work.
+func (ow *Owner) admissible(now time.Time, tg *target, rq *request, work chestnutroad.WorkUnits, pl poolLoad) bool {
+	if !ow.open(now, tg, rq) {
+		return false
+	}
+	if !ow.pastTakeover(now, tg) {
+		return len(tg.running) == 0 || tg.book+work <= ow.settings.loadFloor
+	}
+	return ow.settings.fits(tg.load(now), work, pl)
+}
--- /dev/null
+++ b/internal/pool/finish.go
@@ -0,0 +1,113 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// attemptLimit is the most targets on which one request is tried.
+const attemptLimit = 4
+
+// Finish ends a request that its target answered in full.
+func (ow *Owner) Finish(now time.Time, id chestnutroad.RequestID) []Action {
+	rq := ow.requests[id]
+	if rq == nil || rq.target == nil {
+		return nil
+	}
+	tg := rq.target
+	tg.failures = 0
+	tg.ejections = 0
+	ow.drain.finished(rq.work, now.Sub(rq.started))
+	ow.counts.Finished++
+	ow.remember(now, rq, tg, rq.Prompt+rq.sent)
+	ow.forget(now, rq)
+	return ow.settle(now, nil)
+}
+
+// Cancel ends a request that its caller gave up, whether it waits or runs.
+func (ow *Owner) Cancel(now time.Time, id chestnutroad.RequestID) []Action {
+	rq := ow.requests[id]
+	if rq == nil {
+		return nil
+	}
+	ow.forget(now, rq)
+	return ow.settle(now, nil)
+}
+
+func (ow *Owner) forget(now time.Time, rq *request) {
+	delete(ow.requests, rq.ID)
+	if rq.target != nil {
+		rq.target.end(now, rq)
+		return
+	}
+	ow.queue.remove(rq)
+}
+
+// Fail takes a running request off its target, which broke it off. A request that may be repeated goes back to the
+// front of the queue and to another target; any other gets its final answer at once.
+func (ow *Owner) Fail(now time.Time, id chestnutroad.RequestID, kind FailureKind) []Action {
+	rq := ow.requests[id]
+	if rq == nil || rq.target == nil {
+		return nil
+	}
+	tg := rq.target
+	ow.counts.Failed++
+	ow.countFailure(now, tg)
+	tg.end(now, rq)
+	rq.failed = append(rq.failed, tg.id)
+	if kind != FailureNotRun {
+		rq.ran = true
+		rq.resume = rq.resume || rq.resumable()
+	}
+	if refusal, refused := ow.giveUp(rq, kind); refused {
+		return ow.settle(now, []Action{refusal})
+	}
+	rq.work = rq.workWith(0)
+	ow.queue.addFront(rq)
+	return ow.trimQueue(ow.settle(now, nil))
+}
+
+// giveUp refuses a failed request that must not or can't be repeated.
+func (ow *Owner) giveUp(rq *request, kind FailureKind) (Action, bool) {
+	switch {
+	case kind == FailureBroken && rq.Repeat == chestnutroad.RepeatNever:
+		return ow.refuse(rq, chestnutroad.OutcomeUnknown, "the target broke off after the request may have run", 0), true
+	case kind == FailureBadAnswer:
+		return ow.refuse(rq, chestnutroad.BadAnswer, "the target's answer could not be understood", 0), true
+	case ow.steppedDown:
+		return ow.refuse(rq, chestnutroad.NotReady, "the shard has a new owner", 0), true
+	case rq.attempts < attemptLimit:
+		return Action{}, false
+	case rq.ran:
+		return ow.refuse(rq, chestnutroad.StreamBroken, "the answer broke off on several targets", retryUnknown), true
+	}
+	return ow.refuse(rq, chestnutroad.TargetRefused, "several targets refused the request", retryUnknown), true
+}
+
+// countFailure ejects a target after several failures in a row, unless too many are ejected already.
+func (ow *Owner) countFailure(now time.Time, tg *target) {
+	tg.failures++
+	if tg.failures < ejectFailures || tg.ejected(now) || !ow.mayEject(now) {
+		return
+	}
+	duration := min(ejectMost, ejectBase<<min(tg.ejections, 10))
+	tg.ejectedUntil = now.Add(duration)
+	tg.ejections++
+	tg.failures = 0
+	ow.counts.Ejected++
+}
+
+func (ow *Owner) mayEject(now time.Time) bool {
+	listed, ejected := 0, 0
+	for _, tg := range ow.targets {
+		if !tg.listed {
+			continue
+		}
+		listed++
+		if tg.ejected(now) {
+			ejected++
+		}
+	}
+	return float64(ejected+1) <= ow.settings.ejectLimit*float64(listed)
+}
--- a/internal/pool/messages.go
+++ b/internal/pool/messages.go
@@ -10,6 +10,8 @@
 type Target struct {
 	ID      chestnutroad.TargetID
 	Leaving bool
+	// Slots is the most requests that the target runs at once; zero stands for the shard's setting.
+	Slots int
 }
 
 // ActionType says what an action asks the host to do.
@@ -27,6 +29,16 @@
 	ActionMove
 )
 
+var actionNames = []string{"Start", "Refuse", "Redirect", "Move"}
+
+// String returns the action's name in logs and traces.
+func (at ActionType) String() string {
+	if at < 0 || int(at) >= len(actionNames) {
+		return "Unknown"
+	}
+	return actionNames[at]
+}
+
 // Action is one decision of a shard's owner.
 type Action struct {
 	Type    ActionType
@@ -39,6 +51,8 @@
 	Cached chestnutroad.Tokens
 	// Resume is true when the request already produced part of its answer on an earlier target.
 	Resume bool
+	// Work is the work that the owner books on Target for the request.
+	Work chestnutroad.WorkUnits
 }
 
 // Summary is the load of one shard as its owner tells the owners of the pool's other shards.
@@ -48,4 +62,21 @@
 	Targets int
 	Work    chestnutroad.WorkUnits
 	Taken   time.Time
+	// Drained is the work finished since the owner started; two summaries give the drain rate.
+	Drained chestnutroad.WorkUnits
+	// Queued is the number of requests that wait; a shard with a queue is sent no redirects.
+	Queued int
 }
+
+// FailureKind says how a target broke off a request.
+type FailureKind int
+
+// The failures.
+const (
+	// FailureNotRun means that no byte reached the target or that the target said it ran nothing.
+	FailureNotRun FailureKind = iota
+	// FailureBroken means that the connection or the stream broke after the request may have started.
+	FailureBroken
+	// FailureBadAnswer means that the target answered with something that can't be relayed.
+	FailureBadAnswer
+)
--- /dev/null
+++ b/internal/pool/move.go
@@ -0,0 +1,121 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// relieve moves streams off targets that are above the bound, the youngest resumable stream first. Each move lowers the
+// higher of the two loads, so that it ends.
+func (ow *Owner) relieve(now time.Time, actions []Action) []Action {
+	if !ow.settings.moves || ow.steppedDown {
+		return actions
+	}
+	var stuck []*target
+	for {
+		pl := ow.reportedLoad(now)
+		tg := ow.worst(now, pl, stuck)
+		if tg == nil {
+			return actions
+		}
+		action, moved := ow.moveOne(now, tg, pl)
+		if !moved {
+			stuck = append(stuck, tg)
+			continue
+		}
+		actions = append(actions, action)
+		stuck = stuck[:0] // a move may make room for streams that fitted nowhere before
+	}
+}
+
+// worst returns the most loaded target above the bound, without those from which nothing can be moved.
+func (ow *Owner) worst(now time.Time, pl poolLoad, stuck []*target) *target {
+	var worst *target
+	for _, tg := range ow.targets {
+		if !tg.eligible(now) || (worst != nil && tg.knownLoad(now) <= worst.knownLoad(now)) {
+			continue
+		}
+		if ow.exceeds(now, tg, pl) && !slices.Contains(stuck, tg) {
+			worst = tg
+		}
+	}
+	return worst
+}
+
+func (ow *Owner) exceeds(now time.Time, tg *target, pl poolLoad) bool {
+	load := tg.knownLoad(now)
+	if load <= ow.settings.loadFloor || float64(load) <= ow.settings.multiple*pl.mean() {
+		return false
+	}
+	return ow.settings.over(load, tg.largest(), pl)
+}
+
+// moveOne moves the youngest resumable stream of the target that fits elsewhere.
+func (ow *Owner) moveOne(now time.Time, from *target, pl poolLoad) (Action, bool) {
+	var youngest *request
+	var to *target
+	for _, rq := range from.running {
+		if !rq.resumable() || (youngest != nil && !rq.moveBefore(youngest)) {
+			continue
+		}
+		if dest := ow.destination(now, from, rq, pl); dest != nil {
+			youngest, to = rq, dest
+		}
+	}
+	if youngest == nil {
+		return Action{}, false
+	}
+	return ow.move(now, youngest, from, to), true
+}
+
+// moveBefore prefers the stream that was moved less often, then the younger one, which has the least context to lose.
+func (rq *request) moveBefore(other *request) bool {
+	if rq.moves != other.moves {
+		return rq.moves < other.moves
+	}
+	return rq.started.After(other.started)
+}
+
+// destination returns the least loaded target on which the stream fits, if that one's load stays below the load of the
+// present one. A stream whose context must be prefilled again may cost more than the move gains.
+func (ow *Owner) destination(now time.Time, from *target, rq *request, pl poolLoad) *target {
+	work := rq.workWith(0)
+	after := poolLoad{work: pl.work + float64(work-rq.work), targets: pl.targets}
+	var least *target
+	for _, tg := range ow.targets {
+		if tg == from || (least != nil && tg.load(now) >= least.load(now)) {
+			continue
+		}
+		load := tg.load(now) + work
+		if load >= from.knownLoad(now) || !ow.open(now, tg, rq) || !ow.pastTakeover(now, tg) {
+			continue
+		}
+		if !ow.settings.over(load, max(work, tg.largest()), after) {
+			least = tg
+		}
+	}
+	return least
+}
+
+func (ow *Owner) move(now time.Time, rq *request, from, to *target) Action {
+	work := rq.workWith(0)
+	from.end(now, rq)
+	to.begin(now, rq, work)
+	rq.moves++
+	rq.resume = true
+	rq.ran = true
+	ow.remember(now, rq, to, 0)
+	ow.counts.Moved++
+	return Action{
+		Type: ActionMove, Request: rq.ID, Target: to.id, From: from.id, Resume: true, Work: work,
+	}
+}
+
+// Progress records how many tokens of the answer the caller has, for a later move or resume.
+func (ow *Owner) Progress(_ time.Time, id chestnutroad.RequestID, sent chestnutroad.Tokens) {
+	if rq := ow.requests[id]; rq != nil {
+		rq.sent = max(rq.sent, sent)
+	}
+}
--- /dev/null
+++ b/internal/pool/place.go
@@ -0,0 +1,141 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// dispatch starts waiting requests in order for as long as they fit. A request that doesn't fit holds back those behind
+// it, so that none starves; only one that avoids a target on which it failed is passed over.
+func (ow *Owner) dispatch(now time.Time, actions []Action) []Action {
+	if ow.queue.length == 0 || ow.steppedDown {
+		return actions
+	}
+	for index := range ow.queue.classes {
+		var blocked bool
+		actions, blocked = ow.dispatchClass(now, &ow.queue.classes[index], actions)
+		if blocked {
+			return actions
+		}
+	}
+	return actions
+}
+
+func (ow *Owner) dispatchClass(now time.Time, pq *priorityQueue, actions []Action) ([]Action, bool) {
+	skip := 0
+	for {
+		rq := pq.next(skip)
+		if rq == nil {
+			return actions, false
+		}
+		tg, work, cached := ow.choose(now, rq)
+		if tg != nil {
+			ow.queue.dispatch(rq)
+			actions = append(actions, ow.start(now, rq, tg, work, cached))
+			continue
+		}
+		if skip >= len(pq.front) || len(rq.failed) == 0 {
+			return actions, true
+		}
+		skip++
+	}
+}
+
+// choose returns the target for the request with the work and the cached prompt tokens there, or nil.
+func (ow *Owner) choose(now time.Time, rq *request) (*target, chestnutroad.WorkUnits, chestnutroad.Tokens) {
+	ow.forgiveTargets(now, rq)
+	pl := ow.admissionLoad(now)
+	if rq.Chat == 0 {
+		work := rq.workWith(0)
+		return ow.leastLoaded(now, rq, work, pl), work, 0
+	}
+	if tg, cached := ow.knownPlace(rq); tg != nil {
+		work := rq.workWith(cached)
+		if ow.admissible(now, tg, rq, work, pl) {
+			return tg, work, cached
+		}
+	}
+	work := rq.workWith(0)
+	return ow.firstInOrder(now, rq, work, pl), work, 0
+}
+
+// forgiveTargets clears the request's failed targets when no other is left.
+func (ow *Owner) forgiveTargets(now time.Time, rq *request) {
+	if len(rq.failed) == 0 {
+		return
+	}
+	for _, tg := range ow.targets {
+		if tg.eligible(now) && !rq.excludes(tg.id) {
+			return
+		}
+	}
+	rq.failed = nil
+}
+
+// knownPlace returns the target that the table names for the chat.
+func (ow *Owner) knownPlace(rq *request) (*target, chestnutroad.Tokens) {
+	en, found := ow.table.get(rq.Chat)
+	if !found {
+		return nil, 0
+	}
+	tg := ow.lives[en.life].target
+	if tg == nil {
+		return nil, 0
+	}
+	return tg, min(chestnutroad.Tokens(en.cached), rq.Prompt+rq.sent)
+}
+
+func (ow *Owner) cachedAnywhere(rq *request) chestnutroad.Tokens {
+	_, cached := ow.knownPlace(rq)
+	return cached
+}
+
+func (ow *Owner) leastLoaded(now time.Time, rq *request, work chestnutroad.WorkUnits, pl poolLoad) *target {
+	var least *target
+	for _, tg := range ow.targets {
+		if least != nil && tg.load(now) >= least.load(now) {
+			continue
+		}
+		if ow.admissible(now, tg, rq, work, pl) {
+			least = tg
+		}
+	}
+	return least
+}
+
+// firstInOrder returns the first admissible target in rendezvous order.
+func (ow *Owner) firstInOrder(now time.Time, rq *request, work chestnutroad.WorkUnits, pl poolLoad) *target {
+	var first *target
+	var best rankScore
+	for _, tg := range ow.targets {
+		score := scoreOf(rq.Chat, tg.seed, tg.weight(now, ow.settings.slowStart))
+		if first != nil && score.less(best) {
+			continue
+		}
+		if ow.admissible(now, tg, rq, work, pl) {
+			first, best = tg, score
+		}
+	}
+	return first
+}
+
+func (ow *Owner) start(now time.Time, rq *request, tg *target, work chestnutroad.WorkUnits, cached chestnutroad.Tokens) Action {
+	rq.attempts++
+	tg.begin(now, rq, work)
+	ow.remember(now, rq, tg, cached)
+	ow.counts.Started++
+	if cached > 0 {
+		ow.counts.CacheHits++
+	}
+	return Action{
+		Type: ActionStart, Request: rq.ID, Target: tg.id, Cached: cached, Resume: rq.resume, Work: work,
+	}
+}
+
+// remember records where the chat's context is or will be.
+func (ow *Owner) remember(now time.Time, rq *request, tg *target, cached chestnutroad.Tokens) {
+	if rq.Chat != 0 {
+		ow.table.put(now, rq.Chat, tg.life, cached)
+	}
+}
--- /dev/null
+++ b/internal/pool/queue.go
@@ -0,0 +1,327 @@
+package pool
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// requestQueue holds the waiting requests: strict precedence between priorities, start-time fair queueing by team
+// inside each.
+type requestQueue struct {
+	classes  [chestnutroad.PriorityCount]priorityQueue
+	length   int
+	earliest time.Time // no queued request has a deadline before it
+}
+
+// priorityQueue holds the waiting requests of one priority.
+type priorityQueue struct {
+	// front holds requests that go back to the head after a failure; their share is already charged.
+	front  []*request
+	teams  map[chestnutroad.TeamID]*teamQueue
+	active []*teamQueue // teams with a waiting request
+	// virtual is the start tag of the request dispatched last.
+	virtual float64
+	work    chestnutroad.WorkUnits
+	length  int
+}
+
+// teamQueue holds one team's waiting requests in order of arrival.
+type teamQueue struct {
+	team    chestnutroad.TeamID
+	waiting []*request
+	// tag is the start tag of the head; a request gets its tag when it becomes the head, so that one that is refused
+	// while it waits is not charged to its team.
+	tag    float64
+	finish float64
+	weight float64
+}
+
+func newRequestQueue() *requestQueue {
+	qu := &requestQueue{}
+	for index := range qu.classes {
+		qu.classes[index].teams = map[chestnutroad.TeamID]*teamQueue{}
+	}
+	return qu
+}
+
+func (qu *requestQueue) class(rq *request) *priorityQueue { return &qu.classes[rq.Priority] }
+
+// add appends the request to its team's queue.
+func (qu *requestQueue) add(rq *request, weight float64) {
+	qu.class(rq).add(rq, weight)
+	qu.count(rq)
+}
+
+// addFront puts the request before all others of its priority.
+func (qu *requestQueue) addFront(rq *request) {
+	pq := qu.class(rq)
+	pq.front = append(pq.front, rq)
+	pq.work += rq.work
+	pq.length++
+	qu.count(rq)
+}
+
+func (qu *requestQueue) count(rq *request) {
+	qu.length++
+	if rq.Deadline.IsZero() {
+		return
+	}
+	if qu.earliest.IsZero() || rq.Deadline.Before(qu.earliest) {
+		qu.earliest = rq.Deadline
+	}
+}
+
+// remove takes the request out without charging its team.
+func (qu *requestQueue) remove(rq *request) {
+	if qu.class(rq).remove(rq) {
+		qu.length--
+	}
+}
+
+// dispatch takes the request out and charges its work to its team.
+func (qu *requestQueue) dispatch(rq *request) {
+	qu.class(rq).charge(rq)
+	qu.remove(rq)
+}
+
+// all returns the waiting requests, most urgent priority first.
+func (qu *requestQueue) all() []*request {
+	waiting := make([]*request, 0, qu.length)
+	for index := range qu.classes {
+		pq := &qu.classes[index]
+		waiting = append(waiting, pq.front...)
+		for _, tq := range pq.active {
+			waiting = append(waiting, tq.waiting...)
+		}
+	}
+	return waiting
+}
+
+// order returns the waiting requests in the order in which they will be dispatched if no other arrives.
+func (qu *requestQueue) order() []*request {
+	if qu.length == 0 {
+		return nil
+	}
+	waiting := make([]*request, 0, qu.length)
+	for index := range qu.classes {
+		waiting = append(waiting, qu.classes[index].order()...)
+	}
+	return waiting
+}
+
+// expire returns the waiting requests whose deadline has passed.
+func (qu *requestQueue) expire(now time.Time) []*request {
+	if qu.length == 0 || qu.earliest.IsZero() || now.Before(qu.earliest) {
+		return nil
+	}
+	var expired []*request
+	qu.earliest = time.Time{}
+	for _, rq := range qu.all() {
+		if rq.expired(now) {
+			expired = append(expired, rq)
+			continue
+		}
+		if !rq.Deadline.IsZero() && (qu.earliest.IsZero() || rq.Deadline.Before(qu.earliest)) {
+			qu.earliest = rq.Deadline
+		}
+	}
+	return expired
+}
+
+// ahead returns the work that will be dispatched before the waiting request.
+func (qu *requestQueue) ahead(rq *request) chestnutroad.WorkUnits {
+	var work chestnutroad.WorkUnits
+	for index := range int(rq.Priority) {
+		work += qu.classes[index].work
+	}
+	return work + qu.class(rq).ahead(rq)
+}
+
+// work returns the work of all waiting requests.
+func (qu *requestQueue) work() chestnutroad.WorkUnits {
+	var work chestnutroad.WorkUnits
+	for index := range qu.classes {
+		work += qu.classes[index].work
+	}
+	return work
+}
+
+// surplus returns the request to refuse when the queue is over its limit: the newest of the team that waits with most
+// for its weight, in the least urgent priority that has one. Requests with part of their answer sent are spared.
+func (qu *requestQueue) surplus() *request {
+	for index := len(qu.classes) - 1; index >= 0; index-- {
+		if rq := qu.classes[index].surplus(); rq != nil {
+			return rq
+		}
+	}
+	for index := len(qu.classes) - 1; index >= 0; index-- {
+		if front := qu.classes[index].front; len(front) > 0 {
+			return front[len(front)-1]
+		}
+	}
+	return nil
+}
+
+// forgetIdle drops teams without waiting requests whose charge no longer matters.
+func (qu *requestQueue) forgetIdle() {
+	for index := range qu.classes {
+		pq := &qu.classes[index]
+		for team, tq := range pq.teams {
+			if len(tq.waiting) == 0 && tq.finish <= pq.virtual {
+				delete(pq.teams, team)
+			}
+		}
+	}
+}
+
+func (pq *priorityQueue) add(rq *request, weight float64) {
+	tq := pq.teams[rq.Team]
+	if tq == nil {
+		tq = &teamQueue{team: rq.Team}
+		pq.teams[rq.Team] = tq
+	}
+	tq.weight = weight
+	if len(tq.waiting) == 0 {
+		tq.tag = max(pq.virtual, tq.finish)
+		pq.active = append(pq.active, tq)
+	}
+	tq.waiting = append(tq.waiting, rq)
+	pq.work += rq.work
+	pq.length++
+}
+
+// next returns the requests in the order of dispatch: the front, then each team's head by start tag.
+func (pq *priorityQueue) next(skip int) *request {
+	if skip < len(pq.front) {
+		return pq.front[skip]
+	}
+	if skip == len(pq.front) {
+		return pq.head()
+	}
+	return nil
+}
+
+func (pq *priorityQueue) head() *request {
+	var first *teamQueue
+	for _, tq := range pq.active {
+		if first == nil || tq.tag < first.tag || (tq.tag == first.tag && tq.team < first.team) {
+			first = tq
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	return first.waiting[0]
+}
+
+func (pq *priorityQueue) charge(rq *request) {
+	tq := pq.teams[rq.Team]
+	if tq == nil || len(tq.waiting) == 0 || tq.waiting[0] != rq {
+		return
+	}
+	pq.virtual = max(pq.virtual, tq.tag)
+	tq.finish = tq.tag + float64(rq.work)/tq.weight
+	tq.tag = tq.finish
+}
+
+func (pq *priorityQueue) remove(rq *request) bool {
+	if index := slices.Index(pq.front, rq); index >= 0 {
+		pq.front = slices.Delete(pq.front, index, index+1)
+		pq.forget(rq)
+		return true
+	}
+	tq := pq.teams[rq.Team]
+	if tq == nil {
+		return false
+	}
+	index := slices.Index(tq.waiting, rq)
+	if index < 0 {
+		return false
+	}
+	tq.waiting = slices.Delete(tq.waiting, index, index+1)
+	if len(tq.waiting) == 0 {
+		pq.active = slices.DeleteFunc(pq.active, func(other *teamQueue) bool { return other == tq })
+	}
+	pq.forget(rq)
+	return true
+}
+
+func (pq *priorityQueue) forget(rq *request) {
+	pq.work -= rq.work
+	pq.length--
+}
+
+func (pq *priorityQueue) ahead(rq *request) chestnutroad.WorkUnits {
+	var work chestnutroad.WorkUnits
+	for _, other := range pq.front {
+		if other == rq {
+			return work
+		}
+		work += other.work
+	}
+	own := pq.teams[rq.Team]
+	tag := own.tag
+	for _, other := range own.waiting {
+		if other == rq {
+			break
+		}
+		work += other.work
+		tag += float64(other.work) / own.weight
+	}
+	for _, tq := range pq.active {
+		if tq != own {
+			work += tq.before(tag)
+		}
+	}
+	return work
+}
+
+func (pq *priorityQueue) order() []*request {
+	if pq.length == 0 {
+		return nil
+	}
+	tags := make(map[*request]float64, pq.length)
+	waiting := append(make([]*request, 0, pq.length), pq.front...)
+	for _, tq := range pq.active {
+		tag := tq.tag
+		for _, rq := range tq.waiting {
+			tags[rq] = tag
+			tag += float64(rq.work) / tq.weight
+			waiting = append(waiting, rq)
+		}
+	}
+	slices.SortStableFunc(waiting[len(pq.front):], func(first, second *request) int {
+		return cmp.Compare(tags[first], tags[second])
+	})
+	return waiting
+}
+
+// before returns the team's work that is dispatched before the tag.
+func (tq *teamQueue) before(tag float64) chestnutroad.WorkUnits {
+	var work chestnutroad.WorkUnits
+	start := tq.tag
+	for _, rq := range tq.waiting {
+		if start >= tag {
+			break
+		}
+		work += rq.work
+		start += float64(rq.work) / tq.weight
+	}
+	return work
+}
+
+func (pq *priorityQueue) surplus() *request {
+	var longest *teamQueue
+	for _, tq := range pq.active {
+		if longest == nil || float64(len(tq.waiting))/tq.weight > float64(len(longest.waiting))/longest.weight {
+			longest = tq
+		}
+	}
+	if longest == nil {
+		return nil
+	}
+	return longest.waiting[len(longest.waiting)-1]
+}
--- /dev/null
+++ b/internal/pool/submit.go
@@ -0,0 +1,99 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// hopeless is the message of a request that would start after its deadline.
+const hopeless = "the work ahead takes longer than the deadline allows"
+
+// Submit takes a request: it is started, redirected, refused or queued.
+func (ow *Owner) Submit(now time.Time, req chestnutroad.Request, opts ...SubmitOption) []Action {
+	rq := &request{Request: req}
+	for _, opt := range opts {
+		opt(rq)
+	}
+	if rq.Priority < 0 || rq.Priority >= chestnutroad.PriorityCount {
+		rq.Priority = chestnutroad.PriorityDraft
+	}
+	ow.counts.Submitted++
+	if refusal, refused := ow.refuseAtOnce(now, rq); refused {
+		ow.counts.Refused++
+		return []Action{refusal}
+	}
+	ow.requests[rq.ID] = rq
+	rq.work = rq.workWith(ow.cachedAnywhere(rq))
+	ow.queue.add(rq, ow.settings.teamWeight(rq.Team))
+	actions := ow.settle(now, nil)
+	if !ow.queued(rq) {
+		return actions
+	}
+	if shard, found := ow.redirectFor(now, rq); found {
+		return append(actions, ow.redirect(now, rq, shard))
+	}
+	return ow.limitQueue(now, rq, actions)
+}
+
+func (ow *Owner) refuseAtOnce(now time.Time, rq *request) (Action, bool) {
+	switch {
+	case ow.steppedDown:
+		return rq.refuse(chestnutroad.NotReady, "the shard has a new owner", 0), true
+	case ow.requests[rq.ID] != nil:
+		return rq.refuse(chestnutroad.InProgress, "a request with this id is running", 0), true
+	case rq.expired(now):
+		return rq.refuse(chestnutroad.DeadlineExceeded, "the deadline passed before the request arrived", 0), true
+	case !ow.anyEligible(now) && ow.freshRemotes(now) == 0:
+		return rq.refuse(chestnutroad.NoTarget, "the shard has no target", retryWithoutTarget), true
+	}
+	return Action{}, false
+}
+
+// queued says whether the request still waits.
+func (ow *Owner) queued(rq *request) bool {
+	return ow.requests[rq.ID] == rq && rq.target == nil
+}
+
+// trimQueue refuses the newest requests of the teams that wait with most while the queue is over its limit.
+func (ow *Owner) trimQueue(actions []Action) []Action {
+	for ow.queue.length > ow.settings.queueLimit {
+		victim := ow.queue.surplus()
+		wait := ow.waitFor(ow.queue.ahead(victim))
+		kind := ow.surplusKind(victim)
+		ow.queue.remove(victim)
+		actions = append(actions, ow.refuse(victim, kind, "the queue is full", wait))
+	}
+	return actions
+}
+
+// limitQueue keeps the queue within its limit and refuses the new request when it would start after its deadline.
+func (ow *Owner) limitQueue(now time.Time, rq *request, actions []Action) []Action {
+	actions = ow.trimQueue(actions)
+	if ow.queued(rq) && !ow.anyEligible(now) {
+		ow.queue.remove(rq)
+		return append(actions, ow.refuse(rq, chestnutroad.NoTarget, "the shard has no target", retryWithoutTarget))
+	}
+	return ow.refuseHopeless(now, rq, actions)
+}
+
+// surplusKind tells a team that waits with more than others from a shard that is overloaded as a whole.
+func (ow *Owner) surplusKind(rq *request) chestnutroad.Kind {
+	if len(ow.queue.class(rq).active) > 1 {
+		return chestnutroad.ShareExceeded
+	}
+	return chestnutroad.Overloaded
+}
+
+// refuseHopeless refuses a waiting request when the work ahead of it can't be drained before its deadline.
+func (ow *Owner) refuseHopeless(now time.Time, rq *request, actions []Action) []Action {
+	if !ow.queued(rq) || rq.Deadline.IsZero() {
+		return actions
+	}
+	wait, known := ow.drain.timeFor(ow.queue.ahead(rq)+rq.work, ow.bookedWork())
+	if !known || !now.Add(wait).After(rq.Deadline) {
+		return actions
+	}
+	ow.queue.remove(rq)
+	return append(actions, ow.refuse(rq, chestnutroad.Overloaded, hopeless, clampWait(wait)))
+}
--- /dev/null
+++ b/internal/pool/summary.go
@@ -0,0 +1,151 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// redirectLimit is the most redirects that a request follows.
+const redirectLimit = 3
+
+// remoteShard is what the owner knows of another shard of its pool.
+type remoteShard struct {
+	shard  chestnutroad.ShardID
+	life   lifeIndex
+	last   Summary
+	heard  time.Time
+	drains float64 // work units a second
+	// sent is the work redirected to the shard since its last summary.
+	sent chestnutroad.WorkUnits
+}
+
+func (rs *remoteShard) fresh(now time.Time, maxAge time.Duration) bool {
+	return rs.last.Targets > 0 && now.Sub(rs.heard) <= maxAge
+}
+
+// leastWork is the least work that the shard may have by now: the summary less what may have finished since.
+func (rs *remoteShard) leastWork(now time.Time) float64 {
+	return max(0, float64(rs.last.Work)-rs.drains*max(0, now.Sub(rs.heard).Seconds()))
+}
+
+// mean is the load of the shard's average target with the work redirected to it since its last summary.
+func (rs *remoteShard) mean() float64 {
+	return float64(rs.last.Work+rs.sent) / float64(rs.last.Targets)
+}
+
+// Summary returns the shard's load for the owners of the pool's other shards.
+func (ow *Owner) Summary(now time.Time) Summary {
+	pl := ow.ownLoad(now)
+	return Summary{
+		Shard: ow.shard, Epoch: ow.epoch, Taken: now, Drained: ow.drain.total,
+		Targets: int(pl.targets), Work: chestnutroad.WorkUnits(pl.work), Queued: ow.queue.length,
+	}
+}
+
+// PeerSummary takes the load of another shard of the pool. Its age counts from when it was heard, since clocks differ.
+func (ow *Owner) PeerSummary(now time.Time, summary Summary) []Action {
+	if summary.Shard == ow.shard || summary.Shard.Pool != ow.shard.Pool {
+		return nil
+	}
+	rs := ow.remote(summary.Shard)
+	if !summary.newer(rs.last) {
+		return nil
+	}
+	rs.take(now, summary)
+	return ow.settle(now, nil)
+}
+
+func (sm Summary) newer(other Summary) bool {
+	if order := sm.Epoch.Compare(other.Epoch); order != 0 {
+		return order > 0
+	}
+	return sm.Taken.After(other.Taken)
+}
+
+func (rs *remoteShard) take(now time.Time, summary Summary) {
+	elapsed := summary.Taken.Sub(rs.last.Taken).Seconds()
+	rs.drains = 0
+	if rs.last.Epoch == summary.Epoch && elapsed > 0 && !rs.heard.IsZero() {
+		drained := max(summary.Drained-rs.last.Drained, rs.last.Work-summary.Work)
+		rs.drains = max(0, float64(drained)/elapsed)
+	}
+	rs.last = summary
+	rs.heard = now
+	rs.sent = 0
+}
+
+func (ow *Owner) remote(shard chestnutroad.ShardID) *remoteShard {
+	for _, rs := range ow.remotes {
+		if rs.shard == shard {
+			return rs
+		}
+	}
+	rs := &remoteShard{shard: shard, life: lifeIndex(len(ow.lives))}
+	ow.lives = append(ow.lives, life{remote: rs})
+	ow.remotes = append(ow.remotes, rs)
+	return rs
+}
+
+func (ow *Owner) freshRemotes(now time.Time) int {
+	fresh := 0
+	for _, rs := range ow.remotes {
+		if rs.fresh(now, ow.settings.summaryMaxAge) {
+			fresh++
+		}
+	}
+	return fresh
+}
+
+// redirectFor returns the shard that should take a request for which no own target is admissible: the one to which the
+// chat was redirected before, otherwise the one with the lowest mean.
+func (ow *Owner) redirectFor(now time.Time, rq *request) (*remoteShard, bool) {
+	if rq.redirects >= redirectLimit {
+		return nil, false
+	}
+	pl := ow.admissionLoad(now)
+	if rs := ow.knownShard(rq); rs != nil && ow.takes(now, rs, rq, pl) {
+		return rs, true
+	}
+	var lowest *remoteShard
+	for _, rs := range ow.remotes {
+		if (lowest == nil || rs.mean() < lowest.mean()) && ow.takes(now, rs, rq, pl) {
+			lowest = rs
+		}
+	}
+	return lowest, lowest != nil
+}
+
+// takes says whether the shard's average target would admit the request, and so surely its least loaded one by load.
+func (ow *Owner) takes(now time.Time, rs *remoteShard, rq *request, pl poolLoad) bool {
+	if rs.last.Queued > 0 || !rs.fresh(now, ow.settings.summaryMaxAge) {
+		return false
+	}
+	own := ow.ownLoad(now)
+	if own.targets > 0 && rs.mean() >= own.mean() {
+		return false
+	}
+	return ow.settings.fits(chestnutroad.WorkUnits(rs.mean()), rq.workWith(0), pl)
+}
+
+func (ow *Owner) knownShard(rq *request) *remoteShard {
+	if rq.Chat == 0 {
+		return nil
+	}
+	en, found := ow.table.get(rq.Chat)
+	if !found {
+		return nil
+	}
+	return ow.lives[en.life].remote
+}
+
+func (ow *Owner) redirect(now time.Time, rq *request, rs *remoteShard) Action {
+	ow.queue.remove(rq)
+	delete(ow.requests, rq.ID)
+	rs.sent += rq.work
+	ow.counts.Redirected++
+	if rq.Chat != 0 {
+		ow.table.put(now, rq.Chat, rs.life, 0)
+	}
+	return Action{Type: ActionRedirect, Request: rq.ID, Shard: rs.shard, Resume: rq.resume}
+}
--- /dev/null
+++ b/internal/pool/takeover.go
@@ -0,0 +1,46 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// reportWaitLimit ends the wait for a target's report after a takeover, for engines whose reports are lost.
+const reportWaitLimit = 5 * time.Second
+
+// TakeOver makes the owner admit under the epoch. Without the predecessor's state it stays below the floor (one request
+// a target when LoadFloor is smaller) until TakeoverDelay has passed and the target has reported.
+func (ow *Owner) TakeOver(now time.Time, epoch chestnutroad.Epoch, stateFetched bool) []Action {
+	ow.epoch = epoch
+	ow.steppedDown = false
+	ow.takeover = time.Time{}
+	if !stateFetched {
+		ow.takeover = now
+	}
+	return ow.settle(now, nil)
+}
+
+// StepDown refuses the queued requests as not run, so that they go to the new owner; running ones go on.
+func (ow *Owner) StepDown(_ time.Time) []Action {
+	ow.steppedDown = true
+	waiting := ow.queue.all()
+	actions := make([]Action, 0, len(waiting))
+	for _, rq := range waiting {
+		ow.queue.remove(rq)
+		actions = append(actions, ow.refuse(rq, chestnutroad.NotReady, "the shard has a new owner", 0))
+	}
+	return actions
+}
+
+// pastTakeover says whether the target may be loaded beyond the floor.
+func (ow *Owner) pastTakeover(now time.Time, tg *target) bool {
+	if ow.takeover.IsZero() {
+		return true
+	}
+	waited := now.Sub(ow.takeover)
+	if waited < ow.settings.takeoverDelay {
+		return false
+	}
+	return !ow.settings.reports || tg.reportAt.After(ow.takeover) || waited >= reportWaitLimit
+}
--- /dev/null
+++ b/internal/pool/target.go
@@ -0,0 +1,171 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+const (
+	// reportMaxAge is the age from which a report no longer counts, so that lost reports can't block a target for ever.
+	reportMaxAge = 10 * time.Second
+	// clockSlack is the distance in time within which an own start or end may explain what a report counts.
+	clockSlack = 250 * time.Millisecond
+	// endedKept is how many ended requests a target remembers to tell own work in a late report from others' work.
+	endedKept = 512
+	// leavingHold is how long the word of a peer that a target is leaving outweighs lists that say nothing of it. Lists
+	// lag by seconds; after this time the word was false or was taken back.
+	leavingHold = 5 * time.Minute
+	// ejectFailures is how many failures in a row eject a target.
+	ejectFailures = 3
+	// ejectBase is the first ejection; each further one in a row doubles it up to ejectMost.
+	ejectBase = 2 * time.Second
+	ejectMost = 30 * time.Second
+)
+
+// target is what the owner knows of one target.
+type target struct {
+	id     chestnutroad.TargetID
+	seed   uint64
+	slots  int
+	listed bool
+	// gone is when the list dropped the target.
+	gone time.Time
+	// listLeaving is the list's word and heardLeaving a peer's, with its time.
+	listLeaving  bool
+	heardLeaving time.Time
+	// since is when the slow start began; zero means full weight.
+	since       time.Time
+	incarnation chestnutroad.Incarnation
+	life        lifeIndex
+	sequence    uint64
+
+	running []*request
+	book    chestnutroad.WorkUnits
+	ended   []endedRequest
+
+	reported     chestnutroad.WorkUnits
+	reportTaken  time.Time // by the engine's clock
+	reportAt     time.Time // reportTaken by the owner's clock
+	clockAhead   time.Duration
+	othersSeen   bool
+	othersWork   chestnutroad.WorkUnits
+	othersCount  int
+	startedSince chestnutroad.WorkUnits
+
+	failures     int
+	ejections    int
+	ejectedUntil time.Time
+}
+
+// endedRequest is one request that ended lately on a target.
+type endedRequest struct {
+	work    chestnutroad.WorkUnits
+	started time.Time
+	ended   time.Time
+}
+
+func (tg *target) leaving() bool { return tg.listLeaving || !tg.heardLeaving.IsZero() }
+
+func (tg *target) ejected(now time.Time) bool { return now.Before(tg.ejectedUntil) }
+
+// eligible says whether the target may receive new work and counts in the pool's mean.
+func (tg *target) eligible(now time.Time) bool {
+	return tg.listed && !tg.leaving() && !tg.ejected(now)
+}
+
+// weight grows linearly from zero to one during the slow start.
+func (tg *target) weight(now time.Time, slowStart time.Duration) float64 {
+	if tg.since.IsZero() || slowStart <= 0 {
+		return 1
+	}
+	return min(1, max(0, float64(now.Sub(tg.since))/float64(slowStart)))
+}
+
+func (tg *target) othersKnown(now time.Time) bool {
+	return tg.othersSeen && now.Sub(tg.reportAt) < reportMaxAge
+}
+
+// load is the load that the owner assumes: its own book, or the last report plus own admissions since when the report
+// shows work of another owner. Without such a sign a late report says nothing that the exact book doesn't.
+func (tg *target) load(now time.Time) chestnutroad.WorkUnits {
+	if !tg.othersKnown(now) {
+		return tg.book
+	}
+	return max(tg.book, tg.reported+tg.startedSince)
+}
+
+// knownLoad is the least load that is certain; the pool's mean is taken from it, so that an error makes the bound
+// stricter.
+func (tg *target) knownLoad(now time.Time) chestnutroad.WorkUnits {
+	if !tg.othersKnown(now) {
+		return tg.book
+	}
+	return tg.book + tg.othersWork
+}
+
+// busy is the number of requests that the target is known to run.
+func (tg *target) busy(now time.Time) int {
+	if !tg.othersKnown(now) {
+		return len(tg.running)
+	}
+	return len(tg.running) + tg.othersCount
+}
+
+// largest is the largest work of one request on the target.
+func (tg *target) largest() chestnutroad.WorkUnits {
+	var largest chestnutroad.WorkUnits
+	for _, rq := range tg.running {
+		largest = max(largest, rq.work)
+	}
+	return largest
+}
+
+// begin books the request on the target.
+func (tg *target) begin(now time.Time, rq *request, work chestnutroad.WorkUnits) {
+	rq.target = tg
+	rq.work = work
+	rq.started = now
+	rq.slot = len(tg.running)
+	tg.running = append(tg.running, rq)
+	tg.book += work
+	if now.After(tg.reportAt) {
+		tg.startedSince += work
+	}
+}
+
+// end takes the request off the book.
+func (tg *target) end(now time.Time, rq *request) {
+	last := tg.running[len(tg.running)-1]
+	tg.running[rq.slot] = last
+	last.slot = rq.slot
+	tg.running = tg.running[:len(tg.running)-1]
+	tg.book -= rq.work
+	if rq.started.After(tg.reportAt) {
+		tg.startedSince -= rq.work
+	}
+	if len(tg.ended) >= endedKept {
+		tg.ended = append(tg.ended[:0], tg.ended[endedKept/2:]...)
+	}
+	tg.ended = append(tg.ended, endedRequest{work: rq.work, started: rq.started, ended: now})
+	rq.target = nil
+}
+
+// ownAt returns the owner's own requests that may have run on the target at that time.
+func (tg *target) ownAt(at time.Time) (chestnutroad.WorkUnits, int) {
+	var work chestnutroad.WorkUnits
+	count := 0
+	for _, rq := range tg.running {
+		if !rq.started.After(at.Add(clockSlack)) {
+			work += rq.work
+			count++
+		}
+	}
+	for _, en := range tg.ended {
+		if !en.started.After(at.Add(clockSlack)) && !en.ended.Before(at.Add(-clockSlack)) {
+			work += en.work
+			count++
+		}
+	}
+	return work, count
+}
