Add membership, ownership and the control budget

Hosts probe one another directly and through others, suspect and refute, and compare digests of what they know, so that views agree after lost datagrams and healed partitions.

--- /dev/null
+++ b/internal/member/network_test.go
@@ -0,0 +1,263 @@
+package member
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// network is a simulated exchange of messages between members, with faults. It encodes every message, so that the
+// limit and the byte counts are those of the wire.
+type network struct {
+	tb    testing.TB
+	now   time.Time
+	rnd   *rand.Rand
+	nodes []*node
+	byID  map[chestnutroad.HostID]*node
+	queue deliveries
+	order uint64
+	opts  []Option
+	loss  float64
+	// cut says whether messages from one node to another are lost.
+	cut      func(from, to *node) bool
+	messages uint64
+	// budgeted makes each node send through a Budget.
+	budgeted bool
+}
+
+type node struct {
+	*Member
+	down, paused bool
+	budget       *Budget
+	bytes        uint64
+	backlog      []delivery
+	centre       chestnutroad.DataCentreID
+}
+
+type delivery struct {
+	at      time.Time
+	order   uint64
+	to      chestnutroad.HostID
+	data    []byte
+	message Message
+}
+
+type deliveries []delivery
+
+func (dl deliveries) Len() int { return len(dl) }
+func (dl deliveries) Less(one, two int) bool {
+	return dl[one].at.Before(dl[two].at) || dl[one].at.Equal(dl[two].at) && dl[one].order < dl[two].order
+}
+func (dl deliveries) Swap(one, two int) { dl[one], dl[two] = dl[two], dl[one] }
+func (dl *deliveries) Push(item any)    { *dl = append(*dl, item.(delivery)) }
+func (dl *deliveries) Pop() any {
+	last := (*dl)[len(*dl)-1]
+	*dl = (*dl)[:len(*dl)-1]
+	return last
+}
+
+func newNetwork(tb testing.TB, seed uint64, hosts, centres int, opts ...Option) *network {
+	nw := &network{
+		tb:   tb,
+		now:  time.UnixMilli(1_800_000_000_000),
+		rnd:  rand.New(rand.NewPCG(seed, 1)),
+		byID: map[chestnutroad.HostID]*node{},
+		opts: opts,
+		cut:  func(_, _ *node) bool { return false },
+	}
+	for index := range hosts {
+		nw.start(index, centres)
+	}
+	return nw
+}
+
+func (nw *network) host(index, centres int) Host {
+	return Host{
+		ID:          chestnutroad.HostID(fmt.Sprintf("host-%03d", index)),
+		DataCentre:  chestnutroad.DataCentreID(fmt.Sprintf("centre-%d", index%centres)),
+		PeerAddress: fmt.Sprintf("10.0.%d.%d:7946", index/250, index%250),
+		Incarnation: IncarnationAt(nw.now),
+	}
+}
+
+// start runs a host with the first three hosts as seeds; it replaces an earlier run of the same host.
+func (nw *network) start(index, centres int) *node {
+	host := nw.host(index, centres)
+	opts := append([]Option(nil), nw.opts...)
+	for seed := range 3 {
+		if seed != index {
+			opts = append(opts, WithSeeds(nw.host(seed, centres)))
+		}
+	}
+	nd := &node{Member: New(host, opts...), centre: host.DataCentre, budget: NewBudget()}
+	if nw.byID[host.ID] != nil {
+		nw.nodes[index] = nd
+	} else {
+		nw.nodes = append(nw.nodes, nd)
+	}
+	nw.byID[host.ID] = nd
+	return nd
+}
+
+// introduce makes every member know all others, as after a long quiet time.
+func (nw *network) introduce() {
+	for _, nd := range nw.nodes {
+		for _, other := range nw.nodes {
+			record := other.selfRecord()
+			nd.apply(nw.now, &record)
+		}
+		nd.queue = nil
+		nd.nextJoin = nw.now
+	}
+}
+
+const step = TickInterval / 4
+
+// run advances the simulated time; each node ticks every TickInterval.
+func (nw *network) run(period time.Duration) {
+	for end := nw.now.Add(period); nw.now.Before(end); {
+		nw.now = nw.now.Add(step)
+		nw.deliver()
+		tick := int(nw.now.UnixMilli() / step.Milliseconds())
+		for index, nd := range nw.nodes {
+			if nd.down || nd.paused || (tick+index)%4 != 0 {
+				continue
+			}
+			nw.send(nd, nd.Tick(nw.now, nw.rnd))
+		}
+	}
+}
+
+func (nw *network) runUntil(limit time.Duration, done func() bool) (time.Duration, bool) {
+	start := nw.now
+	for nw.now.Sub(start) < limit {
+		if done() {
+			return nw.now.Sub(start), true
+		}
+		nw.run(TickInterval)
+	}
+	return limit, done()
+}
+
+func (nw *network) send(from *node, sends []Send) {
+	for _, out := range sends {
+		data, err := out.Message.Encode()
+		if err != nil {
+			nw.tb.Fatalf("message of type %d: %v", out.Message.Type, err)
+		}
+		size := len(data) + DatagramOverhead + UDPOverhead
+		from.budget.Offer(nw.now, BudgetEntry{Priority: out.Priority, Size: size, Value: delivery{to: out.To.ID, data: data, message: out.Message}})
+		if !nw.budgeted {
+			from.budget.Debit(nw.now, -DefaultBudgetBurst)
+		}
+	}
+	taken, dropped := from.budget.Take(nw.now)
+	for _, entry := range dropped {
+		item := entry.Value.(delivery)
+		from.Unsent(nw.now, &item.message)
+	}
+	for _, entry := range taken {
+		from.bytes += uint64(entry.Size)
+		nw.post(from, entry.Value.(delivery))
+	}
+}
+
+func (nw *network) post(from *node, item delivery) {
+	nw.messages++
+	to := nw.byID[item.to]
+	if to == nil || nw.cut(from, to) || nw.rnd.Float64() < nw.loss {
+		return
+	}
+	nw.order++
+	item.order = nw.order
+	item.at = nw.now.Add(time.Duration(500+nw.rnd.IntN(1500)) * time.Microsecond)
+	heap.Push(&nw.queue, item)
+}
+
+func (nw *network) deliver() {
+	for len(nw.queue) > 0 && !nw.queue[0].at.After(nw.now) {
+		item := heap.Pop(&nw.queue).(delivery)
+		to := nw.byID[item.to]
+		if to.paused {
+			to.backlog = append(to.backlog, item)
+		} else if !to.down {
+			nw.receive(to, item)
+		}
+	}
+}
+
+func (nw *network) receive(to *node, item delivery) {
+	message, err := Decode(item.data)
+	if err != nil {
+		nw.tb.Fatal(err)
+	}
+	nw.send(to, to.Receive(nw.now, message.From.ID, message))
+}
+
+// wake ends a pause: datagrams that waited in the socket arrive before the first tick.
+func (nw *network) wake(nd *node) {
+	nd.paused = false
+	for _, item := range nd.backlog {
+		nw.receive(nd, item)
+	}
+	nd.backlog = nil
+}
+
+func (nw *network) state(of, about *node) State {
+	view, known := of.Host(about.Self().ID)
+	if !known {
+		return Dead
+	}
+	return view.State
+}
+
+// agreed reports whether every running node holds every running node alive and every stopped one dead, and whether
+// all know the same epochs, version and leaving machines.
+func (nw *network) agreed() bool {
+	first := nw.firstUp()
+	for _, nd := range nw.nodes {
+		if nd.down {
+			continue
+		}
+		for _, other := range nw.nodes {
+			if (nw.state(nd, other) == Dead) != other.down || nw.state(nd, other) == Suspect {
+				return false
+			}
+		}
+		if nd.version != first.version || fmt.Sprint(nd.LeavingMachines()) != fmt.Sprint(first.LeavingMachines()) {
+			return false
+		}
+		for shard := range first.epochs {
+			if nd.Epoch(shard) != first.Epoch(shard) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (nw *network) firstUp() *node {
+	for _, nd := range nw.nodes {
+		if !nd.down {
+			return nd
+		}
+	}
+	return nil
+}
+
+// falseDeaths counts the pairs of running nodes of which one holds the other dead.
+func (nw *network) falseDeaths() int {
+	count := 0
+	for _, nd := range nw.nodes {
+		for _, other := range nw.nodes {
+			if !nd.down && !other.down && !other.paused && nw.state(nd, other) == Dead {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/member/ownership_test.go
@@ -0,0 +1,134 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+func views(states ...State) []HostView {
+	views := make([]HostView, 0, len(states))
+	for index, state := range states {
+		host := Host{ID: chestnutroad.HostID(fmt.Sprintf("host-%d", index)), DataCentre: "centre-0"}
+		if index%2 == 1 {
+			host.DataCentre = "centre-1"
+		}
+		views = append(views, HostView{Host: host, State: state})
+	}
+	return views
+}
+
+// Hosts that differ on who owns a shard would both admit work for it, so the order must depend on the views alone.
+func TestOwnerOf(t *testing.T) {
+	ownership := NewOwnership("host-0")
+	all := views(Alive, Alive, Alive, Alive, Alive, Alive)
+	owner, _ := ownership.OwnerOf(testShard, all)
+	first := int(owner[len(owner)-1] - '0')
+	cases := []struct {
+		name  string
+		state State
+		keeps bool
+	}{
+		{"suspect owner keeps the shard", Suspect, true},
+		{"leaving owner loses the shard", Leaving, false},
+		{"dead owner loses the shard", Dead, false},
+	}
+	for _, tc := range cases {
+		hosts := views(Alive, Alive, Alive, Alive, Alive, Alive)
+		hosts[first].State = tc.state
+		next, found := ownership.OwnerOf(testShard, hosts)
+		if !found || (next == owner) != tc.keeps || centreOf(next, hosts) != testShard.DataCentre {
+			t.Errorf("%s: owner went from %s to %s", tc.name, owner, next)
+		}
+	}
+	next, found := ownership.OwnerOf(testShard, views(Dead, Alive, Dead, Alive, Leaving, Alive))
+	if !found || centreOf(next, all) != "centre-1" {
+		t.Errorf("a data centre without hosts got the owner %q", next)
+	}
+	if next, found := ownership.OwnerOf(testShard, views(Dead)); found {
+		t.Errorf("found the owner %s among dead hosts", next)
+	}
+}
+
+func centreOf(id chestnutroad.HostID, hosts []HostView) chestnutroad.DataCentreID {
+	for _, view := range hosts {
+		if view.ID == id {
+			return view.DataCentre
+		}
+	}
+	return ""
+}
+
+// Two hosts must not both admit work once one has heard the other's epoch, and a new owner must learn whom to ask for
+// the state.
+func TestOwnershipChangesHands(t *testing.T) {
+	shards := []chestnutroad.ShardID{testShard}
+	start := time.UnixMilli(1_800_000_000_000)
+	all := views(Alive, Alive, Alive)
+	owner, _ := NewOwnership("").OwnerOf(testShard, all)
+	other := chestnutroad.HostID("host-0")
+	if owner == other {
+		other = "host-2"
+	}
+	without := views(Alive, Alive, Alive)
+	without[owner[len(owner)-1]-'0'].State = Dead
+	one, two := NewOwnership(owner), NewOwnership(other)
+
+	expect := func(what string, books *Ownership, after time.Duration, hosts []HostView, want DecisionType) Decision {
+		t.Helper()
+		decisions := books.Decide(start.Add(after), shards, hosts)
+		var got Decision
+		if len(decisions) > 0 {
+			got = decisions[0]
+		}
+		if got.Type != want {
+			t.Fatalf("%s: decision %+v, want type %d", what, got, want)
+		}
+		return got
+	}
+	expect("a starting host waits", one, 0, all, 0)
+	taken := expect("then the first host takes over", one, startGrace, all, TakeOver)
+	expect("and keeps the shard", one, startGrace+1, all, Keep)
+	two.Observe(testShard, taken.Epoch)
+	expect("the second starts", two, 0, without, 0)
+	second := expect("the second takes over from the dead owner", two, startGrace, without, TakeOver)
+	if second.Former != owner || second.FormerReachable || second.Epoch.Compare(taken.Epoch) <= 0 {
+		t.Errorf("take-over %+v of a dead owner with epoch %+v", second, taken.Epoch)
+	}
+	one.Observe(testShard, second.Epoch)
+	if one.Owns(testShard) {
+		t.Error("the first owner admits work against a higher epoch")
+	}
+	down := expect("the first steps down", one, 5*time.Second, all, StepDown)
+	if down.Successor != other {
+		t.Errorf("successor %s, want %s", down.Successor, other)
+	}
+	expect("it leaves the new owner time to hand over", one, 6*time.Second, all, 0)
+	if down := expect("the second sees the first alive", two, 7*time.Second, all, StepDown); down.Successor != owner {
+		t.Errorf("successor %s, want %s", down.Successor, owner)
+	}
+	one.HandedOver(testShard)
+	back := expect("the first takes the shard that was handed over", one, 8*time.Second, all, TakeOver)
+	if back.Former != other || !back.FormerReachable {
+		t.Errorf("take-over %+v, want the former owner %s reachable", back, other)
+	}
+}
+
+// Without a hand-over the first host in order must still get the shard in the end.
+func TestTakeOverWithoutHandOver(t *testing.T) {
+	shards := []chestnutroad.ShardID{testShard}
+	all := views(Alive, Alive, Alive)
+	owner, _ := NewOwnership("").OwnerOf(testShard, all)
+	books := NewOwnership(owner, WithStartGrace(0))
+	books.Observe(testShard, chestnutroad.Epoch{Millis: 1, Host: "host-1"})
+	start := time.UnixMilli(1_800_000_000_000)
+	if early := books.Decide(start, shards, all); len(early) != 0 {
+		t.Errorf("decisions %+v before the delay", early)
+	}
+	late := books.Decide(start.Add(takeOverDelay), shards, all)
+	if len(late) != 1 || late[0].Type != TakeOver {
+		t.Errorf("decisions %+v after the delay, want a take-over", late)
+	}
+}
