Add the transport between hosts: datagrams, drpc streams and state calls

Control messages leave through one sender that signs, counts and budgets them. Streams run over pooled, mutually authenticated connections; keep-alive frames tell a silent connection from a slow one.

--- a/internal/member/facts.go
+++ b/internal/member/facts.go
@@ -63,3 +63,15 @@
 func (mb *Member) versionRecord() Record {
 	return Record{Kind: RecordVersion, Version: mb.version, Offset: mb.offset}
 }
+
+// Payload returns a message with a payload for another host, or nothing when the host is unknown or dead.
+func (mb *Member) Payload(to chestnutroad.HostID, kind PayloadKind, data []byte) []Send {
+	en := mb.hosts[to]
+	if en == nil || en.state == Dead {
+		return nil
+	}
+	message := mb.message(PayloadMessage, 0)
+	message.PayloadKind = kind
+	message.Payload = data
+	return []Send{{To: en.Host, Priority: kind.Priority(), Message: message}}
+}
--- /dev/null
+++ b/internal/peer/options.go
@@ -0,0 +1,102 @@
+package peer
+
+import (
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	defaultKeepAlive      = 2 * time.Second
+	missedKeepAlives      = 3
+	defaultIdleTimeout    = 15 * time.Second
+	defaultDialTimeout    = time.Second
+	defaultStateTimeout   = 10 * time.Second
+	defaultPeerLimit      = 256
+	defaultIdleLimit      = 16
+	defaultConnections    = 4096
+	defaultMaxBody        = 8 << 20
+	defaultMaxState       = 32 << 20
+	maxStateCalls         = 4
+	maxHandshakes         = 256
+	maxHostIDLength       = 255
+	tcpKeepAliveIdle      = 4 * time.Second
+	tcpKeepAliveInterval  = 2 * time.Second
+	tcpKeepAliveProbes    = 3
+	drpcWriteBuffer       = 4 << 10
+	drpcKeptBuffer        = 32 << 10
+	minimumClusterKeySize = 16
+
+	// chunkSize is the most body bytes in a frame. Both sides buffer whole frames, so it keeps the memory of a stream
+	// under 64 KiB.
+	chunkSize = 16 << 10
+	// maxFrame bounds a frame on a stream; heads with many headers are larger than chunks.
+	maxFrame = 64 << 10
+)
+
+type settings struct {
+	keepAlive    time.Duration
+	idleTimeout  time.Duration
+	dialTimeout  time.Duration
+	peerLimit    int
+	connections  int
+	maxBody      int64
+	maxState     int
+	metrics      *metrics.Set
+	noKeepAlives bool
+}
+
+// Option changes a default of a Server, Client or Peer.
+type Option func(*settings)
+
+// WithKeepAlive sets the time after which an idle stream carries a frame that shows that it lives; a stream on which
+// three of them are missed is broken.
+func WithKeepAlive(interval time.Duration) Option {
+	return func(st *settings) { st.keepAlive = interval }
+}
+
+// WithIdleTimeout sets the time after which an unused connection is closed.
+func WithIdleTimeout(timeout time.Duration) Option {
+	return func(st *settings) { st.idleTimeout = timeout }
+}
+
+// WithPeerLimit sets the most connections, and so streams, from a Client to one peer.
+func WithPeerLimit(count int) Option { return func(st *settings) { st.peerLimit = count } }
+
+// WithMaxBody sets the most bytes of a request body that a Server accepts.
+func WithMaxBody(bytes int64) Option { return func(st *settings) { st.maxBody = bytes } }
+
+// WithMetrics sets the set that counters are registered in.
+func WithMetrics(set *metrics.Set) Option { return func(st *settings) { st.metrics = set } }
+
+// WithoutKeepAlives sends no keep-alive frames and expects none; it is the baseline of a proof.
+func WithoutKeepAlives() Option { return func(st *settings) { st.noKeepAlives = true } }
+
+func newSettings(opts []Option) settings {
+	st := settings{
+		keepAlive:   defaultKeepAlive,
+		idleTimeout: defaultIdleTimeout,
+		dialTimeout: defaultDialTimeout,
+		peerLimit:   defaultPeerLimit,
+		connections: defaultConnections,
+		maxBody:     defaultMaxBody,
+		maxState:    defaultMaxState,
+	}
+	for _, opt := range opts {
+		opt(&st)
+	}
+	if st.metrics == nil {
+		st.metrics = metrics.NewSet()
+	}
+	return st
+}
+
+func keepAliveConfig() net.KeepAliveConfig {
+	return net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     tcpKeepAliveIdle,
+		Interval: tcpKeepAliveInterval,
+		Count:    tcpKeepAliveProbes,
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,300 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/peer/peerpb"
+)
+
+// Handler serves the calls of other hosts.
+type Handler interface {
+	// Forward runs a request and writes its answer. It may return a *Redirect, a *NotOwner or a *chestnutroad.Refusal;
+	// any other error becomes an Internal refusal. ctx ends when the other host cancels or goes silent.
+	Forward(ctx context.Context, head *peerpb.RequestHead, body []byte, answer chestnutroad.Answer) error
+	// FetchState returns state that another host needs.
+	FetchState(ctx context.Context, request *peerpb.FetchStateRequest) (*peerpb.FetchStateAnswer, error)
+	// HandOver takes over a shard's state.
+	HandOver(ctx context.Context, request *peerpb.HandOverRequest) (*peerpb.HandOverAnswer, error)
+}
+
+// Server serves the calls of other hosts.
+type Server struct {
+	settings   settings
+	key        []byte
+	handler    Handler
+	counters   *streamCounters
+	sender     *Sender
+	slots      chan struct{}
+	handshakes chan struct{}
+	stateCalls chan struct{}
+	running    sync.WaitGroup
+}
+
+// NewServer returns a server of the handler. The sender, which may be nil, counts keep-alive frames against the control
+// budget.
+func NewServer(handler Handler, key []byte, sender *Sender, opts ...Option) (*Server, error) {
+	if len(key) < minimumClusterKeySize {
+		return nil, errShortKey
+	}
+	st := newSettings(opts)
+	return &Server{
+		settings:   st,
+		key:        key,
+		handler:    handler,
+		counters:   newStreamCounters(st.metrics, "server"),
+		sender:     sender,
+		slots:      make(chan struct{}, st.connections),
+		handshakes: make(chan struct{}, maxHandshakes),
+		stateCalls: make(chan struct{}, maxStateCalls),
+	}, nil
+}
+
+// Listen opens a listener whose connections have TCP keepalive set.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, errors.Wrap(err, "listen for peers")
+}
+
+// Serve accepts connections until ctx ends, then closes the listener and all connections and waits for the calls.
+func (sv *Server) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	defer sv.running.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		var temporary net.Error
+		if errors.As(err, &temporary) && !errors.Is(err, net.ErrClosed) {
+			time.Sleep(acceptPause)
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "accept")
+		}
+		sv.accept(ctx, conn)
+	}
+}
+
+// acceptPause keeps a lack of file descriptors from turning into a busy loop.
+const acceptPause = 50 * time.Millisecond
+
+// accept serves the connection, or closes it when there are too many.
+func (sv *Server) accept(ctx context.Context, conn net.Conn) {
+	select {
+	case sv.slots <- struct{}{}:
+	default:
+		sv.counters.rejected.Inc()
+		_ = conn.Close()
+		return
+	}
+	sv.running.Go(func() {
+		defer func() { <-sv.slots }()
+		defer func() { _ = conn.Close() }()
+		sv.serve(ctx, conn)
+	})
+}
+
+func (sv *Server) serve(ctx context.Context, conn net.Conn) {
+	select {
+	case sv.handshakes <- struct{}{}:
+	default:
+		sv.counters.rejected.Inc()
+		return
+	}
+	hl, err := greetClient(conn, sv.key, sv.settings.dialTimeout)
+	<-sv.handshakes
+	if err != nil {
+		sv.counters.rejected.Inc()
+		return
+	}
+	limit := maxFrame
+	if hl.class == classState {
+		limit = sv.settings.maxState
+	}
+	mux := drpcmux.New()
+	service := &peerService{server: sv, host: hl.host, class: hl.class, closeConn: func() { _ = conn.Close() }}
+	if err := peerpb.DRPCRegisterPeer(mux, service); err != nil {
+		return
+	}
+	// The error only says how the connection ended; the calls have reported their own.
+	_ = drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions(limit)}).ServeOne(ctx, conn)
+}
+
+type hostKey struct{}
+
+// HostOf returns the host that made the call of ctx.
+func HostOf(ctx context.Context) chestnutroad.HostID {
+	host, _ := ctx.Value(hostKey{}).(chestnutroad.HostID)
+	return host
+}
+
+// peerService serves the calls of one connection.
+type peerService struct {
+	server    *Server
+	host      chestnutroad.HostID
+	class     connClass
+	closeConn func()
+}
+
+var _ peerpb.DRPCPeerServer = (*peerService)(nil)
+
+// Forward serves one request.
+func (sr *peerService) Forward(stream peerpb.DRPCPeer_ForwardStream) error {
+	sr.server.counters.streams.Inc()
+	silence := newSilence(&sr.server.settings, sr.closeConn)
+	defer silence.heard()
+	pulse := startPulse(&sr.server.settings, func() error {
+		sr.server.sender.CountKeepAlive()
+		return stream.Send(&peerpb.ForwardDown{KeepAlive: true})
+	})
+	defer pulse.stop()
+	head, body, err := sr.receiveRequest(stream, silence)
+	var refused *chestnutroad.Refusal
+	if err != nil && !errors.As(err, &refused) {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(context.WithValue(stream.Context(), hostKey{}, sr.host))
+	defer cancel(nil)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		cancel(sr.receiveRest(stream, silence))
+	}()
+	if err == nil {
+		err = sr.server.handler.Forward(ctx, head, body, &streamAnswer{stream: stream, pulse: pulse})
+	}
+	if err := stream.Send(downOf(err)); err != nil {
+		sr.server.counters.broken.Inc()
+		return err
+	}
+	pulse.stop()
+	if err := stream.CloseSend(); err != nil {
+		return err
+	}
+	<-ended
+	return nil
+}
+
+// receiveRequest returns the head and the whole body. A refusal means that the body is too large.
+func (sr *peerService) receiveRequest(
+	stream peerpb.DRPCPeer_ForwardStream, silence *silence,
+) (*peerpb.RequestHead, []byte, error) {
+	var head *peerpb.RequestHead
+	var body []byte
+	for head == nil || int64(len(body)) < head.GetBodyLength() {
+		silence.wait()
+		up, err := stream.Recv()
+		silence.heard()
+		if err != nil {
+			return nil, nil, errors.CombineErrors(errIncompleteBody, err)
+		}
+		if up.GetCancel() {
+			return nil, nil, errCancelled
+		}
+		if up.GetHead() != nil && head == nil {
+			head = up.GetHead()
+			if head.GetBodyLength() < 0 || head.GetBodyLength() > sr.server.settings.maxBody {
+				return nil, nil, chestnutroad.Refuse(chestnutroad.TooLarge, "the body is over the limit between hosts")
+			}
+			body = make([]byte, 0, head.GetBodyLength())
+		}
+		if head != nil && int64(len(body)+len(up.GetBody())) <= head.GetBodyLength() {
+			body = append(body, up.GetBody()...)
+		}
+	}
+	return head, body, nil
+}
+
+// receiveRest reads what follows the request, keep-alive frames as a rule, and returns why it ended.
+func (sr *peerService) receiveRest(stream peerpb.DRPCPeer_ForwardStream, silence *silence) error {
+	for {
+		silence.wait()
+		up, err := stream.Recv()
+		silence.heard()
+		if silence.silent.Load() {
+			sr.server.counters.silent.Inc()
+			return errSilent
+		}
+		if err != nil {
+			return err
+		}
+		if up.GetCancel() {
+			return errCancelled
+		}
+	}
+}
+
+// FetchState serves one state call.
+func (sr *peerService) FetchState(
+	ctx context.Context, request *peerpb.FetchStateRequest,
+) (*peerpb.FetchStateAnswer, error) {
+	if err := sr.enterState(ctx); err != nil {
+		return nil, err
+	}
+	defer sr.leaveState()
+	return sr.server.handler.FetchState(context.WithValue(ctx, hostKey{}, sr.host), request)
+}
+
+// HandOver serves one hand-over.
+func (sr *peerService) HandOver(
+	ctx context.Context, request *peerpb.HandOverRequest,
+) (*peerpb.HandOverAnswer, error) {
+	if err := sr.enterState(ctx); err != nil {
+		return nil, err
+	}
+	defer sr.leaveState()
+	return sr.server.handler.HandOver(context.WithValue(ctx, hostKey{}, sr.host), request)
+}
+
+// enterState bounds the state calls that run at the same time, since each may hold a whole shard's state.
+func (sr *peerService) enterState(ctx context.Context) error {
+	select {
+	case sr.server.stateCalls <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (sr *peerService) leaveState() { <-sr.server.stateCalls }
+
+// streamAnswer writes a handler's answer to the stream. A slow receiver holds back Chunk.
+type streamAnswer struct {
+	stream peerpb.DRPCPeer_ForwardStream
+	pulse  *pulse
+}
+
+// Head sends the status and the header.
+func (an *streamAnswer) Head(status int, header http.Header) error {
+	return an.send(&peerpb.ForwardDown{Head: &peerpb.AnswerHead{Status: int32(status), Headers: protoHeader(header)}})
+}
+
+// Chunk sends a piece of the body; one over the frame limit goes in several frames, of which the last counts the tokens.
+func (an *streamAnswer) Chunk(data []byte, tokens chestnutroad.Tokens) error {
+	for len(data) > chunkSize {
+		if err := an.send(&peerpb.ForwardDown{Chunk: data[:chunkSize]}); err != nil {
+			return err
+		}
+		data = data[chunkSize:]
+	}
+	return an.send(&peerpb.ForwardDown{Chunk: data, Tokens: int64(tokens)})
+}
+
+func (an *streamAnswer) send(down *peerpb.ForwardDown) error {
+	an.pulse.sent()
+	err := an.stream.Send(down)
+	an.pulse.sent()
+	return err
+}
