Free an abandoned claim that lands after its release

A claim that the log took in after its release had expired was not released again. A release of a later claim did not free an earlier one of the same life, and the host went on claiming at each read. A release now covers the earlier claims of its life, and an abandoned claim that is read is always released.

--- a/internal/order/resolve.go
+++ b/internal/order/resolve.go
@@ -40,11 +40,15 @@
 	return en.taken() && mc.own(en.claimant) && en.outcome == nil && mc.outcomes[key] == nil
 }
 
-// releaseAbandoned frees the key of an abandoned claim, unless a release is already under way.
+// releaseAbandoned frees the key of an abandoned claim that was read, unless a release waits for its append. A release
+// that was appended before may have been too early and have expired, so it is repeated.
 func (mc *Machine) releaseAbandoned(now time.Time, key Key, claim record.Claimant) {
 	wr := mc.releases[key]
-	if wr == nil || wr.step.Claimant.Sequence < claim.Sequence {
+	switch {
+	case wr == nil || wr.step.Claimant.Sequence < claim.Sequence:
 		mc.release(now, key, claim)
+	case wr.state == writeInDoubt || wr.state == writeStored:
+		mc.queue.addWrite(wr)
 	}
 }
 
--- a/internal/order/table.go
+++ b/internal/order/table.go
@@ -142,19 +142,23 @@
 	en.outcome = step.Outcome
 }
 
+// covers reports whether a release of the claimant frees the key: it speaks for the earlier claims of that life too,
+// since a host gives up each before it makes the next. An order that has an outcome is never released.
+func (en *entry) covers(claimant record.Claimant) bool {
+	return en.taken() && en.outcome == nil && en.claimant.SameLife(claimant) && en.claimant.Sequence <= claimant.Sequence
+}
+
 // release frees the key. The claim may come later in the log than its release, so it is barred in any case.
 func (tb *table) release(key Key, step *record.Entry, appended time.Time) {
 	en := tb.ensure(key)
-	if en.claimant == step.Claimant && en.outcome != nil {
-		return
+	if en.covers(step.Claimant) {
+		en.claimant = record.Claimant{}
+		en.digest = ""
 	}
 	en.bar(step.Claimant)
-	if en.taken() && en.claimant != step.Claimant {
-		return
+	if !en.taken() {
+		en.expires = max(en.expires, appended.UnixMilli()+step.KeepMs)
 	}
-	en.claimant = record.Claimant{}
-	en.digest = ""
-	en.expires = max(en.expires, appended.UnixMilli()+step.KeepMs)
 }
 
 // live returns the entry of the key, or nil when there is none or it has expired.
--- a/internal/order/write.go
+++ b/internal/order/write.go
@@ -35,7 +35,7 @@
 		return false
 	}
 	if wr.step.Type == record.EntryRelease {
-		return en.bars(wr.step.Claimant)
+		return en.bars(wr.step.Claimant) && !en.covers(wr.step.Claimant)
 	}
 	if en.claimant != wr.step.Claimant {
 		return false
