Refuse malformed calls as BadRequest, and move the recorder and the raw server to the stand-ins

A path that does not begin with a slash could lead to another host when it is joined to the target's address. A header that net/http rejects was answered as NoTarget, which invites a retry that can't succeed. A host list answer without a list no longer passes for an empty platform.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -65,6 +65,8 @@
 	if err != nil {
 		return err
 	}
+	// The client reads the events, so the engine must not compress them.
+	req.Header.Del("Accept-Encoding")
 	resp, err := cl.transport(call).RoundTrip(req)
 	if err != nil {
 		failure.Cause = err
--- a/internal/platform/hostlist.go
+++ b/internal/platform/hostlist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	chestnutroad "github.com/chestnutroad/chestnutroad"
@@ -34,5 +35,9 @@
 	defer cancel()
 	var response HostsResponse
 	err := hl.get(ctx, "/hosts", &response)
+	if err == nil && response.Hosts == nil {
+		// An answer without the list must not pass for a platform without machines.
+		err = fmt.Errorf("%w: no list", ErrUnavailable)
+	}
 	return response.Hosts, err
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -22,6 +22,8 @@
 type Faults struct {
 	// Slow delays every answer.
 	Slow Duration
+	// SlowTokens is added to the time of each token of an engine.
+	SlowTokens Duration
 	// Down resets connections before an answer; the admin paths still work.
 	Down bool
 	// Unavailable answers every request with 503 without saying whether it ran.
--- a/internal/standin/hostlist/list.go
+++ b/internal/standin/hostlist/list.go
@@ -113,7 +113,7 @@
 	for index > 0 && ls.versions[index].since.After(limit) {
 		index--
 	}
-	return slices.Clone(ls.versions[index].hosts)
+	return append([]chestnutroad.ListedHost{}, ls.versions[index].hosts...)
 }
 
 // Handler serves GET /hosts, and PUT /admin/hosts, PUT and DELETE /admin/hosts/{name} to change the list.
--- /dev/null
+++ b/internal/standin/raw/script.go
@@ -0,0 +1,65 @@
+package raw
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Script answers one request that arrived whole on a connection.
+type Script func(connection net.Conn, req *http.Request)
+
+// resetDelay lets the bytes before a reset arrive, since a reset discards what the peer has not read.
+const resetDelay = 50 * time.Millisecond
+
+// Say answers with the text and keeps the connection open.
+func Say(text string) Script {
+	return func(connection net.Conn, _ *http.Request) { _, _ = io.WriteString(connection, text) }
+}
+
+// SayAndClose answers with the text and closes the connection.
+func SayAndClose(text string) Script {
+	return func(connection net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(connection, text)
+		_ = connection.Close()
+	}
+}
+
+// SayAndReset answers with the text and resets the connection.
+func SayAndReset(text string) Script {
+	return func(connection net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(connection, text)
+		time.Sleep(resetDelay)
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = connection.Close()
+	}
+}
+
+// SayForever answers with the first text, and then with the other one until the peer closes the connection.
+func SayForever(first, again string) Script {
+	return func(connection net.Conn, _ *http.Request) {
+		_, err := io.WriteString(connection, first)
+		for err == nil {
+			_, err = io.WriteString(connection, again)
+		}
+	}
+}
+
+// OncePerConnection answers the first request of each connection with the script, and closes the connection without an
+// answer at the second one, as a target does that closes an idle connection just as it is reused.
+func OncePerConnection(script Script) func() Script {
+	return func() Script {
+		served := false
+		return func(connection net.Conn, req *http.Request) {
+			if served {
+				_ = connection.Close()
+				return
+			}
+			served = true
+			script(connection, req)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/recorder.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+)
+
+// Recorder is a caller that keeps the answer it receives.
+type Recorder struct {
+	// OnChunk, when set, is asked after each chunk; its error ends the call.
+	OnChunk func(*Recorder) error
+
+	mu     sync.Mutex
+	heads  int
+	status int
+	header http.Header
+	body   []byte
+	tokens chestnutroad.Tokens
+}
+
+var _ chestnutroad.Answer = (*Recorder)(nil)
+
+// Head keeps the status and the header.
+func (rc *Recorder) Head(status int, header http.Header) error {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.heads++
+	rc.status, rc.header = status, header
+	return nil
+}
+
+// Chunk appends the data to the body.
+func (rc *Recorder) Chunk(data []byte, tokens chestnutroad.Tokens) error {
+	rc.mu.Lock()
+	rc.body = append(rc.body, data...)
+	rc.tokens += tokens
+	rc.mu.Unlock()
+	if rc.OnChunk == nil {
+		return nil
+	}
+	return rc.OnChunk(rc)
+}
+
+// Heads returns how often a head was received.
+func (rc *Recorder) Heads() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.heads
+}
+
+// Status returns the status of the last head.
+func (rc *Recorder) Status() int {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.status
+}
+
+// Header returns the header of the last head.
+func (rc *Recorder) Header() http.Header {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.header
+}
+
+// Body returns the body received so far.
+func (rc *Recorder) Body() string {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return string(rc.body)
+}
+
+// Tokens returns the tokens received so far.
+func (rc *Recorder) Tokens() chestnutroad.Tokens {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	return rc.tokens
+}
--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -79,6 +79,9 @@
 	return cn.received.Load() == at.before.Load()
 }
 
+// invalid reports whether net/http rejected the request itself, before it looked for a connection.
+func (at *Attempt) invalid(err error) bool { return at.conn.Load() == nil && !isConnectionError(err) }
+
 func isConnectionError(err error) bool {
 	var network net.Error
 	var stream streamError
--- a/internal/target/failure.go
+++ b/internal/target/failure.go
@@ -37,6 +37,8 @@
 		refusal := chestnutroad.Refuse(chestnutroad.DeadlineExceeded, ended(ctx))
 		refusal.NotRun = notRun
 		return refusal
+	case notRun && fl.Attempt.invalid(fl.Cause):
+		return chestnutroad.Refuse(chestnutroad.BadRequest, "the request can't be written as HTTP")
 	case notRun:
 		return chestnutroad.Refuse(chestnutroad.NoTarget, "the target can't be reached")
 	case errors.Is(fl.Cause, ErrBadAnswer) || !fl.Attempt.broke(fl.Cause):
--- a/internal/target/transport.go
+++ b/internal/target/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	chestnutroad "github.com/chestnutroad/chestnutroad"
@@ -81,6 +82,10 @@
 
 // NewRequest returns the HTTP request of a call to the target at address.
 func NewRequest(ctx context.Context, address string, call *chestnutroad.Call) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		// Joined to the address, a path such as "@other/" would lead to another target.
+		return nil, chestnutroad.Refuse(chestnutroad.BadRequest, "the path does not begin with a slash")
+	}
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+address+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", chestnutroad.Refuse(chestnutroad.BadRequest, "the method or path is malformed"), err)
