--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,231 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/platform"
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	"github.com/chestnutroad/chestnutroad/internal/standin/hostlist"
+	"github.com/chestnutroad/chestnutroad/internal/standin/logservice"
+)
+
+const stream = chestnutroad.StreamOrders
+
+// logMaker starts one implementation of Log over a fresh log with these options.
+type logMaker struct {
+	name  string
+	start func(*testing.T, ...logservice.Option) (chestnutroad.Log, *standin.Switches)
+}
+
+var logMakers = []logMaker{
+	{"in memory", func(_ *testing.T, options ...logservice.Option) (chestnutroad.Log, *standin.Switches) {
+		lg := logservice.New(options...)
+		return lg, lg.Switches()
+	}},
+	{"HTTP", func(t *testing.T, options ...logservice.Option) (chestnutroad.Log, *standin.Switches) {
+		server, err := logservice.Start("127.0.0.1:0", options...)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = server.Close() })
+		lg := platform.NewLog(server.Address())
+		t.Cleanup(lg.Close)
+		return lg, server.Switches()
+	}},
+}
+
+// verdict is what an append says of its record.
+type verdict string
+
+const (
+	appended    verdict = "appended"
+	notAppended verdict = "not appended"
+	unknown     verdict = "unknown"
+)
+
+func tryAppend(ctx context.Context, lg chestnutroad.Log, text string) verdict {
+	_, err := lg.Append(ctx, stream, []byte(text))
+	var failure *platform.AppendError
+	switch {
+	case err == nil:
+		return appended
+	case platform.NotAppended(err):
+		return notAppended
+	case errors.As(err, &failure):
+		return unknown
+	}
+	return verdict("untyped error: " + err.Error())
+}
+
+// contractCases guard against implementations of Log that differ in offsets, retention or append verdicts. Each appends
+// "a", "b", "c" and then the last text under the faults, and reads from offset 1 after the pause.
+var contractCases = []struct {
+	name    string
+	options []logservice.Option
+	faults  standin.Faults
+	last    string
+	verdict verdict
+	pause   time.Duration
+	oldest  chestnutroad.Offset
+	next    chestnutroad.Offset
+	texts   string
+}{
+	{"offsets count up from zero", nil, standin.Faults{}, "d", appended, 0, 0, 4, "bcd"},
+	{"retention by count", []logservice.Option{logservice.WithRetention(2, 0)}, standin.Faults{}, "d", appended, 0, 2, 4, "cd"},
+	{"retention by age", []logservice.Option{logservice.WithRetention(0, 20*time.Millisecond)}, standin.Faults{}, "d", appended, 50 * time.Millisecond, 4, 4, ""},
+	{"limited rate", []logservice.Option{logservice.WithAppendRate(0.001, 3)}, standin.Faults{}, "d", notAppended, 0, 0, 3, "bc"},
+	{"large record", []logservice.Option{logservice.WithRecordSize(4)}, standin.Faults{}, "too long", notAppended, 0, 0, 3, "bc"},
+	{"lost answer", nil, standin.Faults{LoseAnswers: 1}, "d", unknown, 0, 0, 4, "bcd"},
+	{"slow log", nil, standin.Faults{Slow: standin.Duration(20 * time.Millisecond)}, "d", appended, 0, 0, 4, "bcd"},
+}
+
+func TestLogContract(t *testing.T) {
+	t.Parallel()
+	for _, maker := range logMakers {
+		for _, test := range contractCases {
+			t.Run(maker.name+"/"+test.name, func(t *testing.T) {
+				t.Parallel()
+				lg, switches := maker.start(t, test.options...)
+				for _, text := range []string{"a", "b", "c"} {
+					if got := tryAppend(t.Context(), lg, text); got != appended {
+						t.Fatal(got)
+					}
+				}
+				switches.Set(test.faults)
+				if got := tryAppend(t.Context(), lg, test.last); got != test.verdict {
+					t.Errorf("the last record is %s, want %s", got, test.verdict)
+				}
+				time.Sleep(test.pause)
+				batch, err := lg.Read(t.Context(), stream, 1, 0)
+				texts := ""
+				for _, record := range batch.Records {
+					texts += string(record.Data)
+				}
+				if err != nil || batch.Oldest != test.oldest || batch.Next != test.next || texts != test.texts {
+					t.Errorf("batch %+v with %q, error %v", batch, texts, err)
+				}
+			})
+		}
+	}
+}
+
+// TestLogWaitsAndFails guards against a read that misses the append it waits for, streams that share offsets, and a log
+// out of service that looks like an empty one.
+func TestLogWaitsAndFails(t *testing.T) {
+	t.Parallel()
+	for _, maker := range logMakers {
+		lg, switches := maker.start(t)
+		if batch, err := lg.Read(t.Context(), stream, 0, 20*time.Millisecond); err != nil || len(batch.Records) != 0 {
+			t.Errorf("%s: batch %+v, error %v", maker.name, batch, err)
+		}
+		time.AfterFunc(50*time.Millisecond, func() {
+			_, _ = lg.Append(t.Context(), chestnutroad.StreamControl, []byte("other"))
+			_ = tryAppend(t.Context(), lg, "late")
+		})
+		batch, err := lg.Read(t.Context(), stream, 0, 10*time.Second)
+		if err != nil || len(batch.Records) != 1 || batch.Next != 1 {
+			t.Errorf("%s: batch %+v, error %v", maker.name, batch, err)
+		}
+		switches.Set(standin.Faults{Down: true})
+		got := tryAppend(t.Context(), lg, "down")
+		if _, err = lg.Read(t.Context(), stream, 0, 0); !errors.Is(err, platform.ErrUnavailable) || got == appended {
+			t.Errorf("%s: record %s, error %v from a log that is down", maker.name, got, err)
+		}
+		switches.Set(standin.Faults{Slow: standin.Duration(time.Minute)})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		if got := tryAppend(ctx, lg, "slow"); got != notAppended && got != unknown {
+			t.Errorf("%s: a slow append is %s", maker.name, got)
+		}
+		cancel()
+		switches.Set(standin.Faults{})
+		if got := tryAppend(t.Context(), lg, "again"); got != appended {
+			t.Errorf("%s: %s after the outage", maker.name, got)
+		}
+	}
+}
+
+// TestAppendVerdict guards against an append that is called certainly absent although it may be in the log, and against
+// one that is called unknown although the service rejected it.
+func TestAppendVerdict(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name        string
+		status      int
+		header      string
+		body        string
+		notAppended bool
+	}{
+		{"server error", http.StatusInternalServerError, "", "", false},
+		{"bad gateway", http.StatusBadGateway, "", "", false},
+		{"unavailable", http.StatusServiceUnavailable, "", "", false},
+		{"unavailable and said so", http.StatusServiceUnavailable, "true", "", true},
+		{"request timeout", http.StatusRequestTimeout, "", "", false},
+		{"rejected", http.StatusBadRequest, "", "", true},
+		{"redirect", http.StatusTemporaryRedirect, "", "", false},
+		{"success without an offset", http.StatusOK, "", "{}", false},
+		{"garbage", http.StatusOK, "", "}{", false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			calls := 0
+			server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+				calls++
+				rw.Header().Set("Chestnutroad-Not-Run", test.header)
+				rw.Header().Set("Location", "/again")
+				rw.WriteHeader(test.status)
+				_, _ = rw.Write([]byte(test.body))
+			}))
+			lg := platform.NewLog(server.Listener.Addr().String())
+			_, err := lg.Append(t.Context(), stream, []byte("a"))
+			if err == nil || platform.NotAppended(err) != test.notAppended || calls != 1 {
+				t.Errorf("error %v after %d calls", err, calls)
+			}
+			server.Close()
+			lg.Close()
+			if _, err = lg.Append(t.Context(), stream, []byte("a")); !platform.NotAppended(err) {
+				t.Errorf("error %v from a closed port", err)
+			}
+		})
+	}
+}
+
+// TestHostList guards against a client that differs from the list itself, and against a list that does not lag.
+func TestHostList(t *testing.T) {
+	t.Parallel()
+	list := hostlist.New([]chestnutroad.ListedHost{{Name: "one", Role: chestnutroad.RoleRouter, Address: "127.0.0.1:1"}})
+	server, err := standin.Start("127.0.0.1:0", list.Switches(), list.Handler())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	time.Sleep(20 * time.Millisecond)
+	err = hostlist.PutHost(t.Context(), standin.NewControl(server.Address()), chestnutroad.ListedHost{Name: "two", Leaving: true})
+	if err != nil {
+		t.Error(err)
+	}
+	client := platform.NewHostList(server.Address())
+	defer client.Close()
+	for _, lister := range []chestnutroad.HostList{list, client} {
+		list.Switches().Set(standin.Faults{})
+		present, err := lister.Hosts(t.Context())
+		if err != nil || len(present) != 2 || !present[1].Leaving {
+			t.Errorf("hosts %+v, error %v", present, err)
+		}
+		list.Switches().Set(standin.Faults{Lag: standin.Duration(time.Minute)})
+		past, err := lister.Hosts(t.Context())
+		if err != nil || len(past) != 1 {
+			t.Errorf("lagging hosts %+v, error %v", past, err)
+		}
+		list.Switches().Set(standin.Faults{Down: true})
+		if _, err = lister.Hosts(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+			t.Errorf("error %v from a list that is down", err)
+		}
+	}
+}
