--- a/cmd/chestnutroad/main.go
+++ b/cmd/chestnutroad/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/chestnutroad/chestnutroad/internal/cli"
+	"github.com/chestnutroad/chestnutroad/internal/verb"
 )
 
 func main() { os.Exit(run()) }
@@ -17,5 +18,5 @@
 	defer stop()
 	// A second signal ends the process at once.
 	context.AfterFunc(ctx, stop)
-	return cli.New().Run(ctx, os.Args[1:])
+	return cli.New(verb.Options()...).Run(ctx, os.Args[1:])
 }
--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds the settings of the two example sites.
+package examples
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,28 @@
+package examples
+
+import (
+	"embed"
+
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+//go:embed warta/*.toml kaffivakt/*.toml
+var files embed.FS
+
+// Warta returns the base file and the overlay of the site wielkopolska.
+func Warta() []settings.File { return read("warta/base.toml", "warta/wielkopolska.toml") }
+
+// Kaffivakt returns the base file and the overlay of the site is-sudvestur.
+func Kaffivakt() []settings.File { return read("kaffivakt/base.toml", "kaffivakt/is-sudvestur.toml") }
+
+func read(names ...string) []settings.File {
+	found := make([]settings.File, 0, len(names))
+	for _, name := range names {
+		text, err := files.ReadFile(name)
+		if err != nil {
+			panic(err) // the files are embedded at build time
+		}
+		found = append(found, settings.File{Name: name, Text: string(text)})
+	}
+	return found
+}
--- a/ids.go
+++ b/ids.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // SiteID names a customer's installation.
@@ -98,3 +100,6 @@
 
 // String returns the chat id in hexadecimal.
 func (ch ChatID) String() string { return strconv.FormatUint(uint64(ch), 16) }
+
+// HashID spreads a name evenly over 64 bits.
+func HashID(name string) uint64 { return xxhash.Sum64String(name) }
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -7,12 +7,13 @@
 
 // Demo holds the arguments of demo.
 type Demo struct {
-	Base     string        `arg:"--base" placeholder:"FILE" default:"examples/warta/base.toml" help:"base settings"`
+	Base     string        `arg:"--base" placeholder:"FILE" help:"base settings [default: the built-in example of Warta]"`
 	Overlay  []string      `arg:"--overlay" placeholder:"FILE" help:"overlays of the base settings"`
 	Site     string        `arg:"--site" placeholder:"SITE" help:"site to run [default: the only one]"`
 	Hosts    int           `arg:"--hosts" default:"3" help:"number of hosts"`
-	Duration time.Duration `arg:"--duration" default:"30s" help:"time to run; 0s runs until a signal"`
+	Duration time.Duration `arg:"--duration" default:"8s" help:"time to send requests"`
 	Seed     uint64        `arg:"--seed" default:"1" help:"seed of all random choices"`
+	Token    string        `arg:"--token" default:"order-desk-token" help:"bearer token of the callers' team"`
 	JSON     bool          `arg:"--json" help:"print JSON"`
 }
 
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -8,14 +8,18 @@
 
 // Load holds the arguments of load.
 type Load struct {
-	Rate     float64          `arg:"--rate" default:"10" help:"requests a second"`
-	Duration time.Duration    `arg:"--duration" default:"30s" help:"time to send requests"`
-	Service  string           `arg:"--service" placeholder:"SERVICE" help:"model or plain service to ask"`
-	Token    string           `arg:"--token" placeholder:"TOKEN" help:"bearer token of the team"`
-	Chats    int              `arg:"--chats" default:"100" help:"number of chats that return"`
-	Seed     uint64           `arg:"--seed" default:"1" help:"seed of all random choices"`
-	JSON     bool             `arg:"--json" help:"print JSON"`
-	Entries  []netip.AddrPort `arg:"positional,required" placeholder:"IP:PORT" help:"callers' addresses of entry hosts"`
+	Rate     float64       `arg:"--rate" default:"10" help:"requests a second"`
+	Duration time.Duration `arg:"--duration" default:"30s" help:"time to send requests"`
+	Token    string        `arg:"--token" placeholder:"TOKEN" help:"bearer token of the team"`
+	Model    string        `arg:"--model" placeholder:"MODEL" help:"model that chats ask for; none sends no chats"`
+	Chats    int           `arg:"--chats" default:"100" help:"number of chats that return"`
+
+	MaxTokens  int              `arg:"--max-tokens" default:"64" help:"length of an answer in tokens"`
+	OrderPath  string           `arg:"--order-path" placeholder:"PATH" help:"path of orders, such as /orders; none sends no orders"`
+	OrderShare float64          `arg:"--order-share" default:"0.2" help:"part of the requests that are orders, from 0 to 1"`
+	Seed       uint64           `arg:"--seed" default:"1" help:"seed of all random choices"`
+	JSON       bool             `arg:"--json" help:"print JSON"`
+	Entries    []netip.AddrPort `arg:"positional,required" placeholder:"IP:PORT" help:"callers' addresses of entry hosts"`
 }
 
 // WithLoad sets the function that sends requests.
--- /dev/null
+++ b/internal/host/counters.go
@@ -0,0 +1,48 @@
+package host
+
+import (
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/caller"
+)
+
+// counters counts callers' requests since the start of the process.
+type counters struct {
+	open      atomic.Int64
+	completed atomic.Uint64
+	refused   atomic.Uint64
+}
+
+// observe counts a finished exchange with a caller.
+func (ho *Host) observe(ex *caller.Exchange, refusal *chestnutroad.Refusal) {
+	labels := `{service="` + string(ex.Route.Service) + `",kind="` + kindLabel(refusal) + `"}`
+	ho.metrics.GetOrCreateCounter("chestnutroad_requests_total" + labels).Inc()
+	ho.metrics.GetOrCreateHistogram(`chestnutroad_request_seconds{service="` + string(ex.Route.Service) + `"}`).
+		UpdateDuration(ex.Started)
+	if refusal == nil {
+		ho.counters.completed.Add(1)
+		return
+	}
+	ho.counters.refused.Add(1)
+	ho.logger.Debug("request refused", "Request", ex.Request.ID, "Team", ex.Team, "Service", ex.Route.Service,
+		"Kind", refusal.Kind, "NotRun", refusal.NotRun, "Message", refusal.Message)
+}
+
+func kindLabel(refusal *chestnutroad.Refusal) string {
+	if refusal == nil {
+		return ""
+	}
+	return string(refusal.Kind)
+}
+
+// newMetrics returns the host's metrics; gauges are read when they are asked for.
+func (ho *Host) newMetrics() *metrics.Set {
+	set := metrics.NewSet()
+	set.NewGauge("chestnutroad_requests_open", func() float64 { return float64(ho.counters.open.Load()) })
+	set.NewGauge("chestnutroad_configuration_version", func() float64 { return float64(ho.configuration.version()) })
+	set.NewGauge("chestnutroad_shards_owned", func() float64 { return float64(len(ho.ownership.owned())) })
+	return set
+}
--- /dev/null
+++ b/internal/host/entry.go
@@ -0,0 +1,191 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+const (
+	// ownerSearchInterval spaces the questions for a shard's owner while hosts disagree about it.
+	ownerSearchInterval = 50 * time.Millisecond
+	// ownerSearchLimit is longer than a takeover takes after a host's death: suspicion, takeover delay, one report.
+	ownerSearchLimit = 8 * time.Second
+	noOwnerRetry     = 2 * time.Second
+)
+
+// errNotOwner is returned by an owner that has lost the shard or never had it; nothing of the request ran there.
+var errNotOwner = errors.New("the host does not own the shard")
+
+// fleet is what the entry knows of the other hosts and the pools.
+type fleet interface {
+	// shards ranks the shards that can take the request, the preferred one first.
+	shards(request *chestnutroad.Request) []chestnutroad.ShardID
+	// forward sends the request to the shard's present owner, on this host or another one.
+	forward(ctx context.Context, shard chestnutroad.ShardID, request *chestnutroad.Request, call *chestnutroad.Call,
+		answer chestnutroad.Answer, redirects int) error
+}
+
+// entry forwards callers' requests to the owners of shards.
+type entry struct {
+	fleet         fleet
+	now           func() time.Time
+	budget        *retryBudget
+	redirectLimit int
+}
+
+// The retry budget and the redirects before a configuration is read.
+const (
+	defaultRetryShare    = 0.1
+	defaultRetryWindow   = 10 * time.Second
+	defaultRetryFloor    = 1
+	defaultRedirectLimit = 3
+)
+
+func newEntry(fleet fleet, now func() time.Time) *entry {
+	return &entry{
+		fleet:         fleet,
+		now:           now,
+		budget:        newRetryBudget(defaultRetryShare, defaultRetryWindow, defaultRetryFloor),
+		redirectLimit: defaultRedirectLimit,
+	}
+}
+
+// configure applies the limits of the configuration in force.
+func (en *entry) configure(fleet settings.Fleet) {
+	en.budget.configure(fleet.RetryShare, fleet.RetryWindow, fleet.RetryFloor)
+}
+
+// Forward runs the call and returns nil once the whole answer was passed on.
+func (en *entry) Forward(
+	ctx context.Context, request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer,
+) error {
+	en.budget.request(en.now())
+	chatHeader(request, call)
+	route := &routing{entry: en, request: request, started: en.now(), tried: map[chestnutroad.ShardID]bool{}}
+	pg := &progress{answer: answer, onTokens: func(chestnutroad.Tokens) {}}
+	for {
+		shard, known := route.next()
+		if !known {
+			return route.giveUp()
+		}
+		err := en.fleet.forward(ctx, shard, request, attemptCall(call, route.attempt, pg), pg, route.redirects)
+		if err == nil || ctx.Err() != nil || pg.failed != nil {
+			return err
+		}
+		if !route.again(ctx, shard, pg, err) {
+			return route.last
+		}
+	}
+}
+
+// routing is the way of one request through the shards.
+type routing struct {
+	entry     *entry
+	request   *chestnutroad.Request
+	started   time.Time
+	redirects int
+	attempt   int
+	// directed is the shard that an owner named, or zero.
+	directed chestnutroad.ShardID
+	tried    map[chestnutroad.ShardID]bool
+	last     error
+}
+
+// next returns the shard to ask, preferring the one that an owner named.
+func (rt *routing) next() (chestnutroad.ShardID, bool) {
+	if rt.directed != (chestnutroad.ShardID{}) {
+		shard := rt.directed
+		rt.directed = chestnutroad.ShardID{}
+		return shard, true
+	}
+	for _, shard := range rt.entry.fleet.shards(rt.request) {
+		if !rt.tried[shard] {
+			return shard, true
+		}
+	}
+	return chestnutroad.ShardID{}, false
+}
+
+// again decides whether another attempt follows the failed one.
+func (rt *routing) again(ctx context.Context, shard chestnutroad.ShardID, pg *progress, err error) bool {
+	rt.last = err
+	rt.attempt++
+	var other *redirect
+	if errors.As(err, &other) {
+		return rt.follow(other.Shard)
+	}
+	if errors.Is(err, errNotOwner) {
+		return rt.waitForOwner(ctx)
+	}
+	refusal := chestnutroad.RefusalOf(err)
+	switch {
+	case refusal.NotRun && triesElsewhere(refusal.Kind):
+		rt.tried[shard] = true
+		return rt.entry.budget.retry(rt.entry.now())
+	case refusal.Kind == chestnutroad.StreamBroken && pg.repeatable(rt.request):
+		return rt.entry.budget.retry(rt.entry.now()) && rt.waitForOwner(ctx)
+	default:
+		return false
+	}
+}
+
+// follow goes to the shard that an owner named, up to the limit.
+func (rt *routing) follow(shard chestnutroad.ShardID) bool {
+	rt.redirects++
+	if rt.redirects > rt.entry.redirectLimit {
+		rt.last = chestnutroad.Refuse(chestnutroad.Overloaded, "every shard is at its load bound").After(noOwnerRetry)
+		return false
+	}
+	rt.directed = shard
+	return true
+}
+
+// waitForOwner pauses before the shard's owner is asked for again. It gives up when no owner was found for long, or
+// when the request's deadline has passed.
+func (rt *routing) waitForOwner(ctx context.Context) bool {
+	now := rt.entry.now()
+	deadline := rt.request.Deadline
+	if now.Sub(rt.started) > ownerSearchLimit || (!deadline.IsZero() && now.After(deadline)) {
+		rt.last = rt.ownerRefusal()
+		return false
+	}
+	timer := time.NewTimer(ownerSearchInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+func (rt *routing) ownerRefusal() error {
+	if errors.Is(rt.last, errNotOwner) {
+		return chestnutroad.Refuse(chestnutroad.NoTarget, "the shard has no owner at the moment").After(noOwnerRetry)
+	}
+	return rt.last
+}
+
+// giveUp returns the last failure, or says that there is no shard at all.
+func (rt *routing) giveUp() error {
+	if rt.last != nil {
+		return rt.ownerRefusal()
+	}
+	return chestnutroad.Refuse(chestnutroad.NoTarget, "the service has no target").After(noOwnerRetry)
+}
+
+// triesElsewhere reports whether another shard may run what one shard refused as not run.
+func triesElsewhere(kind chestnutroad.Kind) bool {
+	switch kind {
+	case chestnutroad.NoTarget, chestnutroad.Draining, chestnutroad.TargetRefused, chestnutroad.NotReady,
+		chestnutroad.StreamBroken:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/host/fleet.go
@@ -0,0 +1,83 @@
+package host
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/caller"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// shards ranks the shards that can take the request: by the chat's rendezvous order for a chat, otherwise the own data
+// centre's first.
+func (ho *Host) shards(request *chestnutroad.Request) []chestnutroad.ShardID {
+	candidates := ho.targets.candidates(request.Service)
+	if request.Chat != 0 {
+		return pool.RankShards(request.Chat, candidates)
+	}
+	ranked := pool.RankShards(chestnutroad.ChatID(chestnutroad.HashID(string(request.ID))), candidates)
+	for index, id := range ranked {
+		if id.DataCentre == ho.settings.DataCentre {
+			copy(ranked[1:index+1], ranked[:index])
+			ranked[0] = id
+			break
+		}
+	}
+	return ranked
+}
+
+// forward sends the request to the shard's present owner, on this host or another one.
+func (ho *Host) forward(
+	ctx context.Context, id chestnutroad.ShardID, request *chestnutroad.Request, call *chestnutroad.Call,
+	answer chestnutroad.Answer, redirects int,
+) error {
+	if local := ho.ownership.local(id); local != nil {
+		return local.run(ctx, request, call, answer, redirects)
+	}
+	owner, found := ho.ownership.ownerOf(id, ho.peers.Hosts())
+	if !found || owner.ID == ho.settings.ID {
+		return errNotOwner
+	}
+	return ho.peers.Forward(ctx, owner, id, request, call, answer, redirects)
+}
+
+// Serve runs a request that another host forwards to this one as the owner of the shard.
+func (ho *Host) serveForwarded(
+	ctx context.Context, id chestnutroad.ShardID, request *chestnutroad.Request, call *chestnutroad.Call,
+	answer chestnutroad.Answer, redirects int,
+) error {
+	local := ho.ownership.local(id)
+	if local == nil {
+		return errNotOwner
+	}
+	return local.run(ctx, request, call, answer, redirects)
+}
+
+// currentDirectory returns the configuration in force, or nil before there is one.
+func (ho *Host) currentDirectory() chestnutroad.Directory {
+	if di := ho.directory.Load(); di != nil {
+		return di
+	}
+	return nil
+}
+
+// Forward counts the open requests of callers and hands them to the entry.
+func (ho *Host) Forward(
+	ctx context.Context, request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer,
+) error {
+	ho.counters.open.Add(1)
+	defer ho.counters.open.Add(-1)
+	err := ho.entry.Forward(ctx, request, call, answer)
+	if errors.Is(err, errNotOwner) {
+		return chestnutroad.Refuse(chestnutroad.NoTarget, "the shard has no owner at the moment").After(noOwnerRetry)
+	}
+	return err
+}
+
+// newCallers returns the server for callers.
+func (ho *Host) newCallers() *caller.Server {
+	return caller.New(ho.currentDirectory, ho, caller.WithObserver(ho.observe),
+		caller.WithReady(func() bool { return !ho.refusing.Load() }))
+}
--- /dev/null
+++ b/internal/host/forwarded.go
@@ -0,0 +1,181 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/peer"
+	"github.com/chestnutroad/chestnutroad/internal/peer/peerpb"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// peerHandler serves the calls of the other hosts.
+type peerHandler struct{ host *Host }
+
+var _ peer.Handler = (*peerHandler)(nil)
+
+// Forward runs a request as the owner of its shard.
+func (ph *peerHandler) Forward(
+	ctx context.Context, head *peerpb.RequestHead, body []byte, answer chestnutroad.Answer,
+) error {
+	id := ph.shardOf(head.GetService(), head.GetDataCentre())
+	request := requestOf(head)
+	call := callOf(head, body)
+	err := ph.host.serveForwarded(ctx, id, request, call, answer, int(head.GetRedirects()))
+	var other *redirect
+	switch {
+	case errors.As(err, &other):
+		return &peer.Redirect{DataCentre: other.Shard.DataCentre}
+	case errors.Is(err, errNotOwner):
+		return &peer.NotOwner{Epoch: ph.host.peers.Epoch(id)}
+	default:
+		return err
+	}
+}
+
+// FetchState returns the state of a shard, the configuration or the orders.
+func (ph *peerHandler) FetchState(
+	_ context.Context, request *peerpb.FetchStateRequest,
+) (*peerpb.FetchStateAnswer, error) {
+	state, err := ph.state(request)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.FetchStateAnswer{State: state}, nil
+}
+
+func (ph *peerHandler) state(request *peerpb.FetchStateRequest) ([]byte, error) {
+	switch stateKind(request.GetKind()) {
+	case stateConfiguration:
+		return ph.host.configuration.export()
+	case stateOrders:
+		return ph.host.orders.export()
+	case stateShard:
+		sh := ph.host.ownership.local(ph.shardOf(request.GetService(), request.GetDataCentre()))
+		if sh == nil {
+			return nil, errNotOwner
+		}
+		return sh.export(), nil
+	default:
+		return nil, errors.Newf("there is no state of the kind %q", request.GetKind())
+	}
+}
+
+// HandOver stores the state of a shard that its owner gives up.
+func (ph *peerHandler) HandOver(_ context.Context, request *peerpb.HandOverRequest) (*peerpb.HandOverAnswer, error) {
+	id := ph.shardOf(request.GetService(), request.GetDataCentre())
+	epoch := chestnutroad.Epoch{Millis: request.GetEpochMillis(), Host: chestnutroad.HostID(request.GetEpochHost())}
+	return &peerpb.HandOverAnswer{Taken: ph.host.ownership.take(id, epoch, request.GetState())}, nil
+}
+
+func (ph *peerHandler) shardOf(service, dataCentre string) chestnutroad.ShardID {
+	return chestnutroad.ShardID{
+		Pool: chestnutroad.PoolID{
+			Site: ph.host.settings.Site, Service: chestnutroad.ServiceID(service),
+		},
+		DataCentre: chestnutroad.DataCentreID(dataCentre),
+	}
+}
+
+// headOf describes a request for the owner of its shard.
+func headOf(
+	id chestnutroad.ShardID, request *chestnutroad.Request, call *chestnutroad.Call, redirects int,
+) *peerpb.RequestHead {
+	head := &peerpb.RequestHead{
+		Id:              string(request.ID),
+		Team:            string(request.Team),
+		Service:         string(request.Service),
+		Chat:            uint64(request.Chat),
+		Priority:        int32(request.Priority),
+		Repeat:          string(request.Repeat),
+		Key:             string(request.Key),
+		PromptTokens:    int64(request.Prompt),
+		MaxOutputTokens: int64(request.MaxOutput),
+		Method:          call.Method,
+		Path:            call.Path,
+		ResumeAt:        int64(call.ResumeAt),
+		Attempt:         int32(call.Attempt),
+		DataCentre:      string(id.DataCentre),
+		Redirects:       int32(redirects),
+	}
+	if !request.Deadline.IsZero() {
+		head.DeadlineUnixNanos = request.Deadline.UnixNano()
+	}
+	for name, values := range call.Header {
+		for _, value := range values {
+			head.Headers = append(head.Headers, &peerpb.Header{Name: name, Value: value})
+		}
+	}
+	return head
+}
+
+// requestOf reads a request from its head.
+func requestOf(head *peerpb.RequestHead) *chestnutroad.Request {
+	request := &chestnutroad.Request{
+		ID:        chestnutroad.RequestID(head.GetId()),
+		Team:      chestnutroad.TeamID(head.GetTeam()),
+		Service:   chestnutroad.ServiceID(head.GetService()),
+		Chat:      chestnutroad.ChatID(head.GetChat()),
+		Priority:  chestnutroad.Priority(head.GetPriority()),
+		Repeat:    chestnutroad.Repeat(head.GetRepeat()),
+		Key:       chestnutroad.IdempotencyKey(head.GetKey()),
+		Prompt:    chestnutroad.Tokens(head.GetPromptTokens()),
+		MaxOutput: chestnutroad.Tokens(head.GetMaxOutputTokens()),
+		Arrived:   time.Now(),
+	}
+	if deadline := head.GetDeadlineUnixNanos(); deadline != 0 {
+		request.Deadline = time.Unix(0, deadline)
+	}
+	return request
+}
+
+func callOf(head *peerpb.RequestHead, body []byte) *chestnutroad.Call {
+	return &chestnutroad.Call{
+		Request:  chestnutroad.RequestID(head.GetId()),
+		Attempt:  int(head.GetAttempt()),
+		Method:   head.GetMethod(),
+		Path:     head.GetPath(),
+		Header:   headerOf(head.GetHeaders()),
+		Body:     body,
+		Repeat:   chestnutroad.Repeat(head.GetRepeat()),
+		ResumeAt: chestnutroad.Tokens(head.GetResumeAt()),
+	}
+}
+
+// export returns the order state for a host that can't read it from the log.
+func (or *orders) export() ([]byte, error) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	state, known := or.machine.Export()
+	if !known {
+		return nil, errors.New("no order state is known yet")
+	}
+	return json.Marshal(state)
+}
+
+// takeOver adopts a peer's order state if it is further than the own one.
+func (or *orders) takeOver(data []byte) error {
+	var state record.Snapshot
+	if err := json.Unmarshal(data, &state); err != nil {
+		return errors.Wrap(err, "decode a peer's order state")
+	}
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	for _, action := range or.machine.Import(or.now(), state) {
+		or.carryOut(action)
+	}
+	return nil
+}
+
+func headerOf(pairs []*peerpb.Header) http.Header {
+	header := make(http.Header, len(pairs))
+	for _, pair := range pairs {
+		header.Add(pair.GetName(), pair.GetValue())
+	}
+	return header
+}
--- /dev/null
+++ b/internal/host/orders.go
@@ -0,0 +1,286 @@
+package host
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/order"
+	"github.com/chestnutroad/chestnutroad/internal/platform"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+const (
+	orderReadWait     = time.Second
+	orderReadRetry    = 200 * time.Millisecond
+	orderReadTimeout  = 5 * time.Second
+	orderSendTimeout  = 30 * time.Second
+	appendTimeout     = 2 * time.Second
+	maxOrderAnswer    = 4 << 20
+	orderTickInterval = 20 * time.Millisecond
+)
+
+// orders runs calls that may run at most once through the order log.
+type orders struct {
+	log chestnutroad.Log
+	now func() time.Time
+
+	mu      sync.Mutex
+	machine *order.Machine
+	calls   map[chestnutroad.RequestID]*orderCall
+}
+
+// orderCall is one request that waits for its order.
+type orderCall struct {
+	run  chan struct{}
+	done chan orderResult
+}
+
+type orderResult struct {
+	outcome *order.Outcome
+	refusal *chestnutroad.Refusal
+}
+
+func newOrders(log chestnutroad.Log, now func() time.Time, machine *order.Machine) *orders {
+	return &orders{log: log, now: now, machine: machine, calls: map[chestnutroad.RequestID]*orderCall{}}
+}
+
+// decide runs one decision under the lock and carries out its actions.
+func (or *orders) decide(step func(now time.Time, machine *order.Machine) []order.Action) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	for _, action := range step(or.now(), or.machine) {
+		or.carryOut(action)
+	}
+}
+
+func (or *orders) carryOut(action order.Action) {
+	switch act := action.(type) {
+	case order.Append:
+		go or.append(act)
+	case order.Run:
+		if call := or.calls[act.Request]; call != nil {
+			call.run <- struct{}{}
+		}
+	case order.Reply:
+		or.answer(act.Request, orderResult{outcome: &act.Outcome})
+	case order.Refuse:
+		or.answer(act.Request, orderResult{refusal: act.Refusal})
+	}
+}
+
+// answer delivers the only result of a request.
+func (or *orders) answer(id chestnutroad.RequestID, result orderResult) {
+	if call := or.calls[id]; call != nil {
+		delete(or.calls, id)
+		call.done <- result
+	}
+}
+
+// append adds a batch to the log and reports what is known of it.
+func (or *orders) append(batch order.Append) {
+	ctx, cancel := context.WithTimeout(context.Background(), appendTimeout)
+	defer cancel()
+	_, err := or.log.Append(ctx, chestnutroad.StreamOrders, batch.Data)
+	result := appendOutcome(err)
+	or.decide(func(now time.Time, machine *order.Machine) []order.Action {
+		return machine.AppendResult(now, batch.BatchID, result)
+	})
+}
+
+func appendOutcome(err error) record.AppendOutcome {
+	switch {
+	case err == nil:
+		return record.AppendOK
+	case platform.NotAppended(err):
+		return record.AppendFailed
+	default:
+		return record.AppendUnknown
+	}
+}
+
+// Run runs the call when this host wins the claim, and answers with the order's first outcome otherwise.
+func (or *orders) Run(
+	ctx context.Context, request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer,
+	send func(ctx context.Context, answer chestnutroad.Answer) error,
+) error {
+	waiting := or.submit(request, call)
+	sent := make(chan struct{})
+	running := false
+	for {
+		select {
+		case <-waiting.run:
+			running = true
+			go func() {
+				defer close(sent)
+				or.send(ctx, request, send)
+			}()
+		case result := <-waiting.done:
+			return deliver(result, answer)
+		case <-ctx.Done():
+			or.withdraw(request.ID)
+			if running {
+				<-sent
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+func (or *orders) submit(request *chestnutroad.Request, call *chestnutroad.Call) *orderCall {
+	waiting := &orderCall{run: make(chan struct{}, 1), done: make(chan orderResult, 1)}
+	or.mu.Lock()
+	or.calls[request.ID] = waiting
+	or.mu.Unlock()
+	or.decide(func(now time.Time, machine *order.Machine) []order.Action {
+		return machine.Submit(now, order.Order{
+			Request:  request.ID,
+			Team:     request.Team,
+			Key:      request.Key,
+			Digest:   callDigest(call),
+			Deadline: request.Deadline,
+			Repeat:   request.Repeat,
+		})
+	})
+	return waiting
+}
+
+// withdraw ends the wait of a caller that went away. An order that runs already goes on, so that its outcome is kept.
+func (or *orders) withdraw(id chestnutroad.RequestID) {
+	or.mu.Lock()
+	delete(or.calls, id)
+	or.mu.Unlock()
+	or.decide(func(now time.Time, machine *order.Machine) []order.Action { return machine.Cancel(now, id) })
+}
+
+// send runs the order on the target. The caller's departure does not cancel it.
+func (or *orders) send(
+	ctx context.Context, request *chestnutroad.Request, send func(ctx context.Context, answer chestnutroad.Answer) error,
+) {
+	inner, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderSendTimeout)
+	defer cancel()
+	collected := &collectedAnswer{}
+	err := send(inner, collected)
+	or.decide(func(now time.Time, machine *order.Machine) []order.Action {
+		if err == nil {
+			return machine.TargetDone(now, request.ID, collected.status, collected.header, collected.body)
+		}
+		refusal := chestnutroad.RefusalOf(err)
+		if refusal.NotRun {
+			return machine.TargetNotRun(now, request.ID, refusal)
+		}
+		return machine.TargetUnknown(now, request.ID)
+	})
+}
+
+// deliver passes the outcome on as the target's answer.
+func deliver(result orderResult, answer chestnutroad.Answer) error {
+	if result.refusal != nil {
+		return result.refusal
+	}
+	if result.outcome.BodyOmitted {
+		return chestnutroad.Refuse(chestnutroad.BadAnswer, "the order ran; its first answer was too long to be kept for repeats")
+	}
+	if err := answer.Head(result.outcome.Status, result.outcome.Header); err != nil {
+		return err
+	}
+	return answer.Chunk(result.outcome.Body, 0)
+}
+
+// step reads the next records of the orders stream.
+func (or *orders) step(ctx context.Context) {
+	if err := or.read(ctx); err != nil {
+		or.decide(func(now time.Time, machine *order.Machine) []order.Action { return machine.LogDown(now) })
+		pause(ctx, orderReadRetry)
+	}
+}
+
+func (or *orders) read(ctx context.Context) error {
+	or.mu.Lock()
+	from := or.machine.From()
+	or.mu.Unlock()
+	inner, cancel := context.WithTimeout(ctx, orderReadTimeout)
+	defer cancel()
+	batch, err := or.log.Read(inner, chestnutroad.StreamOrders, from, orderReadWait)
+	if err != nil {
+		return err
+	}
+	or.decide(func(now time.Time, machine *order.Machine) []order.Action { return machine.ReadBatch(now, batch) })
+	return nil
+}
+
+// tick drives the machine's time limits and appends until the context ends.
+func (or *orders) tick(ctx context.Context) {
+	every(ctx, orderTickInterval, func() {
+		or.decide(func(now time.Time, machine *order.Machine) []order.Action { return machine.Tick(now) })
+	})
+}
+
+// snapshot appends a snapshot when one is due.
+func (or *orders) snapshot(ctx context.Context) {
+	or.mu.Lock()
+	var parts [][]byte
+	if now := or.now(); or.machine.SnapshotDue(now) {
+		parts = or.machine.Snapshot(now)
+	}
+	or.mu.Unlock()
+	appendParts(ctx, or.log, chestnutroad.StreamOrders, parts)
+}
+
+// ready reports whether the host knows which orders have run.
+func (or *orders) ready() bool {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return or.machine.Ready()
+}
+
+// busy reports whether an order or a record of one is still under way.
+func (or *orders) busy() bool {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	return or.machine.Busy()
+}
+
+// callDigest tells two bodies under one idempotency key apart.
+func callDigest(call *chestnutroad.Call) string {
+	hash := sha256.New()
+	_, _ = hash.Write([]byte(call.Method + " " + call.Path + "\n"))
+	_, _ = hash.Write(call.Body)
+	return base64.RawURLEncoding.EncodeToString(hash.Sum(nil))
+}
+
+var errAnswerTooLong = errors.New("the order's answer is over 4 MiB")
+
+// collectedAnswer keeps a whole answer in memory, since repeats of the order get it too.
+type collectedAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Head keeps the status and the headers that a repeat needs.
+func (an *collectedAnswer) Head(status int, header http.Header) error {
+	an.status = status
+	an.header = http.Header{}
+	for _, name := range []string{"Content-Type", "Content-Digest", "Location"} {
+		if values := header.Values(name); len(values) > 0 {
+			an.header[name] = values
+		}
+	}
+	return nil
+}
+
+// Chunk adds to the body.
+func (an *collectedAnswer) Chunk(data []byte, _ chestnutroad.Tokens) error {
+	if len(an.body)+len(data) > maxOrderAnswer {
+		return errAnswerTooLong
+	}
+	an.body = append(an.body, data...)
+	return nil
+}
--- /dev/null
+++ b/internal/host/ownedshard.go
@@ -0,0 +1,163 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/engine"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+const (
+	shardTickInterval = 50 * time.Millisecond
+	// loadPollInterval and eventPollInterval keep the polling of two engines a host within the control budget.
+	loadPollInterval  = time.Second
+	eventPollInterval = 4 * time.Second
+)
+
+// attach starts the polling of the shard's engines and the owner's ticks; both end with the context.
+func (sh *shard) attach(ctx context.Context) {
+	sh.ctx, sh.stop = context.WithCancel(ctx)
+	go every(sh.ctx, shardTickInterval, func() {
+		sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.Tick(now) })
+	})
+}
+
+// setTargets takes over the listed targets: new ones are polled, gone ones no longer.
+func (sh *shard) setTargets(listed []listedTarget) {
+	targets := make([]pool.Target, 0, len(listed))
+	present := map[chestnutroad.TargetID]bool{}
+	sh.mu.Lock()
+	for _, lt := range listed {
+		present[lt.id] = true
+		targets = append(targets, pool.Target{ID: lt.id, Leaving: lt.leaving})
+		sh.connect(lt)
+	}
+	for id, known := range sh.links {
+		if !present[id] {
+			known.stop()
+			delete(sh.links, id)
+		}
+	}
+	sh.mu.Unlock()
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.SetTargets(now, targets) })
+}
+
+// link is the connection to one target of the shard.
+type link struct {
+	address string
+	client  chestnutroad.Target
+	stop    context.CancelFunc
+}
+
+// connect keeps a client for the target; the caller holds the lock.
+func (sh *shard) connect(lt listedTarget) {
+	known, found := sh.links[lt.id]
+	if found && known.address == lt.address {
+		return
+	}
+	if found {
+		known.stop()
+	}
+	ctx, stop := context.WithCancel(sh.ctx)
+	client := lt.client()
+	sh.links[lt.id] = &link{address: lt.address, client: client, stop: stop}
+	if reporting, isEngine := client.(*engine.Client); isEngine {
+		go sh.pollLoad(ctx, reporting, lt.id)
+		go sh.pollEvents(ctx, reporting, lt.id)
+	}
+}
+
+func (sh *shard) pollLoad(ctx context.Context, client *engine.Client, id chestnutroad.TargetID) {
+	client.PollLoad(ctx, loadPollInterval, func(load engine.Load, err error) {
+		if err != nil {
+			return
+		}
+		report := load.LoadReport
+		report.Target = id
+		sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.Report(now, report) })
+	})
+}
+
+func (sh *shard) pollEvents(ctx context.Context, client *engine.Client, id chestnutroad.TargetID) {
+	client.PollCacheEvents(ctx, eventPollInterval, func(events engine.Events, err error) {
+		if err != nil {
+			return
+		}
+		for _, event := range events.Events {
+			event.Target = id
+			sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.CacheEvent(now, event) })
+		}
+	})
+}
+
+// release ends the shard on this host: queued requests go to the next owner, running ones end here.
+func (sh *shard) release() {
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.StepDown(now) })
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.released = true
+	sh.stop()
+}
+
+// open returns the number of requests that the shard still runs.
+func (sh *shard) open() int {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return len(sh.calls)
+}
+
+// shardOptions is the number of options that don't concern a team.
+const shardOptions = 12
+
+// poolOptions returns the owner's options for a service of the configuration in force.
+func poolOptions(effective *settings.Effective, service settings.Service) []pool.Option {
+	fleet := effective.Fleet
+	opts := make([]pool.Option, 0, shardOptions+len(effective.Teams))
+	opts = append(opts,
+		pool.Multiple(service.Multiple),
+		pool.LoadFloor(service.LoadFloor),
+		pool.QueueLimit(service.QueueLimit),
+		pool.SlowStart(service.SlowStart),
+		pool.Slots(service.Slots),
+		pool.SummaryMaxAge(fleet.SummaryMaxAge),
+		pool.TakeoverDelay(fleet.TakeoverDelay),
+		pool.ReservedShare(fleet.ReservedHeadroom),
+		pool.TableLimit(fleet.PlacementEntries),
+		pool.EjectLimit(fleet.EjectionLimit),
+		pool.Reports(service.Kind == settings.KindEngine),
+		pool.Moves(service.Kind == settings.KindEngine),
+	)
+	for _, team := range effective.Teams {
+		opts = append(opts, pool.TeamWeight(team.ID, float64(team.Weight)))
+	}
+	return opts
+}
+
+// export returns the shard's state for its next owner.
+func (sh *shard) export() []byte {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.owner.Export()
+}
+
+// summary returns the shard's load for the owners of the pool's other shards.
+func (sh *shard) summary() pool.Summary {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.owner.Summary(sh.now())
+}
+
+// hear takes in the load of another shard of the pool.
+func (sh *shard) hear(summary pool.Summary) {
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.PeerSummary(now, summary) })
+}
+
+// status returns the owner's state for operators.
+func (sh *shard) status() pool.Status {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.owner.Status(sh.now())
+}
--- /dev/null
+++ b/internal/host/ownership.go
@@ -0,0 +1,239 @@
+package host
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/member"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/timeline"
+)
+
+const (
+	ownershipInterval = 100 * time.Millisecond
+	stateTimeout      = 2 * time.Second
+)
+
+// ownership controls which shards this host owns.
+type ownership struct {
+	host *Host
+
+	mu     sync.Mutex
+	books  *member.Ownership
+	shards map[chestnutroad.ShardID]*shard
+	// released holds shards that this host gave up and whose running requests have not ended.
+	released []*shard
+	// received holds state that a former owner handed over before this host took the shard.
+	received map[chestnutroad.ShardID][]byte
+}
+
+func newOwnership(host *Host) *ownership {
+	return &ownership{
+		host:     host,
+		books:    member.NewOwnership(host.settings.ID),
+		shards:   map[chestnutroad.ShardID]*shard{},
+		received: map[chestnutroad.ShardID][]byte{},
+	}
+}
+
+// step takes over and gives up shards as membership demands.
+func (ow *ownership) step(ctx context.Context) {
+	di := ow.host.directory.Load()
+	if di == nil {
+		return
+	}
+	known := ow.host.targets.shards()
+	hosts := ow.host.peers.Hosts()
+	ow.mu.Lock()
+	for _, id := range known {
+		ow.books.Observe(id, ow.host.peers.Epoch(id))
+	}
+	decisions := ow.books.Decide(ow.host.now(), known, hosts)
+	ow.mu.Unlock()
+	for _, decision := range decisions {
+		switch decision.Type {
+		case member.TakeOver:
+			ow.takeOver(ctx, di, decision, hosts)
+		case member.StepDown:
+			ow.stepDown(ctx, decision, hosts)
+		case member.Keep:
+		}
+	}
+}
+
+// takeOver starts a shard on this host, with the former owner's state where it can be had.
+func (ow *ownership) takeOver(ctx context.Context, di *directory, decision member.Decision, hosts []member.HostView) {
+	id := decision.Shard
+	service, known := di.effective.Service(id.Pool.Service)
+	if !known {
+		return
+	}
+	sh := newShard(id, ow.host.now, ow.host.orders, poolOptions(di.effective, service)...)
+	sh.attach(ow.host.running)
+	sh.setTargets(ow.host.targets.ofShard(id))
+	ow.host.peers.ObserveEpoch(id, decision.Epoch)
+	fetched := ow.importState(ctx, sh, decision, hosts)
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
+		return owner.TakeOver(now, decision.Epoch, fetched)
+	})
+	ow.mu.Lock()
+	ow.shards[id] = sh
+	ow.mu.Unlock()
+	ow.host.logger.Info("took over a shard", "Shard", id.String(), "Former", decision.Former, "StateFetched", fetched)
+	ow.host.record(timeline.Event{Type: timeline.OwnerChanged, Shard: id.String(), Detail: "took over"})
+}
+
+// importState reports whether the shard starts with the state of its former owner. A shard without a former owner has
+// none to miss.
+func (ow *ownership) importState(
+	ctx context.Context, sh *shard, decision member.Decision, hosts []member.HostView,
+) bool {
+	ow.mu.Lock()
+	state := ow.received[sh.id]
+	delete(ow.received, sh.id)
+	ow.mu.Unlock()
+	former, found := findHost(hosts, decision.Former)
+	if state == nil && decision.FormerReachable && found {
+		inner, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		fetched, err := ow.host.peers.FetchState(inner, former, stateShard, sh.id)
+		if err != nil {
+			ow.host.logger.Warn("the former owner's state can't be fetched", "Shard", sh.id.String(), "Error", err)
+			return false
+		}
+		state = fetched
+	}
+	if state == nil {
+		return decision.Former == ""
+	}
+	imported := false
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
+		err := owner.Import(now, state)
+		imported = err == nil
+		return nil
+	})
+	return imported
+}
+
+// stepDown gives a shard up and hands its state to the next owner.
+func (ow *ownership) stepDown(ctx context.Context, decision member.Decision, hosts []member.HostView) {
+	ow.mu.Lock()
+	sh := ow.shards[decision.Shard]
+	delete(ow.shards, decision.Shard)
+	if sh != nil {
+		ow.released = append(ow.released, sh)
+	}
+	ow.mu.Unlock()
+	if sh == nil {
+		return
+	}
+	sh.release()
+	ow.host.logger.Info("gave up a shard", "Shard", sh.id.String(), "Successor", decision.Successor)
+	ow.host.record(timeline.Event{Type: timeline.OwnerChanged, Shard: sh.id.String(), Detail: "stepped down"})
+	successor, found := findHost(hosts, decision.Successor)
+	if !found || successor.ID == ow.host.settings.ID {
+		sh.handedOver.Store(true)
+		return
+	}
+	go ow.handOver(context.WithoutCancel(ctx), sh, decision.Epoch, successor)
+}
+
+func (ow *ownership) handOver(ctx context.Context, sh *shard, epoch chestnutroad.Epoch, successor member.HostView) {
+	inner, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	defer sh.handedOver.Store(true)
+	err := ow.host.peers.HandOver(inner, successor, sh.id, epoch, sh.export())
+	if err != nil {
+		ow.host.logger.Warn("the shard's state can't be handed over", "Shard", sh.id.String(), "Error", err)
+	}
+}
+
+// take stores state that a former owner hands over.
+func (ow *ownership) take(id chestnutroad.ShardID, epoch chestnutroad.Epoch, state []byte) bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	if ow.shards[id] != nil {
+		return false
+	}
+	ow.books.Observe(id, epoch)
+	ow.books.HandedOver(id)
+	ow.received[id] = state
+	return true
+}
+
+// releasing reports whether a shard that this host gave up still runs requests or is being handed over.
+func (ow *ownership) releasing() bool {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.released = slices.DeleteFunc(ow.released, func(sh *shard) bool { return sh.open() == 0 && sh.handedOver.Load() })
+	return len(ow.released) > 0
+}
+
+// local returns the shard when this host owns it.
+func (ow *ownership) local(id chestnutroad.ShardID) *shard {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.shards[id]
+}
+
+// owned returns all shards that this host owns.
+func (ow *ownership) owned() []*shard {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	shards := make([]*shard, 0, len(ow.shards))
+	for _, sh := range ow.shards {
+		shards = append(shards, sh)
+	}
+	return shards
+}
+
+// ownerOf returns the host that owns the shard as far as this host knows.
+func (ow *ownership) ownerOf(id chestnutroad.ShardID, hosts []member.HostView) (member.HostView, bool) {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	ow.books.Observe(id, ow.host.peers.Epoch(id))
+	if holder, found := findHost(hosts, ow.books.Epoch(id).Host); found && holder.State != member.Dead {
+		return holder, true
+	}
+	first, _ := ow.books.OwnerOf(id, hosts)
+	return findHost(hosts, first)
+}
+
+// rank returns the hosts that may own the shard in rendezvous order.
+func (ow *ownership) rank(id chestnutroad.ShardID, hosts []member.HostView) []chestnutroad.HostID {
+	ow.mu.Lock()
+	defer ow.mu.Unlock()
+	return ow.books.Rank(id, hosts)
+}
+
+// follows reports whether this host needs the order log: it owns a shard of calls that may run at most once, or is next
+// in line for one.
+func (ow *ownership) follows(di *directory, hosts []member.HostView) bool {
+	for _, id := range ow.host.targets.shards() {
+		if !di.hasOrders(id.Pool.Service) {
+			continue
+		}
+		for place, host := range ow.rank(id, hosts) {
+			if place < orderFollowers && host == ow.host.settings.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// orderFollowers is the number of hosts in line for a shard that follow the order log, so that the next owner is ready
+// when it takes over.
+const orderFollowers = 2
+
+func findHost(hosts []member.HostView, id chestnutroad.HostID) (member.HostView, bool) {
+	for _, view := range hosts {
+		if view.ID == id {
+			return view, true
+		}
+	}
+	return member.HostView{}, false
+}
--- /dev/null
+++ b/internal/host/run.go
@@ -0,0 +1,177 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/member"
+	"github.com/chestnutroad/chestnutroad/internal/operator"
+	"github.com/chestnutroad/chestnutroad/internal/peer"
+	"github.com/chestnutroad/chestnutroad/internal/timeline"
+)
+
+const (
+	defaultDrainTimeout = 10 * time.Minute
+	drainPoll           = 50 * time.Millisecond
+	// balancerNotice is how long the host goes on taking requests after it stops being ready, so that the platform's
+	// balancer sees it first.
+	balancerNotice = time.Second
+)
+
+// Run serves until the context ends, then drains and returns. No request in flight is cut off unless the drain takes
+// longer than its limit.
+func (ho *Host) Run(ctx context.Context) error {
+	sender, err := peer.ListenControl(ho.settings.PeerAddress.String(), ho.settings.ID, ho.settings.ClusterKey,
+		peer.WithSenderMetrics(ho.metrics))
+	if err != nil {
+		return err
+	}
+	link, err := ho.connect(sender)
+	if err != nil {
+		return err
+	}
+	ho.peers = link
+	server, err := peer.NewServer(&peerHandler{host: ho}, ho.settings.ClusterKey, sender, peer.WithMetrics(ho.metrics))
+	if err != nil {
+		return err
+	}
+	return ho.serve(ctx, link, server)
+}
+
+// connect opens the link to the other hosts.
+func (ho *Host) connect(sender *peer.Sender) (*siteLink, error) {
+	self := member.Host{
+		ID:          ho.settings.ID,
+		DataCentre:  ho.settings.DataCentre,
+		PeerAddress: ho.settings.PeerAddress.String(),
+		Incarnation: ho.incarnation,
+	}
+	seeds := make([]member.Host, 0, len(ho.settings.Peers))
+	for _, seed := range ho.settings.Peers {
+		if seed.ID != self.ID {
+			seeds = append(seeds, member.Host{ID: seed.ID, PeerAddress: seed.Address.String()})
+		}
+	}
+	client, err := peer.NewClient(self.ID, ho.settings.ClusterKey, sender, peer.WithMetrics(ho.metrics))
+	if err != nil {
+		return nil, err
+	}
+	link := &siteLink{site: ho.settings.Site, client: client}
+	link.Peer = peer.NewPeer(member.New(self, member.WithSeeds(seeds...)), sender,
+		peer.WithOnPayload(ho.receivePayload))
+	return link, nil
+}
+
+// receivePayload takes in what another host's datagram carries.
+func (ho *Host) receivePayload(_ chestnutroad.HostID, kind member.PayloadKind, data []byte) {
+	if kind != member.LoadSummary {
+		return
+	}
+	summary, err := decodeSummary(ho.settings.Site, data)
+	if err != nil {
+		return
+	}
+	for _, sh := range ho.ownership.owned() {
+		sh.hear(summary)
+	}
+}
+
+// serve runs all listeners until the drain has ended.
+func (ho *Host) serve(ctx context.Context, link *siteLink, server *peer.Server) error {
+	defer link.client.Close()
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	listener, err := peer.Listen(serving, ho.settings.PeerAddress.String())
+	if err != nil {
+		return err
+	}
+	callers, err := listenHTTP(serving, ho.settings.CallerAddress.String())
+	if err != nil {
+		return err
+	}
+	operators, err := listenHTTP(serving, ho.settings.OperatorAddress.String())
+	if err != nil {
+		return err
+	}
+	ho.start()
+	group, serving := errgroup.WithContext(serving)
+	group.Go(func() error { return link.Run(serving) })
+	group.Go(func() error { return server.Serve(serving, listener) })
+	callerServer := ho.newCallers().HTTPServer()
+	operatorServer := operator.NewServer(ho.newOperators())
+	group.Go(func() error { return ho.serveCallers(callerServer, callers) })
+	group.Go(func() error { return ignoreClosed(operatorServer.Serve(operators)) })
+	ho.logger.Info("serving", "Callers", callers.Addr().String(), "Operators", operators.Addr().String())
+	ho.record(timeline.Event{Type: timeline.Started})
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-serving.Done():
+		}
+		ho.drain(callerServer)
+		stop()
+		return errors.CombineErrors(operatorServer.Close(), callerServer.Close())
+	})
+	err = group.Wait()
+	ho.halt()
+	ho.group.Wait()
+	ho.record(timeline.Event{Type: timeline.Stopped})
+	return err
+}
+
+func listenHTTP(ctx context.Context, address string) (net.Listener, error) {
+	var config net.ListenConfig
+	return config.Listen(ctx, "tcp", address)
+}
+
+// serveCallers uses TLS when the settings give a key.
+func (ho *Host) serveCallers(server *http.Server, listener net.Listener) error {
+	if ho.settings.CertificateFile == "" {
+		return ignoreClosed(server.Serve(listener))
+	}
+	return ignoreClosed(server.ServeTLS(listener, ho.settings.CertificateFile, ho.settings.KeyFile))
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// drain stops taking work and waits for what is in flight.
+func (ho *Host) drain(callers *http.Server) {
+	ho.logger.Info("draining")
+	ho.record(timeline.Event{Type: timeline.Draining})
+	ho.draining.Store(true)
+	ho.peers.Leave()
+	pause(context.Background(), balancerNotice)
+	ho.refusing.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), ho.drainTimeout())
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		ho.logger.Warn("callers' requests were cut off", "Error", err)
+	}
+	for ctx.Err() == nil && ho.busy() {
+		pause(ctx, drainPoll)
+	}
+	ho.logger.Info("drained", "Complete", ctx.Err() == nil)
+}
+
+// busy reports whether a shard still runs requests, waits to be handed over, or an order's record is not in the log.
+func (ho *Host) busy() bool {
+	return len(ho.ownership.owned()) > 0 || ho.ownership.releasing() || ho.orders.busy()
+}
+
+func (ho *Host) drainTimeout() time.Duration {
+	if di := ho.directory.Load(); di != nil {
+		return di.effective.Fleet.DrainTimeout
+	}
+	return defaultDrainTimeout
+}
--- /dev/null
+++ b/internal/host/shard.go
@@ -0,0 +1,255 @@
+package host
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/target"
+)
+
+// redirect says that the owner of another shard takes the request.
+type redirect struct{ Shard chestnutroad.ShardID }
+
+// Error names the other shard.
+func (rd *redirect) Error() string { return "shard " + rd.Shard.String() + " takes the request" }
+
+// orderRunner runs a call that may run at most once: send is called only when this host has won the claim.
+type orderRunner interface {
+	Run(ctx context.Context, request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer,
+		send func(ctx context.Context, answer chestnutroad.Answer) error) error
+}
+
+// shard carries out the decisions about one shard that this host owns.
+type shard struct {
+	id     chestnutroad.ShardID
+	now    func() time.Time
+	orders orderRunner
+
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu    sync.Mutex
+	owner *pool.Owner
+	calls map[chestnutroad.RequestID]*mailbox
+	links map[chestnutroad.TargetID]*link
+	// released is true once another host owns the shard.
+	released bool
+	// handedOver is true once the state was given to the next owner, or can't be.
+	handedOver atomic.Bool
+}
+
+func newShard(id chestnutroad.ShardID, now func() time.Time, orders orderRunner, opts ...pool.Option) *shard {
+	return &shard{
+		id:     id,
+		now:    now,
+		orders: orders,
+		owner:  pool.New(id, opts...),
+		calls:  map[chestnutroad.RequestID]*mailbox{},
+		links:  map[chestnutroad.TargetID]*link{},
+	}
+}
+
+// decide runs one decision under the shard's lock and delivers the actions.
+func (sh *shard) decide(step func(now time.Time, owner *pool.Owner) []pool.Action) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for _, action := range step(sh.now(), sh.owner) {
+		if mailbox := sh.calls[action.Request]; mailbox != nil {
+			mailbox.put(action)
+		}
+	}
+}
+
+// run admits the request, runs it on the targets that the owner chooses and passes the answer on.
+func (sh *shard) run(
+	ctx context.Context, request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer, redirects int,
+) error {
+	mailbox, err := sh.submit(request, call.ResumeAt, redirects)
+	if err != nil {
+		return err
+	}
+	defer sh.forget(request.ID)
+	pg := sh.newProgress(request, call, answer)
+	for attempt := 1; ; attempt++ {
+		action, err := mailbox.take(ctx)
+		if err != nil {
+			return err
+		}
+		switch action.Type {
+		case pool.ActionRefuse:
+			return sh.refusal(action.Refusal, request, pg)
+		case pool.ActionRedirect:
+			return &redirect{Shard: action.Shard}
+		case pool.ActionStart, pool.ActionMove:
+		}
+		again, err := sh.attempt(ctx, mailbox, request, attemptCall(call, attempt, pg), pg, action.Target)
+		if !again {
+			return err
+		}
+	}
+}
+
+// refusal sends a request that a released shard can't finish back to the entry, which goes on through the new owner.
+func (sh *shard) refusal(
+	refusal *chestnutroad.Refusal, request *chestnutroad.Request, pg *progress,
+) error {
+	if refusal.Kind != chestnutroad.NotReady {
+		return refusal
+	}
+	if refusal.NotRun {
+		return errNotOwner
+	}
+	if pg.repeatable(request) {
+		return chestnutroad.Refuse(chestnutroad.StreamBroken, "the shard has a new owner")
+	}
+	return refusal
+}
+
+// submit registers the request before the decision, so that no action about it is lost.
+func (sh *shard) submit(request *chestnutroad.Request, sent chestnutroad.Tokens, redirects int) (*mailbox, error) {
+	mailbox := newMailbox()
+	sh.mu.Lock()
+	released := sh.released
+	_, running := sh.calls[request.ID]
+	if !running && !released {
+		sh.calls[request.ID] = mailbox
+	}
+	sh.mu.Unlock()
+	if released {
+		return nil, errNotOwner
+	}
+	if running {
+		return nil, chestnutroad.Refuse(chestnutroad.InProgress, "a request with this id is running")
+	}
+	opts := []pool.SubmitOption{pool.Redirected(redirects)}
+	if sent > 0 {
+		opts = append(opts, pool.Resumed(sent))
+	}
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.Submit(now, *request, opts...) })
+	return mailbox, nil
+}
+
+// forget ends the request in the owner's book, whatever its end was.
+func (sh *shard) forget(id chestnutroad.RequestID) {
+	sh.mu.Lock()
+	delete(sh.calls, id)
+	sh.mu.Unlock()
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.Cancel(now, id) })
+}
+
+func (sh *shard) newProgress(
+	request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer,
+) *progress {
+	return &progress{
+		answer:   answer,
+		sent:     call.ResumeAt,
+		reported: call.ResumeAt,
+		onTokens: func(sent chestnutroad.Tokens) {
+			sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
+				owner.Progress(now, request.ID, sent)
+				return nil
+			})
+		},
+	}
+}
+
+// attemptCall returns the call with its attempt number and the token from which to go on.
+func attemptCall(call *chestnutroad.Call, attempt int, pg *progress) *chestnutroad.Call {
+	next := *call
+	next.Attempt = call.Attempt + attempt
+	next.ResumeAt = pg.sent
+	return &next
+}
+
+// attempt sends the call to one target. It returns true when another decision about the request follows.
+func (sh *shard) attempt(
+	ctx context.Context, mailbox *mailbox, request *chestnutroad.Request, call *chestnutroad.Call,
+	pg *progress, id chestnutroad.TargetID,
+) (bool, error) {
+	client, known := sh.target(id)
+	if !known {
+		return sh.fail(request.ID, pool.FailureNotRun), nil
+	}
+	inner, cancel := mailbox.attemptContext(ctx)
+	defer cancel(nil)
+	err := sh.send(inner, client, request, call, pg)
+	switch {
+	case err == nil:
+		sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.Finish(now, request.ID) })
+		return false, nil
+	case ctx.Err() != nil:
+		return false, err
+	case errors.Is(context.Cause(inner), errMoved):
+		return true, nil
+	case mayRepeat(request, pg, err):
+		return sh.fail(request.ID, failureOf(err)), nil
+	default:
+		sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
+			return owner.Fail(now, request.ID, failureOf(err))
+		})
+		return false, err
+	}
+}
+
+// send runs the call on the target, through the order log when it may run at most once.
+func (sh *shard) send(
+	ctx context.Context, client chestnutroad.Target, request *chestnutroad.Request, call *chestnutroad.Call, pg *progress,
+) error {
+	if request.Repeat == chestnutroad.RepeatAllowed {
+		return client.Do(ctx, call, pg)
+	}
+	return sh.orders.Run(ctx, request, call, pg, func(ctx context.Context, answer chestnutroad.Answer) error {
+		return client.Do(ctx, call, answer)
+	})
+}
+
+// fail tells the owner that the target broke off; a decision about the request follows.
+func (sh *shard) fail(id chestnutroad.RequestID, kind pool.FailureKind) bool {
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action { return owner.Fail(now, id, kind) })
+	return true
+}
+
+func (sh *shard) target(id chestnutroad.TargetID) (chestnutroad.Target, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	known := sh.links[id]
+	if known == nil {
+		return nil, false
+	}
+	return known.client, true
+}
+
+// mayRepeat reports whether the owner may choose a target again after the failure.
+func mayRepeat(request *chestnutroad.Request, pg *progress, err error) bool {
+	refusal := chestnutroad.RefusalOf(err)
+	if refusal.Kind == chestnutroad.TargetRefused && refusal.NotRun && request.Repeat == chestnutroad.RepeatAllowed {
+		return true
+	}
+	return pg.repeatable(request)
+}
+
+// failureOf names the failure for the owner's book.
+func failureOf(err error) pool.FailureKind {
+	refusal := chestnutroad.RefusalOf(err)
+	switch {
+	case refusal.NotRun:
+		return pool.FailureNotRun
+	case refusal.Kind == chestnutroad.BadAnswer:
+		return pool.FailureBadAnswer
+	default:
+		return pool.FailureBroken
+	}
+}
+
+// chatHeader tells the engine which cached context belongs to the call.
+func chatHeader(request *chestnutroad.Request, call *chestnutroad.Call) {
+	if isChat(request) {
+		call.Header.Set(target.HeaderChat, request.Chat.String())
+	}
+}
--- /dev/null
+++ b/internal/host/status.go
@@ -0,0 +1,123 @@
+package host
+
+import (
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/operator"
+)
+
+// newOperators returns the handler of the operators' port.
+func (ho *Host) newOperators() *operator.Handler {
+	return operator.New(
+		operator.WithMetrics(ho.metrics),
+		operator.WithReadiness(ho.notReady),
+		operator.WithStatus(ho.status),
+		operator.WithProfiling(ho.settings.Profiling),
+	)
+}
+
+// notReady lists why the host should get no requests, or not all of them.
+func (ho *Host) notReady() []operator.Reason {
+	var reasons []operator.Reason
+	if ho.draining.Load() {
+		reasons = append(reasons, operator.Reason{Part: "Host", Message: "the host is shutting down"})
+	}
+	if ho.directory.Load() == nil {
+		return append(reasons, operator.Reason{Part: "Configuration", Message: "no configuration is in force yet"})
+	}
+	if len(ho.targets.shards()) == 0 {
+		reasons = append(reasons, operator.Reason{Part: "Targets", Message: "no target is known yet"})
+	}
+	for _, id := range ho.targets.shards() {
+		if ho.peers.Epoch(id).IsZero() && ho.ownership.local(id) == nil {
+			message := "the shard " + id.String() + " has no owner yet"
+			reasons = append(reasons, operator.Reason{Part: "Shards", Message: message, Partial: true})
+		}
+	}
+	if ho.orderShards() > 0 && !ho.orders.ready() {
+		reasons = append(reasons, operator.Reason{Part: "Orders", Message: "the order log is not read yet", Partial: true})
+	}
+	return reasons
+}
+
+// status describes the host for operators.
+func (ho *Host) status() operator.Status {
+	available, lastRead := ho.configuration.logAvailable()
+	highest, offset := ho.peers.Version()
+	return operator.Status{
+		Host:        ho.settings.ID,
+		Site:        ho.settings.Site,
+		DataCentre:  ho.settings.DataCentre,
+		Incarnation: ho.incarnation,
+		Started:     ho.started,
+		Draining:    ho.draining.Load(),
+		NotReady:    ho.notReady(),
+		Configuration: operator.Configuration{
+			Version: ho.configuration.version(), Offset: offset, HighestSeen: highest,
+		},
+		Log:     operator.LogStatus{Available: available, LastRead: lastRead, OrdersBase: ho.orders.ready()},
+		Members: ho.memberStatus(),
+		Shards:  ho.shardStatus(),
+		Requests: operator.Requests{
+			Open: ho.counters.open.Load(), Completed: ho.counters.completed.Load(), Refused: ho.counters.refused.Load(),
+		},
+	}
+}
+
+func (ho *Host) memberStatus() []operator.Member {
+	hosts := ho.peers.Hosts()
+	members := make([]operator.Member, 0, len(hosts))
+	for _, view := range hosts {
+		members = append(members, operator.Member{
+			Host: view.ID, DataCentre: view.DataCentre, Address: view.PeerAddress,
+			State: view.State.String(), Incarnation: view.Incarnation,
+		})
+	}
+	return members
+}
+
+func (ho *Host) shardStatus() []operator.Shard {
+	hosts := ho.peers.Hosts()
+	known := ho.targets.shards()
+	shards := make([]operator.Shard, 0, len(known))
+	for _, id := range known {
+		owner, _ := ho.ownership.ownerOf(id, hosts)
+		described := operator.Shard{
+			Pool: id.Pool.String(), DataCentre: id.DataCentre, Owner: owner.ID, Epoch: ho.peers.Epoch(id).Millis,
+		}
+		if local := ho.ownership.local(id); local != nil {
+			fillShard(&described, local, ho.settings.ID)
+		}
+		shards = append(shards, described)
+	}
+	return shards
+}
+
+// fillShard adds what only the shard's owner knows.
+func fillShard(described *operator.Shard, local *shard, self chestnutroad.HostID) {
+	state := local.status()
+	described.Own = true
+	described.Owner = self
+	described.Placements = state.Chats
+	for _, queue := range state.Queues {
+		described.Queued += queue.Waiting
+	}
+	for _, target := range state.Targets {
+		described.Targets = append(described.Targets, operator.Target{
+			Target: target.ID, State: targetState(target.Leaving, target.Ejected, target.Listed),
+			Running: target.Running, Work: target.Load,
+		})
+	}
+}
+
+func targetState(leaving, ejected, listed bool) string {
+	switch {
+	case leaving:
+		return "Leaving"
+	case !listed:
+		return "Gone"
+	case ejected:
+		return "Ejected"
+	default:
+		return "Active"
+	}
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -152,7 +152,7 @@
 	if err != nil {
 		cancel()
 		_ = fc.conn.transport.Close()
-		_ = <-sent
+		<-sent //nolint:errcheck // the error of the receiving side says why the call broke
 		return fc.broken(ctx, err)
 	}
 	// The peer may answer, with a refusal for instance, before it has read the whole body.
--- a/internal/peer/errors.go
+++ b/internal/peer/errors.go
@@ -29,6 +29,7 @@
 }
 
 var (
+	errNotReached     = errors.New("nothing was written to the host")
 	errSilent         = errors.New("connection is silent")
 	errCancelled      = errors.New("the caller cancelled the request")
 	errUnauthentic    = errors.New("the other side does not hold the cluster key")
@@ -37,7 +38,7 @@
 )
 
 // refusal returns the error of a call that broke: nothing ran only if nothing was written.
-func refusal(ctx context.Context, err error, written bool) *chestnutroad.Refusal {
+func refusal(ctx context.Context, err error, written bool) error {
 	kind := chestnutroad.StreamBroken
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
@@ -45,7 +46,11 @@
 	case !written:
 		kind = chestnutroad.NoTarget
 	}
-	return &chestnutroad.Refusal{Kind: kind, Message: "owner host: " + err.Error(), NotRun: !written}
+	refused := &chestnutroad.Refusal{Kind: kind, Message: "owner host: " + err.Error(), NotRun: !written}
+	if !written {
+		return errors.Mark(refused, errNotReached)
+	}
+	return refused
 }
 
 // downOf returns the last frame of an answer that ended with err.
@@ -72,3 +77,6 @@
 		RetryAfterMillis: refused.RetryAfter.Milliseconds(),
 	}}
 }
+
+// NotReached reports whether a call failed before anything was written to the other host.
+func NotReached(err error) bool { return errors.Is(err, errNotReached) }
--- /dev/null
+++ b/internal/publish/doc.go
@@ -0,0 +1,2 @@
+// Package publish takes configurations through the platform's log for operators.
+package publish
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -3,9 +3,11 @@
 import (
 	"crypto/tls"
 	"encoding/hex"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -23,8 +25,8 @@
 	PeerAddress netip.AddrPort
 	// OperatorAddress serves metrics, health, readiness and status.
 	OperatorAddress netip.AddrPort
-	// Peers are the peer addresses of some other hosts, to join by.
-	Peers []netip.AddrPort
+	// Peers are some other hosts, to join by.
+	Peers []Peer
 	// LogAddress is the platform's log service.
 	LogAddress netip.AddrPort
 	// HostListAddress is the platform's host list.
@@ -45,6 +47,12 @@
 	Values []Value
 }
 
+// Peer is another host that a new one joins by. The id is needed, since each control message is signed for its receiver.
+type Peer struct {
+	ID      chestnutroad.HostID
+	Address netip.AddrPort
+}
+
 const minClusterKey = 32
 
 // LoadHost reads the process settings of a host; relative files in it are relative to its own directory.
@@ -84,7 +92,7 @@
 		CallerAddress:   rd.needAddress("CallerAddress", false),
 		PeerAddress:     rd.needAddress("PeerAddress", false),
 		OperatorAddress: rd.needAddress("OperatorAddress", false),
-		Peers:           rd.addresses("Peers"),
+		Peers:           readPeers(rd),
 		LogAddress:      rd.needAddress("LogAddress", true),
 		HostListAddress: rd.needAddress("HostListAddress", true),
 		ClusterKey:      readClusterKey(rd, directory),
@@ -117,17 +125,21 @@
 	return rd.address(key, remote)
 }
 
-func (rd *reader) addresses(key string) []netip.AddrPort {
-	texts := rd.texts(key, func(text string) string {
-		_, fault := parseAddress(text, true)
-		return fault
-	})
-	addresses := make([]netip.AddrPort, 0, len(texts))
-	for _, text := range texts {
-		address, _ := parseAddress(text, true)
-		addresses = append(addresses, address)
+// readPeers reads the table of peers; its keys are host ids.
+func readPeers(rd *reader) []Peer {
+	only := rd.table("Peers")
+	if only == nil {
+		return nil
+	}
+	peers := make([]Peer, 0, len(only.tb.entries))
+	for _, id := range slices.Sorted(maps.Keys(only.tb.entries)) {
+		if fault := idFault(id); fault != "" {
+			only.faultf(id, only.tb.entries[id], "%s", fault)
+		}
+		peers = append(peers, Peer{ID: chestnutroad.HostID(id), Address: only.address(id, true)})
 	}
-	return addresses
+	only.finish()
+	return peers
 }
 
 // advertised reports an address that other hosts could not connect to.
--- /dev/null
+++ b/internal/verb/demo.go
@@ -0,0 +1,81 @@
+package verb
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad/examples"
+	"github.com/chestnutroad/chestnutroad/internal/cli"
+	"github.com/chestnutroad/chestnutroad/internal/demo"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+// demoRate is the number of requests a second.
+const demoRate = 60
+
+var errIncomplete = errors.New("a caller did not get its whole answer, or an order ran twice")
+
+// runDemo runs a small site and prints what its callers saw and the three measures.
+func runDemo(ctx context.Context, env *cli.Environment, arguments *cli.Demo) error {
+	files, err := demoFiles(arguments)
+	if err != nil {
+		return cli.Exit(cli.CodeFinding, err)
+	}
+	result, err := demo.Run(ctx, demo.Plan{
+		Files: files, Site: arguments.Site, Hosts: arguments.Hosts, Duration: arguments.Duration, Rate: demoRate,
+		Seed: arguments.Seed, Token: arguments.Token, Logs: env.Err,
+	})
+	if err != nil {
+		return err
+	}
+	if err := writeDemo(env, arguments.JSON, result); err != nil {
+		return err
+	}
+	if !result.Complete {
+		return cli.Exit(cli.CodeFinding, errIncomplete)
+	}
+	return nil
+}
+
+// demoFiles returns the files that the arguments name, or the built-in example.
+func demoFiles(arguments *cli.Demo) ([]settings.File, error) {
+	if arguments.Base == "" {
+		return examples.Warta(), nil
+	}
+	var files []settings.File
+	for _, path := range append([]string{arguments.Base}, arguments.Overlay...) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "the settings can't be read")
+		}
+		files = append(files, settings.File{Name: path, Text: string(text)})
+	}
+	return files, nil
+}
+
+func writeDemo(env *cli.Environment, asJSON bool, result *demo.Result) error {
+	if asJSON {
+		encoder := json.NewEncoder(env.Out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(result)
+	}
+	sent := result.Load
+	_, err := fmt.Fprintf(env.Out, `One engine was closed in the middle of the run.
+chats answered whole      %d of %d
+orders answered           %d of %d, run twice: %d
+wrong or cut-off answers  %d
+first token, 95 in 100    %.0f ms; between tokens %.0f ms; orders %.0f ms
+cache reuse               %.1f%% of the tokens that earlier turns had sent
+highest skew              %.2f of the mean (counted while the mean is over %d work units); highest work %d
+control traffic           %.0f bytes a second and host
+`,
+		sent.ChatsAnswered, sent.ChatsSent, sent.OrdersAnswered, sent.OrdersSent, result.OrdersRunTwice,
+		sent.Wrong+sent.Broken["stream"], sent.FirstTokenMs.P95, sent.BetweenMs.P95, sent.OrderMs.P95,
+		100*result.Measures.CacheReuse, result.Measures.HighestSkew, result.Measures.LoadFloor,
+		result.Measures.HighestWork, result.Measures.ControlBytesPerHost)
+	return err
+}
