Resume streams when an HTTP/2 connection is lost

Cause: when an engine dies, net/http reports some streams of its connection as 'client connection force closed' or 'client connection lost', plain errors that counted as a broken protocol, so the stream was refused as BadAnswer. Ruled out: the engine's events (no event failed to parse) and the resume on the other engines. A connection whose first frame was a settings frame speaks HTTP/2, so an error of net/http on it is a broken connection.

--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -74,7 +74,10 @@
 		return true
 	}
 	if cn.shared {
-		return at.silence > 0 && cn.quietFor() >= at.silence
+		// net/http reports a connection that its own ping gave up, or that it closed because another stream's read
+		// failed, as a plain error, before this connection's failed mark is set. Where the other side has shown that it
+		// speaks the protocol, such an error is a broken connection.
+		return cn.speaksHTTP2.Load() || at.silence > 0 && cn.quietFor() >= at.silence
 	}
 	return cn.received.Load() == at.before.Load()
 }
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -11,6 +11,12 @@
 // errSealed is returned to net/http when it tries to write a call that was already reported as not run.
 var errSealed = errors.New("the call was given up before its first byte")
 
+// The place of a frame's type and the type of a settings frame (RFC 9113, sections 4.1 and 6.5).
+const (
+	frameTypeOffset = 3
+	settingsFrame   = 0x4
+)
+
 // conn records the traffic of a connection, and asks the attempt that uses it before each write.
 type conn struct {
 	net.Conn
@@ -20,6 +26,8 @@
 	received atomic.Int64
 	lastRead atomic.Int64
 	failed   atomic.Bool
+	// speaksHTTP2 is true once the other side's first frame was one of settings, with which each HTTP/2 server begins.
+	speaksHTTP2 atomic.Bool
 }
 
 func newConn(raw net.Conn, shared bool) *conn {
@@ -32,6 +40,7 @@
 func (cn *conn) Read(data []byte) (int, error) {
 	count, err := cn.Conn.Read(data)
 	if count > 0 {
+		cn.checkFirstFrame(data[:count])
 		cn.received.Add(int64(count))
 		cn.lastRead.Store(time.Now().UnixNano())
 	}
@@ -41,6 +50,14 @@
 	return count, err
 }
 
+// checkFirstFrame looks at the type of the first frame, which follows its length.
+func (cn *conn) checkFirstFrame(data []byte) {
+	index := frameTypeOffset - cn.received.Load()
+	if cn.shared && index >= 0 && index < int64(len(data)) && data[index] == settingsFrame {
+		cn.speaksHTTP2.Store(true)
+	}
+}
+
 // Write fails on a connection of one call when no attempt owns it or the attempt was sealed.
 func (cn *conn) Write(data []byte) (int, error) {
 	if cn.shared {
