Prove the order and configuration decisions by simulation and fault tables

Each mechanism can be switched off in tests, and the simulation then finds a breach. The simulation found three faults, which are fixed: an outcome whose claim had expired was replayed after another claim had run, a publisher took the refusal of its record's second copy for the verdict after it had missed the first, and an abandoned claim kept its key when its release came too early.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,319 @@
+package config
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"pgregory.net/rapid"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+const testRetention = 30 * time.Minute
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for _, setting := range [][2]string{{"rapid.seed", "20261204"}, {"rapid.checks", "200"}, {"rapid.nofailfile", "true"}} {
+		if err := flag.Set(setting[0], setting[1]); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func checkBody(body []byte) error {
+	if strings.Contains(string(body), "bad") {
+		return errors.New("line 1: bad is not a setting")
+	}
+	return nil
+}
+
+// testPublish is a publish with the record that is on its way into the log.
+type testPublish struct {
+	publisher *Publisher
+	id        record.PublishID
+	data      []byte
+}
+
+type testHost struct {
+	reader  *Reader
+	highest chestnutroad.Version
+	slow    []chestnutroad.Batch
+	publish []*testPublish
+}
+
+// world is a simulation of several readers, publishers and the log. The draw function returns a number below its
+// argument.
+type world struct {
+	draw     func(int) int
+	opts     []Option
+	now      time.Time
+	records  []chestnutroad.Record
+	oldest   int
+	late     [][]byte
+	hosts    []*testHost
+	count    int
+	verdicts map[chestnutroad.Offset]Verdict
+	// versions has the version in force after each number of records, and accepted the publish of each version.
+	versions []chestnutroad.Version
+	accepted []record.PublishID
+	breaches []string
+}
+
+func newWorld(draw func(int) int, hosts int, opts ...Option) *world {
+	wd := &world{
+		draw: draw, now: time.Unix(1_800_000_000, 0), versions: []chestnutroad.Version{0}, accepted: []record.PublishID{""},
+		verdicts: map[chestnutroad.Offset]Verdict{}, opts: append([]Option{WithRetention(testRetention)}, opts...),
+	}
+	for range hosts {
+		wd.hosts = append(wd.hosts, wd.newHost())
+	}
+	return wd
+}
+
+func (wd *world) newHost() *testHost {
+	wd.count++
+	self := record.Writer{Host: "host", Incarnation: chestnutroad.Incarnation(wd.count)}
+	return &testHost{reader: NewReader(self, checkBody, wd.opts...)}
+}
+
+func (wd *world) breachf(format string, args ...any) {
+	wd.breaches = append(wd.breaches, fmt.Sprintf(format, args...))
+}
+
+// add appends a record and decides on it by the plain rule.
+func (wd *world) add(data []byte) {
+	offset := chestnutroad.Offset(len(wd.records))
+	wd.records = append(wd.records, chestnutroad.Record{Offset: offset, Appended: wd.now, Data: data})
+	version := wd.versions[offset]
+	proposal, err := record.DecodeConfig(data)
+	if err == nil && proposal.Type == record.TypeConfig && proposal.Parent == version && checkBody(proposal.Body) == nil {
+		version++
+		wd.accepted = append(wd.accepted, proposal.PublishID)
+	}
+	wd.versions = append(wd.versions, version)
+}
+
+func (wd *world) batch(from chestnutroad.Offset, limit int) chestnutroad.Batch {
+	start := min(len(wd.records), max(wd.oldest, int(from)))
+	end := min(len(wd.records), start+limit)
+	return chestnutroad.Batch{
+		Oldest: chestnutroad.Offset(wd.oldest), Next: chestnutroad.Offset(len(wd.records)), Records: wd.records[start:end],
+	}
+}
+
+func (wd *world) read(host *testHost, batch chestnutroad.Batch) {
+	verdicts := host.reader.ReadBatch(wd.now, batch)
+	for _, verdict := range verdicts {
+		known, found := wd.verdicts[verdict.Offset]
+		if found && known != verdict {
+			wd.breachf("verdict: %+v and %+v", known, verdict)
+		}
+		wd.verdicts[verdict.Offset] = verdict
+	}
+	for _, pub := range host.publish {
+		wd.checkResult(pub, pub.publisher.Observe(verdicts))
+	}
+	wd.check(host)
+}
+
+func (wd *world) check(host *testHost) {
+	version := host.reader.InForce().Version
+	if version < host.highest {
+		wd.breachf("reverted: version %d after %d", version, host.highest)
+	}
+	host.highest = version
+	if from := int(host.reader.From()); host.reader.Ready() && host.reader.state.last.Version != wd.versions[from] {
+		wd.breachf("state: version %d at offset %d instead of %d", host.reader.state.last.Version, from, wd.versions[from])
+	}
+}
+
+func (wd *world) checkResult(pub *testPublish, result PublishResult) {
+	inForce := chestnutroad.Version(0)
+	for version, id := range wd.accepted {
+		if id == pub.id {
+			inForce = chestnutroad.Version(version)
+		}
+	}
+	switch result.State {
+	case PublishAccepted:
+		if inForce == 0 || result.Version != inForce {
+			wd.breachf("publish: %s is accepted as %d, the log says %d", pub.id, result.Version, inForce)
+		}
+	case PublishRefused:
+		if inForce != 0 {
+			wd.breachf("publish: %s is refused but in force as %d", pub.id, inForce)
+		}
+	case PublishPending, PublishUnknown:
+	}
+}
+
+func (wd *world) startPublish(host *testHost) {
+	wd.count++
+	id := record.PublishID(fmt.Sprintf("publish-%d", wd.count))
+	body := fmt.Sprintf("line\nbody of %s\n", id)
+	if wd.draw(6) == 0 {
+		body = "bad"
+	}
+	publisher, data := host.reader.Publish(wd.now, id, host.reader.InForce().Version, []byte(body))
+	pub := &testPublish{publisher: publisher, id: id, data: data}
+	host.publish = append(host.publish, pub)
+	wd.checkResult(pub, publisher.Result())
+}
+
+// endAppend gives the oldest append of the host one of the fates that the platform's log allows.
+func (wd *world) endAppend(host *testHost, fate int) {
+	for _, pub := range host.publish {
+		if pub.data == nil {
+			continue
+		}
+		data := pub.data
+		pub.data = nil
+		result := record.AppendUnknown
+		switch fate {
+		case 0:
+			result = record.AppendFailed
+		case 1:
+			wd.late = append(wd.late, data)
+		case 2:
+			wd.add(data)
+			wd.late = append(wd.late, data)
+		case 3:
+			wd.add(data)
+		case 4:
+		default:
+			wd.add(data)
+			result = record.AppendOK
+		}
+		wd.checkResult(pub, pub.publisher.AppendResult(result))
+		return
+	}
+}
+
+func (wd *world) step() {
+	index := wd.draw(len(wd.hosts))
+	host := wd.hosts[index]
+	switch wd.draw(14) {
+	case 0, 1:
+		wd.startPublish(host)
+	case 2, 3:
+		wd.endAppend(host, wd.draw(8))
+	case 4, 5, 6:
+		wd.read(host, wd.batch(host.reader.From(), 1+wd.draw(5)))
+	case 7:
+		host.slow = append(host.slow, wd.batch(host.reader.From(), 1+wd.draw(5)))
+	case 8:
+		if len(host.slow) > 0 {
+			index := wd.draw(len(host.slow))
+			wd.read(host, host.slow[index])
+			host.slow = append(host.slow[:index], host.slow[index+1:]...)
+		}
+	case 9:
+		wd.snapshot(host)
+	case 10:
+		if wd.draw(4) == 0 {
+			wd.hosts[index] = wd.newHost()
+		}
+	case 11:
+		if state, found := host.reader.Export(); found {
+			other := wd.hosts[wd.draw(len(wd.hosts))]
+			other.reader.Import(state)
+			wd.check(other)
+		}
+	case 12:
+		wd.pass([]time.Duration{time.Second, 12 * time.Second, 12 * time.Minute}[min(wd.draw(3), wd.draw(3))])
+		for _, pub := range host.publish {
+			wd.checkResult(pub, pub.publisher.Tick(wd.now))
+		}
+	default:
+		if len(wd.late) > 0 {
+			index := wd.draw(len(wd.late))
+			wd.add(wd.late[index])
+			wd.late = append(wd.late[:index], wd.late[index+1:]...)
+		}
+	}
+}
+
+func (wd *world) pass(jump time.Duration) {
+	wd.now = wd.now.Add(jump)
+	for wd.oldest < len(wd.records) && wd.now.Sub(wd.records[wd.oldest].Appended) > testRetention {
+		wd.oldest++
+	}
+}
+
+func (wd *world) snapshot(host *testHost) {
+	for _, data := range host.reader.Snapshot(wd.now) {
+		if wd.draw(2) == 0 {
+			wd.late = append(wd.late, data)
+		} else {
+			wd.add(data)
+		}
+	}
+}
+
+func simulate(draw func(int) int, steps int, opts ...Option) []string {
+	wd := newWorld(draw, 2+draw(4), opts...)
+	for range steps {
+		wd.step()
+		if len(wd.breaches) > 0 {
+			break
+		}
+	}
+	return wd.breaches
+}
+
+// TestSimulation guards the agreement of all readers, versions that never go down, and the answers to publishers.
+func TestSimulation(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(count int) int { return rapid.IntRange(0, count-1).Draw(rt, "draw") }
+		if breaches := simulate(draw, 200); len(breaches) > 0 {
+			rt.Fatal(strings.Join(breaches, "\n"))
+		}
+	})
+}
+
+// TestSimulationSeeds runs long simulations.
+func TestSimulationSeeds(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(100) {
+		if breaches := simulate(rand.New(rand.NewPCG(seed, 1)).IntN, 1000); len(breaches) > 0 {
+			t.Fatalf("seed %d: %s", seed, strings.Join(breaches, "\n"))
+		}
+	}
+}
+
+// TestBaselines shows that the simulation notices when a mechanism is missing.
+func TestBaselines(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name   string
+		off    Option
+		breach string
+	}{
+		{"snapshot with a gap behind it", func(st *settings) { st.off.through = true }, "state"},
+		{"version of the latest base", func(st *settings) { st.off.highest = true }, "reverted"},
+		{"any parent", func(st *settings) { st.off.parent = true }, "publish"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(2000) {
+				for _, breach := range simulate(rand.New(rand.NewPCG(seed, 1)).IntN, 600, tt.off) {
+					if strings.HasPrefix(breach, tt.breach) {
+						t.Logf("seed %d: %.200s", seed, breach)
+						return
+					}
+				}
+			}
+			t.Fatalf("no breach %q found", tt.breach)
+		})
+	}
+}
--- a/internal/config/option.go
+++ b/internal/config/option.go
@@ -15,11 +15,19 @@
 	retention time.Duration
 	// publishTimeout limits the wait for a verdict on a published configuration.
 	publishTimeout time.Duration
-	// history is the number of accepted configurations and of verdicts that a reader remembers.
+	// history is the number of accepted configurations that a reader remembers.
 	history int
-	// through and highest switch mechanisms off for the baseline in tests.
+	off     mechanisms
+}
+
+// mechanisms that the baseline in tests switches off, to show that the tests notice.
+type mechanisms struct {
+	// through accepts snapshots behind which records are missing.
 	through bool
+	// highest puts the version of the latest base in force even if a higher one was seen.
 	highest bool
+	// parent accepts a configuration whatever its parent is.
+	parent bool
 }
 
 // Option changes a setting of a Reader.
@@ -35,7 +43,7 @@
 	return func(st *settings) { st.publishTimeout = timeout }
 }
 
-// WithHistory sets the number of accepted configurations and of verdicts that a reader remembers.
+// WithHistory sets the number of accepted configurations that a reader remembers.
 func WithHistory(count int) Option {
 	return func(st *settings) { st.history = count }
 }
--- a/internal/config/publisher.go
+++ b/internal/config/publisher.go
@@ -42,27 +42,39 @@
 }
 
 // Publish proposes a body as the successor of the parent, which is the version that the operator edited. It returns the
-// record to append, or none when the result is already known.
+// record to append, or none when the result is already known. To ask for an unknown result, publish again with the same
+// id: the parent rule lets only one of the records take effect.
 func (rd *Reader) Publish(
 	now time.Time, id record.PublishID, parent chestnutroad.Version, body []byte,
 ) (*Publisher, []byte) {
 	pb := &Publisher{reader: rd, id: id, body: body, deadline: now.Add(rd.set.publishTimeout)}
-	if verdict, found := rd.Verdict(id); found {
-		pb.decide(verdict)
-		return pb, nil
-	}
 	if !rd.Ready() {
 		pb.refuse(ReasonNotReady, "the host has not read the configuration stream yet")
 		return pb, nil
 	}
 	proposal := record.Config{PublishID: id, Parent: parent, Version: parent + 1, Body: body}
 	if reason, message := judge(&proposal, rd.inForce.Version, rd.state.check); reason != ReasonNone {
-		pb.refuse(reason, message)
+		pb.refuseEarly(proposal.Version, reason, message)
 		return pb, nil
 	}
 	return pb, record.EncodeConfig(proposal)
 }
 
+// refuseEarly refuses a proposal that was not appended now. The same publish may have been accepted earlier.
+func (pb *Publisher) refuseEarly(version chestnutroad.Version, reason Reason, message string) {
+	id, known := pb.reader.state.publishOf(version)
+	switch {
+	case known && id == pb.id:
+		pb.result = PublishResult{State: PublishAccepted, Version: version}
+	case reason == ReasonParent && !known && version <= pb.reader.inForce.Version:
+		pb.result = PublishResult{State: PublishUnknown, Message: fmt.Sprintf(
+			"version %d is too old to know who published it; compare the configuration in force", version,
+		)}
+	default:
+		pb.refuse(reason, message)
+	}
+}
+
 // Result returns the state of the publish.
 func (pb *Publisher) Result() PublishResult { return pb.result }
 
@@ -101,12 +113,16 @@
 	return pb.result.State == PublishPending || pb.result.State == PublishUnknown
 }
 
+// decide settles the publish by a verdict on its record. The log may have the record twice, and the reader may have
+// missed that the first copy was accepted; the second one then loses against the first.
 func (pb *Publisher) decide(verdict Verdict) {
-	if !verdict.Accepted {
+	id, known := pb.reader.state.publishOf(verdict.Version)
+	switch {
+	case verdict.Accepted, known && id == pb.id:
+		pb.result = PublishResult{State: PublishAccepted, Version: verdict.Version}
+	case known, verdict.Reason != ReasonParent:
 		pb.refuse(verdict.Reason, verdict.Message)
-		return
 	}
-	pb.result = PublishResult{State: PublishAccepted, Version: verdict.Version}
 }
 
 func (pb *Publisher) refuse(reason Reason, message string) {
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -16,15 +16,15 @@
 	// inForce is the highest version seen. It stays while the state is rebuilt from an older base.
 	inForce  Accepted
 	accepted []Accepted
-	verdicts []Verdict
 }
 
 // NewReader returns a reader that knows no configuration.
 func NewReader(self record.Writer, check Check, opts ...Option) *Reader {
-	st := &state{check: check}
-	rd := &Reader{self: self, set: newSettings(opts), state: st}
+	set := newSettings(opts)
+	st := &state{check: check, anyParent: set.off.parent}
+	rd := &Reader{self: self, set: set, state: st}
 	rd.reader = record.NewReader(record.TypeConfigSnapshot, st)
-	if rd.set.through {
+	if rd.set.off.through {
 		rd.reader.IgnoreThrough()
 	}
 	return rd
@@ -43,8 +43,6 @@
 func (rd *Reader) ReadBatch(now time.Time, batch chestnutroad.Batch) []Verdict {
 	rd.reader.Read(now, batch)
 	verdicts := rd.state.takeVerdicts()
-	rd.verdicts = append(rd.verdicts, verdicts...)
-	rd.verdicts = rd.verdicts[max(0, len(rd.verdicts)-rd.set.history):]
 	rd.advance()
 	return verdicts
 }
@@ -54,7 +52,7 @@
 	if rd.state.last.Version == rd.inForce.Version {
 		return
 	}
-	if rd.state.last.Version < rd.inForce.Version && !rd.set.highest {
+	if rd.state.last.Version < rd.inForce.Version && !rd.set.off.highest {
 		return
 	}
 	rd.inForce = rd.state.last
@@ -62,16 +60,6 @@
 	rd.accepted = rd.accepted[max(0, len(rd.accepted)-rd.set.history):]
 }
 
-// Verdict returns the verdict on a publish if it is among the latest ones.
-func (rd *Reader) Verdict(id record.PublishID) (Verdict, bool) {
-	for _, verdict := range rd.verdicts {
-		if verdict.PublishID == id {
-			return verdict, true
-		}
-	}
-	return Verdict{}, false
-}
-
 // Version returns an accepted configuration if it is among the latest ones. Publishing its body is a rollback.
 func (rd *Reader) Version(version chestnutroad.Version) (Accepted, bool) {
 	for _, accepted := range rd.accepted {
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -16,19 +16,41 @@
 	Body      []byte
 }
 
+// recentCount is the number of accepted versions whose publish the state remembers. It is no setting, since all readers
+// must derive the same state.
+const recentCount = 64
+
+// publishedAs names the publish of an accepted version.
+type publishedAs struct {
+	Version   chestnutroad.Version
+	PublishID record.PublishID
+}
+
+// storedState is the payload of a ConfigSnapshot.
+type storedState struct {
+	Accepted
+	Recent []publishedAs
+}
+
 // state is what the configuration stream says; it depends on the records alone.
 type state struct {
 	check    Check
 	last     Accepted
+	recent   []publishedAs
 	verdicts []Verdict
+	// anyParent is set by the baseline in tests.
+	anyParent bool
 }
 
 // Reset empties the state.
-func (st *state) Reset() { st.last = Accepted{} }
+func (st *state) Reset() {
+	st.last = Accepted{}
+	st.recent = nil
+}
 
 // Payload returns the last accepted configuration.
 func (st *state) Payload() []byte {
-	data, err := json.Marshal(st.last)
+	data, err := json.Marshal(storedState{Accepted: st.last, Recent: st.recent})
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode configuration %d", st.last.Version))
 	}
@@ -37,11 +59,12 @@
 
 // Load replaces the state by the one in the payload.
 func (st *state) Load(payload []byte) error {
-	var last Accepted
-	if err := json.Unmarshal(payload, &last); err != nil {
+	var stored storedState
+	if err := json.Unmarshal(payload, &stored); err != nil {
 		return errors.Wrap(err, "decode configuration snapshot")
 	}
-	st.last = last
+	st.last = stored.Accepted
+	st.recent = stored.Recent
 	return nil
 }
 
@@ -58,9 +81,14 @@
 }
 
 func (st *state) decide(offset chestnutroad.Offset, proposal *record.Config) Verdict {
+	if st.anyParent {
+		proposal.Parent = st.last.Version
+		proposal.Version = st.last.Version + 1
+	}
 	reason, message := judge(proposal, st.last.Version, st.check)
 	if reason == ReasonNone {
 		st.last = Accepted{Version: proposal.Version, PublishID: proposal.PublishID, Body: proposal.Body}
+		st.remember(publishedAs{Version: proposal.Version, PublishID: proposal.PublishID})
 	}
 	return Verdict{
 		Offset: offset, PublishID: proposal.PublishID, Version: proposal.Version, InForce: st.last.Version,
@@ -68,6 +96,21 @@
 	}
 }
 
+func (st *state) remember(published publishedAs) {
+	st.recent = append(st.recent, published)
+	st.recent = st.recent[max(0, len(st.recent)-recentCount):]
+}
+
+// publishOf returns the publish of an accepted version if it is among the latest ones.
+func (st *state) publishOf(version chestnutroad.Version) (record.PublishID, bool) {
+	for _, published := range st.recent {
+		if published.Version == version {
+			return published.PublishID, true
+		}
+	}
+	return "", false
+}
+
 func (st *state) takeVerdicts() []Verdict {
 	verdicts := st.verdicts
 	st.verdicts = nil
--- /dev/null
+++ b/internal/order/bench_test.go
@@ -0,0 +1,185 @@
+package order
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// benchHost is a machine with a log of its own.
+type benchHost struct {
+	machine *Machine
+	log     fakeLog
+	now     time.Time
+	appends int
+	running []chestnutroad.RequestID
+	replies int
+}
+
+func newBenchHost(opts ...Option) *benchHost {
+	bh := &benchHost{machine: New("host", 1, opts...), now: time.Unix(1_800_000_000, 0)}
+	bh.machine.ReadBatch(bh.now, bh.log.read(0, 0))
+	return bh
+}
+
+func (bh *benchHost) handle(actions []Action) {
+	for _, action := range actions {
+		switch ac := action.(type) {
+		case Append:
+			bh.appends++
+			bh.log.add(bh.now, ac.Data)
+			bh.handle(bh.machine.AppendResult(bh.now, ac.BatchID, record.AppendOK))
+		case Run:
+			bh.running = append(bh.running, ac.Request)
+		case Reply:
+			bh.replies++
+		}
+	}
+}
+
+func (bh *benchHost) submit(number int) {
+	bh.handle(bh.machine.Submit(bh.now, Order{
+		Request: chestnutroad.RequestID(fmt.Sprintf("request-%d", number)), Team: "team",
+		Key: chestnutroad.IdempotencyKey(fmt.Sprintf("key-%d", number)), Digest: digest(nil),
+	}))
+}
+
+// advance lets the time pass, reads the log and completes what runs.
+func (bh *benchHost) advance(step time.Duration) {
+	bh.now = bh.now.Add(step)
+	bh.handle(bh.machine.Tick(bh.now))
+	bh.handle(bh.machine.ReadBatch(bh.now, bh.log.read(bh.machine.From(), 1000)))
+	running := bh.running
+	bh.running = nil
+	for _, request := range running {
+		bh.handle(bh.machine.TargetDone(bh.now, request, 200, nil, []byte(`{"Accepted":true}`)))
+	}
+}
+
+// BenchmarkOrder measures an order from Submit to its outcome in the log, with 10 orders to a batch.
+func BenchmarkOrder(b *testing.B) {
+	bh := newBenchHost()
+	for number := 0; b.Loop(); number++ {
+		bh.submit(number)
+		if number%10 == 9 {
+			bh.advance(DefaultAppendInterval)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N), "us/order")
+}
+
+// BenchmarkRemembered measures the memory of remembered claims with their outcomes.
+func BenchmarkRemembered(b *testing.B) {
+	for _, claims := range []int{1_000, 30_000, 300_000} {
+		b.Run(fmt.Sprint(claims), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(bytesPerClaim(claims), "bytes/claim")
+			}
+		})
+	}
+}
+
+func bytesPerClaim(claims int) float64 {
+	before := heap()
+	tb := newTable()
+	for number := range claims {
+		tb.Apply(chestnutroad.Record{
+			Offset: chestnutroad.Offset(number), Appended: time.Unix(1_800_000_000, 0), Data: benchEntries(number),
+		})
+		tb.takeTouched()
+	}
+	used := heap() - before
+	runtime.KeepAlive(tb)
+	return used / float64(claims)
+}
+
+func benchEntries(number int) []byte {
+	key := chestnutroad.IdempotencyKey(fmt.Sprintf("0b9d6c1e-7a4f-4a53-9d0c-%012d", number))
+	claimant := record.Claimant{Host: "host", Incarnation: 1, Sequence: uint64(number)}
+	body := fmt.Appendf(nil, `{"Order":"accepted","Number":%d}`, number)
+	outcome := &Outcome{Status: 200, Body: body, BodyDigest: digest(body)}
+	return record.EncodeOrders([]record.Entry{
+		{Type: record.EntryClaim, Team: "team", Key: key, Claimant: claimant, Digest: digest([]byte(key)), KeepMs: 1 << 40},
+		{Type: record.EntryOutcome, Team: "team", Key: key, Claimant: claimant, Outcome: outcome},
+	})
+}
+
+func heap() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
+
+// BenchmarkSnapshot measures the size of a snapshot in the log.
+func BenchmarkSnapshot(b *testing.B) {
+	const claims = 30_000
+	tb := newTable()
+	for number := range claims {
+		tb.Apply(chestnutroad.Record{Appended: time.Unix(1_800_000_000, 0), Data: benchEntries(number)})
+	}
+	var records [][]byte
+	for b.Loop() {
+		records = record.EncodeSnapshot(record.TypeOrderSnapshot, record.Snapshot{Payload: tb.Payload()})
+	}
+	size := 0
+	for _, data := range records {
+		size += len(data)
+	}
+	b.ReportMetric(float64(size)/claims, "bytes/claim")
+	b.ReportMetric(float64(len(records)), "records")
+}
+
+// schedule returns the appends a second and the mean time from Submit to the outcome in the log of one owner, while
+// orders arrive evenly. An append takes as long as the log does.
+func schedule(ordersPerSecond, owners int, simulated time.Duration) (appends float64, orders float64) {
+	const step = time.Millisecond
+	bh := newBenchHost()
+	bh.machine.SetOwners(owners)
+	submitted := 0
+	for elapsed := time.Duration(0); elapsed < simulated; elapsed += step {
+		for submitted < int(float64(ordersPerSecond)*elapsed.Seconds()) {
+			bh.submit(submitted)
+			submitted++
+		}
+		bh.advance(step)
+	}
+	return float64(bh.appends) / simulated.Seconds(), float64(bh.replies) / simulated.Seconds()
+}
+
+// BenchmarkSchedule prints the appends a second of one of several owners against its orders a second.
+func BenchmarkSchedule(b *testing.B) {
+	for _, owners := range []int{1, 7, 30} {
+		for _, orders := range []int{1, 10, 100, 1000} {
+			b.Run(fmt.Sprintf("owners=%d/orders=%d", owners, orders), func(b *testing.B) {
+				for b.Loop() {
+					appends, done := schedule(orders, owners, 10*time.Second)
+					b.ReportMetric(appends, "appends/s")
+					b.ReportMetric(appends*float64(owners), "appends/s-all-owners")
+					b.ReportMetric(done, "orders/s")
+				}
+			})
+		}
+	}
+}
+
+// TestSchedule guards the budget that all appending owners share.
+func TestSchedule(t *testing.T) {
+	t.Parallel()
+	for _, owners := range []int{1, 7, 30, 340} {
+		appends, orders := schedule(200, owners, 5*time.Second)
+		if total := appends * float64(owners); total > DefaultAppendBudget*1.01+float64(owners)/5 {
+			t.Errorf("%d owners: %.0f appends/s together, budget %d", owners, total, DefaultAppendBudget)
+		}
+		if appends > float64(time.Second/DefaultAppendInterval)+1 {
+			t.Errorf("%d owners: %.0f appends/s by one", owners, appends)
+		}
+		if orders < 100 {
+			t.Errorf("%d owners: %.0f of 200 orders/s", owners, orders)
+		}
+	}
+}
--- a/internal/order/expire.go
+++ b/internal/order/expire.go
@@ -109,10 +109,10 @@
 	delete(mc.running, fl.runner)
 }
 
-// expireWrites sends entries again whose append has an unknown result, and forgets those that no longer matter.
+// expireWrites sends entries again whose append has an unknown result, and forgets releases that no longer matter.
 func (mc *Machine) expireWrites(now time.Time, writes map[Key]*write) {
 	for key, wr := range writes {
-		if now.Sub(wr.since) > mc.set.keep() {
+		if wr.step.Type == record.EntryRelease && now.Sub(wr.since) > mc.set.keep() {
 			delete(writes, key)
 			continue
 		}
--- a/internal/order/flight.go
+++ b/internal/order/flight.go
@@ -39,6 +39,8 @@
 	claim   record.Claimant
 	// created is when the claim was made.
 	created time.Time
+	// expires is the log time, in milliseconds, at which readers forget the claim with which the order runs.
+	expires int64
 	// runner is the request with which the order was given to a target.
 	runner chestnutroad.RequestID
 	// again is true when an earlier attempt may have run, so that this one can't prove that nothing ran.
--- a/internal/order/resolve.go
+++ b/internal/order/resolve.go
@@ -18,6 +18,7 @@
 		mc.resolveFree(now, fl, en)
 	case fl.phase == phaseSent && en.claimant == fl.claim:
 		mc.log.appended()
+		fl.expires = en.expires
 		mc.run(now, fl)
 	case mc.abandoned(fl.key, en):
 		mc.releaseAbandoned(now, fl.key, en.claimant)
@@ -27,7 +28,7 @@
 	case en.known():
 		mc.replyAll(fl, *en.outcome)
 	case en.outcome != nil || mc.own(en.claimant) || mc.isGone(en.claimant):
-		mc.resolveUnknown(now, fl, en.claimant)
+		mc.resolveUnknown(now, fl, en)
 	default:
 		mc.resolveTaken(fl, en)
 	}
@@ -70,13 +71,14 @@
 }
 
 // resolveUnknown handles a key whose order may have run without a known answer.
-func (mc *Machine) resolveUnknown(now time.Time, fl *flight, claimant record.Claimant) {
+func (mc *Machine) resolveUnknown(now time.Time, fl *flight, en *entry) {
 	if fl.repeat != chestnutroad.RepeatTargetDeduplicates {
 		mc.refuseAll(now, fl, refuseUnknown())
 		return
 	}
 	mc.giveUpClaim(now, fl)
-	fl.claim = claimant
+	fl.claim = en.claimant
+	fl.expires = en.expires
 	fl.created = now
 	fl.again = true
 	mc.start(fl)
--- a/internal/order/result.go
+++ b/internal/order/result.go
@@ -83,7 +83,7 @@
 
 // store queues the outcome for the log. It stays until it is read back, however long the log is down.
 func (mc *Machine) store(now time.Time, fl *flight, outcome Outcome) {
-	wr := &write{key: fl.key, since: now, step: record.Entry{
+	wr := &write{key: fl.key, since: now, expires: fl.expires, step: record.Entry{
 		Type: record.EntryOutcome, Team: fl.key.Team, Key: fl.key.Key, Claimant: fl.claim,
 		Digest: fl.digest, Outcome: &outcome,
 	}}
--- a/internal/order/submit.go
+++ b/internal/order/submit.go
@@ -55,6 +55,7 @@
 
 // replyOwn answers from an outcome of this host that is still on its way into the log.
 func (mc *Machine) replyOwn(key Key, order Order) bool {
+	mc.settle(mc.outcomes, key)
 	wr := mc.outcomes[key]
 	if wr == nil || wr.step.Outcome.Unknown {
 		return false
--- a/internal/order/write.go
+++ b/internal/order/write.go
@@ -26,10 +26,16 @@
 	batch BatchID
 	sent  time.Time
 	since time.Time
+	// expires is the log time, in milliseconds, from which on an outcome no longer matters.
+	expires int64
 }
 
-// done reports whether the table shows what the write says.
+// done reports whether the table shows what the write says, or that it no longer matters. A table that was rebuilt from
+// an older base isn't proof of the latter, so the claim's own expiry decides.
 func (wr *write) done(tb *table) bool {
+	if wr.step.Type == record.EntryOutcome && tb.clock >= wr.expires {
+		return true
+	}
 	en := tb.live(wr.key)
 	if en == nil {
 		return false
--- /dev/null
+++ b/internal/record/reader_test.go
@@ -0,0 +1,280 @@
+package record
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+var testStart = time.Unix(1_800_000_000, 0)
+
+// listState is the list of all other records that were applied.
+type listState struct{ list string }
+
+func (ls *listState) Apply(rec chestnutroad.Record) {
+	if TypeOf(rec.Data) != TypeOrderSnapshot {
+		ls.list += string(rec.Data) + " "
+	}
+}
+
+func (ls *listState) Load(payload []byte) error {
+	if len(payload) > 0 && payload[0] == '!' {
+		return errors.New("bad payload")
+	}
+	ls.list = string(payload)
+	return nil
+}
+
+func (ls *listState) Payload() []byte { return []byte(ls.list) }
+
+func (ls *listState) Reset() { ls.list = "" }
+
+// testLog numbers records by their position and drops those before oldest.
+type testLog struct {
+	records []chestnutroad.Record
+	oldest  int
+}
+
+func (lg *testLog) add(all ...[]byte) {
+	for _, data := range all {
+		lg.records = append(lg.records, chestnutroad.Record{
+			Offset: chestnutroad.Offset(len(lg.records)), Appended: testStart, Data: data,
+		})
+	}
+}
+
+func (lg *testLog) read(from chestnutroad.Offset) chestnutroad.Batch {
+	start := min(len(lg.records), max(lg.oldest, int(from)))
+	next := chestnutroad.Offset(len(lg.records))
+	return chestnutroad.Batch{Oldest: chestnutroad.Offset(lg.oldest), Next: next, Records: lg.records[start:]}
+}
+
+func newTestReader() (*Reader, *listState) {
+	ls := &listState{}
+	return NewReader(TypeOrderSnapshot, ls), ls
+}
+
+func readAll(rd *Reader, lg *testLog) {
+	for range 3 {
+		rd.Read(testStart, lg.read(rd.From()))
+	}
+}
+
+func snapshotOf(host chestnutroad.HostID, through chestnutroad.Offset, payload string) [][]byte {
+	return EncodeSnapshot(TypeOrderSnapshot, Snapshot{
+		Writer: Writer{Host: host}, Through: through, Taken: testStart, Payload: []byte(payload),
+	})
+}
+
+// noise returns a payload that doesn't compress, so that it needs several parts.
+func noise(seed uint64) string {
+	random := rand.New(rand.NewPCG(seed, 0))
+	data := make([]byte, 2*partSize+100)
+	for index := range data {
+		data[index] = byte(random.Uint32())
+	}
+	return "0" + string(data)
+}
+
+// TestBase guards the rule for the base of an empty reader.
+func TestBase(t *testing.T) {
+	t.Parallel()
+	big := noise(1)
+	parts := snapshotOf("one", 1, big)
+	other := snapshotOf("two", 1, noise(2))
+	damaged := []byte(strings.Replace(string(parts[1]), `"Piece":"`, `"Piece":"AAAA`, 1))
+	tests := []struct {
+		name   string
+		add    [][]byte
+		oldest int
+		ready  bool
+		want   string
+	}{
+		{"new log", nil, 0, true, ""},
+		{"whole log", nil, 0, true, ""},
+		{"truncated log without snapshot", nil, 1, false, ""},
+		{"all records expired", nil, 3, false, ""},
+		{"snapshot without gap", snapshotOf("one", 1, "0 1 "), 2, true, "0 1 2 "},
+		{"snapshot with a gap of one record", snapshotOf("one", 0, "0 "), 2, false, ""},
+		{"snapshot of a record that comes later", snapshotOf("one", 7, "0 1 2 7 "), 2, false, ""},
+		{"late snapshot before a good one", append(snapshotOf("slow", 0, "0 "), snapshotOf("one", 2, "0 1 2 ")...), 2, true, "0 1 2 "},
+		{"late snapshot after a good one", append(snapshotOf("one", 2, "0 1 2 "), snapshotOf("slow", 0, "0 ")...), 2, true, "0 1 2 "},
+		{"payload that can't be loaded", snapshotOf("one", 1, "!"), 2, false, ""},
+		{"all parts", parts, 2, true, big + "2 "},
+		{"parts in another order and twice", [][]byte{parts[2], parts[0], parts[0], parts[1]}, 2, true, big + "2 "},
+		{"parts of two writers mixed", [][]byte{parts[0], other[1], parts[2]}, 2, false, ""},
+		{"two writers interleaved", [][]byte{parts[0], other[0], parts[1], other[1], parts[2]}, 2, true, big + "2 "},
+		{"first part expired", parts, 4, false, ""},
+		{"last part missing", parts[:2], 2, false, ""},
+		{"damaged part", [][]byte{parts[0], damaged, parts[2]}, 2, false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			lg := &testLog{}
+			if tt.name != "new log" {
+				lg.add([]byte("0"), []byte("1"), []byte("2"))
+			}
+			lg.add(tt.add...)
+			lg.oldest = tt.oldest
+			rd, ls := newTestReader()
+			readAll(rd, lg)
+			if rd.Ready() != tt.ready {
+				t.Fatalf("ready: got %v, want %v", rd.Ready(), tt.ready)
+			}
+			if tt.want != "" && ls.list != tt.want {
+				t.Errorf("state: got %.100q, want %.100q", ls.list, tt.want)
+			}
+		})
+	}
+}
+
+// TestPartSize guards the log's limit for one record.
+func TestPartSize(t *testing.T) {
+	t.Parallel()
+	parts := snapshotOf("a-host-with-a-name-of-some-length", 1<<60, noise(3))
+	if len(parts) != 3 {
+		t.Errorf("got %d parts, want 3", len(parts))
+	}
+	for index, data := range parts {
+		if len(data) >= MaxSize {
+			t.Errorf("part %d has %d bytes, limit %d", index, len(data), MaxSize)
+		}
+	}
+}
+
+// TestGap guards against a reader that goes on after it has missed records.
+func TestGap(t *testing.T) {
+	t.Parallel()
+	lg := &testLog{}
+	lg.add([]byte("0"), []byte("1"))
+	rd, ls := newTestReader()
+	readAll(rd, lg)
+	lg.add([]byte("2"), []byte("3"))
+	lg.oldest = 3
+	if lost := rd.Read(testStart, lg.read(rd.From())); !lost || rd.Based() {
+		t.Fatalf("lost %v, based %v after a gap", lost, rd.Based())
+	}
+	lg.add(snapshotOf("one", 2, "0 1 2 ")...)
+	readAll(rd, lg)
+	if !rd.Ready() || ls.list != "0 1 2 3 " {
+		t.Errorf("ready %v, state %q after a snapshot", rd.Ready(), ls.list)
+	}
+}
+
+// TestBaseExpires guards the time between the choice of a base and the reading of what follows it.
+func TestBaseExpires(t *testing.T) {
+	t.Parallel()
+	lg := &testLog{}
+	lg.add([]byte("0"), []byte("1"))
+	lg.add(snapshotOf("one", 0, "0 ")...)
+	lg.oldest = 1
+	rd, _ := newTestReader()
+	rd.Read(testStart, lg.read(rd.From()))
+	if !rd.Based() || rd.Ready() || rd.From() != 1 {
+		t.Fatalf("based %v, ready %v, from %d after the snapshot", rd.Based(), rd.Ready(), rd.From())
+	}
+	lg.oldest = 2
+	readAll(rd, lg)
+	if rd.Based() || rd.Ready() {
+		t.Error("the reader has a state although record 1 expired before it was read")
+	}
+}
+
+// TestImport guards the state of a peer against gaps and steps back.
+func TestImport(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name    string
+		through chestnutroad.Offset
+		oldest  int
+		payload string
+		taken   bool
+		ready   bool
+		want    string
+	}{
+		{"ahead", 3, 0, "0 1 2 3 ", true, true, "0 1 2 3 4 "},
+		{"same", 1, 0, "0 1 ", false, true, "0 1 2 3 4 "},
+		{"behind", 0, 0, "0 ", false, true, "0 1 2 3 4 "},
+		{"gap behind it", 2, 4, "0 1 2 ", true, false, ""},
+		{"bad payload", 3, 0, "!", false, true, "0 1 2 3 4 "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			lg := &testLog{}
+			lg.add([]byte("0"), []byte("1"))
+			rd, ls := newTestReader()
+			readAll(rd, lg)
+			if got := rd.Import(Snapshot{Through: tt.through, Payload: []byte(tt.payload)}); got != tt.taken {
+				t.Errorf("import: got %v, want %v", got, tt.taken)
+			}
+			lg.add([]byte("2"), []byte("3"), []byte("4"))
+			lg.oldest = tt.oldest
+			readAll(rd, lg)
+			if rd.Ready() != tt.ready || ls.list != tt.want {
+				t.Errorf("ready %v, state %q, want %v, %q", rd.Ready(), ls.list, tt.ready, tt.want)
+			}
+		})
+	}
+}
+
+// TestSnapshotDue guards against records that expire before a snapshot covers them.
+func TestSnapshotDue(t *testing.T) {
+	t.Parallel()
+	const retention = 8 * time.Hour
+	lg := &testLog{}
+	rd, _ := newTestReader()
+	readAll(rd, lg)
+	check := func(after time.Duration, want bool) {
+		t.Helper()
+		rd.Read(testStart.Add(after), lg.read(rd.From()))
+		if got := rd.SnapshotDue(testStart.Add(after), retention); got != want {
+			t.Errorf("after %v: got %v, want %v", after, got, want)
+		}
+	}
+	check(retention, false)
+	lg.add([]byte("0"))
+	check(retention/2-time.Second, false)
+	check(retention/2, true)
+	if rd.SnapshotDue(testStart.Add(retention/2+3*time.Hour), retention) {
+		t.Error("a snapshot is due at a reader that has not read for 3 h")
+	}
+	written := rd.WriteSnapshot(testStart.Add(retention/2), Writer{Host: "one"})
+	check(retention/2+time.Second, false)
+	check(retention/2+snapshotRetry, true)
+	lg.add(written...)
+	check(retention/2+2*snapshotRetry, false)
+	check(retention-time.Minute, false)
+	check(retention+time.Second, true)
+}
+
+// TestTypeOf guards the short way of reading a record's type.
+func TestTypeOf(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		data string
+		want Type
+	}{
+		{string(EncodeOrders(nil)), TypeOrders},
+		{string(EncodeConfig(Config{})), TypeConfig},
+		{`{"Entries":[],"Type":"Orders"}`, TypeOrders},
+		{`{"Type":"Orders`, ""},
+		{"no JSON", ""},
+		{"", ""},
+	}
+	for index, tt := range tests {
+		t.Run(fmt.Sprint(index), func(t *testing.T) {
+			t.Parallel()
+			if got := TypeOf([]byte(tt.data)); got != tt.want {
+				t.Errorf("%q: got %q, want %q", tt.data, got, tt.want)
+			}
+		})
+	}
+}
