--- a/internal/order/append.go
+++ b/internal/order/append.go
@@ -14,7 +14,7 @@
 	if mc.lastSent.IsZero() {
 		return time.Unix(0, 0)
 	}
-	return sooner(time.Time{}, laterOf(mc.lastSent.Add(mc.set.interval(mc.owners)), mc.log.retryAt()))
+	return laterOf(mc.lastSent.Add(mc.set.interval(mc.owners)), mc.log.retryAt())
 }
 
 func laterOf(one, other time.Time) time.Time {
@@ -33,13 +33,13 @@
 	ba := &batch{id: mc.batchID, sent: now}
 	mc.fillWrites(ba)
 	mc.fillClaims(now, ba)
-	if len(ba.entries) == 0 {
+	if ba.entries.Size() == 0 {
 		return
 	}
 	mc.batch = ba
 	mc.lastSent = now
 	mc.watch(now.Add(lostAnswerFactor * mc.set.appendTimeout))
-	mc.do(Append{BatchID: ba.id, Data: record.EncodeOrders(ba.entries)})
+	mc.do(Append{BatchID: ba.id, Data: ba.entries.Record()})
 	if mc.set.off.readBack {
 		mc.runUnread(now, ba)
 	}
@@ -126,7 +126,7 @@
 	case record.AppendUnknown:
 		mc.log.failed(now)
 		mc.setWrites(ba, writeInDoubt)
-		mc.watch(ba.sent.Add(mc.set.appendTimeout))
+		mc.watch(laterOf(ba.sent.Add(mc.set.appendTimeout), now.Add(mc.set.appendInterval)))
 	}
 	if mc.log.down(now) {
 		mc.refuseQueued(now)
--- a/internal/order/machine.go
+++ b/internal/order/machine.go
@@ -89,7 +89,7 @@
 // Wake returns the time at which Tick is next needed, and false when only another input can change anything.
 func (mc *Machine) Wake() (time.Time, bool) {
 	wake := mc.expiry
-	if mc.batch == nil && !mc.queue.empty() {
+	if mc.batch == nil && !mc.queue.empty() && !mc.log.unread {
 		wake = sooner(wake, mc.appendAt())
 	}
 	return wake, !wake.IsZero()
--- a/internal/order/queue.go
+++ b/internal/order/queue.go
@@ -6,8 +6,8 @@
 	"github.com/chestnutroad/chestnutroad/internal/record"
 )
 
-// entrySize is the number of bytes that an entry has beside its team, key, digest and body.
-const entrySize = 256
+// entryLimit is more than the size in bytes of any entry: a body and headers at their limits in base64 and escaped JSON.
+const entryLimit = 48 << 10
 
 // queue has what is to be appended next. Claims come last, since a claim after its own release may win.
 type queue struct {
@@ -28,40 +28,29 @@
 type batch struct {
 	id      BatchID
 	sent    time.Time
-	entries []record.Entry
-	size    int
+	entries record.OrdersBuilder
 	writes  []*write
 	claims  []*flight
 	// sequences has the claims' sequence numbers, since a flight may claim anew before the append ends.
 	sequences []uint64
 }
 
-func (ba *batch) full() bool { return ba.size >= record.MaxSize-2*entrySize-bodyLimit*2 }
-
-func (ba *batch) add(step record.Entry) {
-	ba.entries = append(ba.entries, step)
-	ba.size += entrySize + len(step.Team) + len(step.Key) + len(step.Digest)
-	if step.Outcome != nil {
-		ba.size += len(step.Outcome.Body) / 3 * 4
-		for name, values := range step.Outcome.Header {
-			ba.size += (len(name) + entrySize) * len(values)
-		}
-	}
-}
+// full reports whether the longest entry might not fit any more.
+func (ba *batch) full() bool { return ba.entries.Size() > record.MaxSize-entryLimit }
 
 func (ba *batch) addWrite(wr *write) {
 	wr.state = writeSent
 	wr.batch = ba.id
 	wr.sent = ba.sent
 	ba.writes = append(ba.writes, wr)
-	ba.add(wr.step)
+	ba.entries.Add(&wr.step)
 }
 
 func (ba *batch) addClaim(fl *flight, keep time.Duration) {
 	fl.phase = phaseSent
 	ba.claims = append(ba.claims, fl)
 	ba.sequences = append(ba.sequences, fl.claim.Sequence)
-	ba.add(record.Entry{
+	ba.entries.Add(&record.Entry{
 		Type: record.EntryClaim, Team: fl.key.Team, Key: fl.key.Key, Digest: fl.digest,
 		Claimant: fl.claim, KeepMs: keep.Milliseconds(),
 	})
--- a/internal/order/refusal.go
+++ b/internal/order/refusal.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -13,6 +14,10 @@
 	return chestnutroad.Refuse(chestnutroad.KeyReused, "the key was used for an order with another body")
 }
 
+func refuseKeyLength() *chestnutroad.Refusal {
+	return chestnutroad.Refuse(chestnutroad.BadRequest, fmt.Sprintf("the Idempotency-Key is over %d bytes", keyLimit))
+}
+
 func refuseNotReady() *chestnutroad.Refusal {
 	message := "this request was not run: the host doesn't know yet which orders have run"
 	return chestnutroad.Refuse(chestnutroad.NotReady, message).After(retryAfter)
--- a/internal/order/result.go
+++ b/internal/order/result.go
@@ -13,6 +13,9 @@
 // bodyLimit is the longest body, in bytes, that is kept for repeats.
 const bodyLimit = 16 << 10
 
+// headerLimit is the longest header, in bytes, that is kept for repeats.
+const headerLimit = 4 << 10
+
 // TargetDone takes the target's whole answer to a Run. The header holds only what a repeat needs.
 func (mc *Machine) TargetDone(
 	now time.Time, request chestnutroad.RequestID, status int, header http.Header, body []byte,
@@ -30,6 +33,9 @@
 		return
 	}
 	stored := answer
+	if headerSize(stored.Header) > headerLimit {
+		stored.Header = nil
+	}
 	if len(stored.Body) > bodyLimit {
 		stored.Body = nil
 		stored.BodyOmitted = true
@@ -38,6 +44,16 @@
 	mc.replyAll(fl, answer)
 }
 
+func headerSize(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 func digest(body []byte) string {
 	sum := sha256.Sum256(body)
 	return base64.RawURLEncoding.EncodeToString(sum[:])
--- a/internal/order/simulation_test.go
+++ b/internal/order/simulation_test.go
@@ -25,12 +25,8 @@
 	os.Exit(m.Run())
 }
 
-func (wd *world) key() Key {
-	return Key{Team: "team", Key: chestnutroad.IdempotencyKey(fmt.Sprintf("key-%d", wd.draw(3)))}
-}
-
-// dedup tells which keys belong to a service whose target deduplicates.
-func dedup(key Key) bool { return key.Key == "key-2" }
+// keyCount is the number of keys in a simulation; the last one belongs to a service whose target deduplicates.
+const keyCount = 3
 
 var testWaits = []time.Duration{50 * time.Millisecond, 5 * time.Second, 50 * time.Second}
 
@@ -38,14 +34,23 @@
 	time.Millisecond, 30 * time.Millisecond, time.Second, 4 * time.Second, 40 * time.Second, 12 * time.Minute,
 }
 
+func (wd *world) order(number int, wait time.Duration) Order {
+	order := Order{Key: chestnutroad.IdempotencyKey(fmt.Sprintf("key-%d", number)), Digest: "digest"}
+	order.Deadline = wd.now.Add(wait)
+	order.Repeat = chestnutroad.RepeatNever
+	if number == keyCount-1 {
+		order.Repeat = chestnutroad.RepeatTargetDeduplicates
+	}
+	return order
+}
+
 // step takes one random step of one host, or of the log, the clock or the network.
 func (wd *world) step() {
 	index := wd.draw(len(wd.hosts))
 	host := wd.hosts[index]
 	switch wd.draw(24) {
 	case 0, 1, 2:
-		key := wd.key()
-		wd.submit(host, key, dedup(key), testWaits[wd.draw(len(testWaits))])
+		wd.submit(host, wd.order(wd.draw(keyCount), testWaits[wd.draw(len(testWaits))]))
 	case 3, 4, 5, 6:
 		wd.read(host, 1+wd.draw(4))
 	case 7, 8, 9:
@@ -65,7 +70,7 @@
 	case 18:
 		wd.transfer(host, wd.hosts[wd.draw(len(wd.hosts))])
 	case 19:
-		wd.handle(host, host.machine.Tick(wd.now))
+		wd.tick(host)
 	case 20:
 		host.cut = false
 		wd.log.down = false
@@ -74,30 +79,38 @@
 	}
 }
 
+func (wd *world) tick(host *testHost) {
+	wd.handle(host, host.machine.Tick(wd.now))
+	if wake, ok := host.machine.Wake(); ok && !wake.After(wd.now) {
+		wd.breachf("wake: %v wants a tick at once after a tick", host.machine.self)
+	}
+}
+
 // cycle lets a host do what it does while nothing fails.
 func (wd *world) cycle(host *testHost) {
 	wd.pass(30 * time.Millisecond)
 	wd.read(host, 1000)
-	wd.endAppend(host, 100)
-	wd.endRun(host, 2)
-	wd.handle(host, host.machine.Tick(wd.now))
+	wd.endAppend(host, appendFates["ok"])
+	wd.endRun(host, runFates["done"])
+	wd.tick(host)
 }
 
 func (wd *world) pass(jump time.Duration) {
 	wd.now = wd.now.Add(jump)
-	wd.log.expire(wd.now)
+	for wd.log.oldest < len(wd.log.records) && wd.now.Sub(wd.log.records[wd.log.oldest].Appended) > testRetention {
+		wd.log.oldest++
+	}
 }
 
 // landLate lets a delayed append take effect, in any order. An append of a dead host takes effect within the repeat
 // window or never, since nobody is left to release a claim that readers have no memory of.
 func (wd *world) landLate() {
-	count := len(wd.log.late)
-	if count == 0 || wd.log.down {
+	if len(wd.log.late) == 0 || wd.log.down {
 		return
 	}
-	index := wd.draw(count)
+	index := wd.draw(len(wd.log.late))
 	late := wd.log.late[index]
-	wd.log.late = append(wd.log.late[:index], wd.log.late[index+1:]...)
+	wd.log.late = slices.Delete(wd.log.late, index, index+1)
 	if slices.Contains(wd.hosts, late.host) || wd.now.Sub(late.at) < testWindow {
 		wd.appendRecord(late.data)
 	}
@@ -108,10 +121,8 @@
 	if len(host.slow) > 0 && wd.draw(2) == 0 {
 		index := wd.draw(len(host.slow))
 		wd.handle(host, host.machine.ReadBatch(wd.now, host.slow[index]))
-		host.slow = append(host.slow[:index], host.slow[index+1:]...)
-		return
-	}
-	if !host.cut && !wd.log.down {
+		host.slow = slices.Delete(host.slow, index, index+1)
+	} else if !host.cut && !wd.log.down {
 		host.slow = append(host.slow, wd.log.read(host.machine.From(), 1+wd.draw(4)))
 	}
 }
@@ -120,7 +131,7 @@
 func (wd *world) snapshot(host *testHost) {
 	for _, data := range host.machine.Snapshot(wd.now) {
 		if wd.draw(2) == 0 {
-			wd.delay(host, data)
+			wd.delay(host, wd.now, data)
 		} else if !host.cut && !wd.log.down {
 			wd.appendRecord(data)
 		}
@@ -129,6 +140,7 @@
 
 func (wd *world) fail(index int) {
 	host := wd.hosts[index]
+	other := wd.hosts[wd.draw(len(wd.hosts))].machine.self
 	switch wd.draw(9) {
 	case 0:
 		wd.replace(index, wd.draw(2))
@@ -137,24 +149,19 @@
 	case 3:
 		wd.log.down = true
 	case 4, 5:
-		gone := wd.hosts[wd.draw(len(wd.hosts))].machine.self
-		wd.handle(host, host.machine.HostGone(wd.now, gone.Host, gone.Incarnation))
+		wd.handle(host, host.machine.HostGone(wd.now, other.Host, other.Incarnation))
 	case 6:
-		back := wd.hosts[wd.draw(len(wd.hosts))].machine.self
-		wd.handle(host, host.machine.HostBack(wd.now, back.Host, back.Incarnation))
+		wd.handle(host, host.machine.HostBack(wd.now, other.Host, other.Incarnation))
 	default:
 		wd.cancelOne(host)
 	}
 }
 
 func (wd *world) cancelOne(host *testHost) {
-	for number := range len(wd.tries) {
-		request := chestnutroad.RequestID(fmt.Sprintf("request-%d", number))
-		if try := wd.tries[request]; try.host == host && try.answer == nil {
-			wd.handle(host, host.machine.Cancel(wd.now, request))
-			if try.answer == nil {
-				try.answer = Refuse{Request: request}
-			}
+	for number, try := range wd.tries {
+		if try.host == host && try.answer == nil {
+			wd.handle(host, host.machine.Cancel(wd.now, chestnutroad.RequestID(fmt.Sprint(number))))
+			try.withdraw()
 			return
 		}
 	}
@@ -166,9 +173,8 @@
 	}
 }
 
-// settle ends all faults and drives the hosts until all requests are answered.
+// settle ends the cuts and lets all hosts work.
 func (wd *world) settle(rounds int) {
-	wd.log.down = false
 	for range rounds {
 		for _, host := range wd.hosts {
 			host.cut = false
@@ -180,41 +186,41 @@
 // checkEnd repeats each order through each host with a working log. An order that no one ran must run, and one with
 // a known answer must get it.
 func (wd *world) checkEnd() {
+	wd.log.down = false
 	for len(wd.log.late) > 0 {
-		wd.log.down = false
 		wd.landLate()
 	}
 	wd.settle(1000)
-	for request, try := range wd.tries {
+	for number, try := range wd.tries {
 		if try.answer == nil {
-			wd.breachf("silent: request %s got no answer", request)
+			wd.breachf("silent: request %d got no answer", number)
 		}
 	}
-	for number := range 3 {
-		key := Key{Team: "team", Key: chestnutroad.IdempotencyKey(fmt.Sprintf("key-%d", number))}
+	for number := range keyCount {
 		for _, host := range wd.hosts {
-			wd.checkRepeat(host, key)
+			wd.checkRepeat(host, wd.order(number, 30*time.Second))
 		}
 	}
 }
 
-func (wd *world) checkRepeat(host *testHost, key Key) {
+func (wd *world) checkRepeat(host *testHost, order Order) {
+	key := Key{Team: "team", Key: order.Key}
 	if !host.machine.Ready() || wd.orphaned[key] {
 		return
 	}
 	before := len(wd.runs[key])
-	request := wd.submit(host, key, dedup(key), 30*time.Second)
+	try := wd.submit(host, order)
 	wd.settle(25)
-	reply, replied := wd.tries[request].answer.(Reply)
+	reply, replied := try.answer.(Reply)
 	if before == 0 && !replied {
-		wd.breachf("lost: key %v never ran and gets %+v", key, wd.tries[request].answer)
+		wd.breachf("lost: key %v never ran and gets %+v", key, try.answer)
 	}
-	if before == 0 || dedup(key) {
+	if before == 0 || try.dedup {
 		return
 	}
 	last := wd.runs[key][before-1]
 	if last.done && len(wd.runs[key]) == before && (!replied || string(reply.Outcome.Body) != last.body) {
-		wd.breachf("outcome: key %v gets %+v instead of %q", key, wd.tries[request].answer, last.body)
+		wd.breachf("outcome: key %v gets %+v instead of %q", key, try.answer, last.body)
 	}
 }
 
@@ -242,12 +248,11 @@
 	})
 }
 
-// TestSimulationSeeds runs long simulations, which rapid's shrinking would slow down.
+// TestSimulationSeeds runs longer simulations, which rapid's shrinking would slow down.
 func TestSimulationSeeds(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(100) {
-		random := rand.New(rand.NewPCG(seed, 1))
-		if wd := simulate(random.IntN, mechanisms{}, 1000); len(wd.breaches) > 0 {
+		if wd := simulate(rand.New(rand.NewPCG(seed, 1)).IntN, mechanisms{}, 1000); len(wd.breaches) > 0 {
 			t.Fatalf("seed %d: %s", seed, wd.report())
 		}
 	}
@@ -271,8 +276,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(2000) {
-				random := rand.New(rand.NewPCG(seed, 1))
-				for _, breach := range simulate(random.IntN, tt.off, 600).breaches {
+				for _, breach := range simulate(rand.New(rand.NewPCG(seed, 1)).IntN, tt.off, 600).breaches {
 					if strings.HasPrefix(breach, tt.breach) {
 						t.Logf("seed %d: %.200s", seed, breach)
 						return
--- a/internal/order/submit.go
+++ b/internal/order/submit.go
@@ -6,6 +6,9 @@
 	"github.com/chestnutroad/chestnutroad"
 )
 
+// keyLimit is the longest idempotency key, in bytes; each host remembers each key for the repeat window.
+const keyLimit = 255
+
 // Submit takes a request to run an order. A request that is submitted again while it waits is answered once.
 func (mc *Machine) Submit(now time.Time, order Order) []Action {
 	mc.expire(now)
@@ -14,6 +17,10 @@
 }
 
 func (mc *Machine) submit(now time.Time, order Order) {
+	if len(order.Key) > keyLimit {
+		mc.refuse(order.Request, refuseKeyLength())
+		return
+	}
 	wt := waiter{request: order.Request, deadline: mc.deadline(now, order.Deadline)}
 	if !now.Before(wt.deadline) {
 		mc.refuse(order.Request, refuseLate(true))
--- a/internal/record/orders.go
+++ b/internal/record/orders.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -67,13 +68,46 @@
 	Entries []Entry
 }
 
+// OrdersBuilder makes an Orders record entry by entry, so that its size is known on the way.
+type OrdersBuilder struct{ data []byte }
+
+const (
+	ordersHead = `{"Type":"` + string(TypeOrders) + `","Entries":[`
+	ordersTail = `]}`
+)
+
+// Add appends an entry.
+func (ob *OrdersBuilder) Add(entry *Entry) {
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode an entry of type %s", entry.Type))
+	}
+	if len(ob.data) > 0 {
+		ob.data = append(ob.data, ',')
+	}
+	ob.data = append(ob.data, data...)
+}
+
+// Size returns the size of the record in bytes; it is 0 without entries.
+func (ob *OrdersBuilder) Size() int {
+	if len(ob.data) == 0 {
+		return 0
+	}
+	return len(ordersHead) + len(ob.data) + len(ordersTail)
+}
+
+// Record returns the log record.
+func (ob *OrdersBuilder) Record() []byte {
+	return slices.Concat([]byte(ordersHead), ob.data, []byte(ordersTail))
+}
+
 // EncodeOrders returns the log record for the entries.
 func EncodeOrders(entries []Entry) []byte {
-	data, err := json.Marshal(Orders{Type: TypeOrders, Entries: entries})
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode %d order entries", len(entries)))
+	var ob OrdersBuilder
+	for index := range entries {
+		ob.Add(&entries[index])
 	}
-	return data
+	return ob.Record()
 }
 
 // DecodeOrders returns the entries of an Orders record.
