--- a/internal/pool/bound.go
+++ b/internal/pool/bound.go
@@ -19,12 +19,24 @@
 	return pl.work / pl.targets
 }
 
+// load is the load that the owner assumes: its own book and the work of other owners that the last report shows.
+//
+// That equals the report plus the own admissions and less the own ends since it was taken. Others' work fades with the
+// report's age by the mean time that work stays, as it ends unseen: taken at its full value, two owners of one shard
+// both fill the targets that look empty to them.
+func (ow *Owner) load(now time.Time, tg *target) chestnutroad.WorkUnits {
+	if !tg.othersKnown(now) {
+		return tg.book
+	}
+	return tg.book + chestnutroad.WorkUnits(float64(tg.othersWork)*ow.drain.fade(now.Sub(tg.reportAt)))
+}
+
 // ownLoad sums the shard's own targets that may receive work.
 func (ow *Owner) ownLoad(now time.Time) poolLoad {
 	var pl poolLoad
 	for _, tg := range ow.targets {
 		if tg.eligible(now) {
-			pl.work += float64(tg.knownLoad(now))
+			pl.work += float64(ow.load(now, tg))
 			pl.targets++
 		}
 	}
@@ -76,10 +88,12 @@
 // over says whether a target breaks the bound: it is above the multiple of the mean and the floor, and above the mean
 // even without its largest request.
 func (st *settings) over(load, largest chestnutroad.WorkUnits, pl poolLoad) bool {
-	if load <= st.loadFloor || float64(load) <= st.multiple*pl.mean() {
-		return false
-	}
-	return float64(load-largest) > pl.mean()
+	return float64(load) > st.limit(pl) && float64(load-largest) > pl.mean()
+}
+
+// limit is the multiple of the mean, or the floor when that is higher.
+func (st *settings) limit(pl poolLoad) float64 {
+	return max(st.multiple*pl.mean(), float64(st.loadFloor))
 }
 
 // slotsFor returns the slots that a request of this urgency may use on the target.
@@ -110,5 +124,5 @@
 	if !ow.pastTakeover(now, tg) {
 		return len(tg.running) == 0 || tg.book+work <= ow.settings.loadFloor
 	}
-	return ow.settings.fits(tg.load(now), work, pl)
+	return ow.settings.fits(ow.load(now, tg), work, pl)
 }
--- a/internal/pool/handover.go
+++ b/internal/pool/handover.go
@@ -35,7 +35,7 @@
 	places := map[lifeIndex]uint32{}
 	for index, tg := range ow.targets {
 		places[tg.life] = uint32(index)
-		state.Targets = append(state.Targets, tg.handover(ow.latest))
+		state.Targets = append(state.Targets, ow.exportTarget(ow.latest, tg))
 	}
 	ow.table.each(func(en tableEntry) {
 		place, found := places[en.life]
@@ -53,14 +53,14 @@
 	return buffer.Bytes()
 }
 
-func (tg *target) handover(now time.Time) handoverTarget {
+func (ow *Owner) exportTarget(now time.Time, tg *target) handoverTarget {
 	age := time.Duration(-1)
 	if !tg.since.IsZero() {
 		age = now.Sub(tg.since)
 	}
 	return handoverTarget{
 		ID: tg.id, Incarnation: tg.incarnation, Leaving: tg.leaving(), SlowStartAge: age,
-		Work: tg.knownLoad(now), Running: tg.busy(now),
+		Work: ow.load(now, tg), Running: tg.busy(now),
 	}
 }
 
@@ -109,8 +109,6 @@
 	tg.othersSeen = true
 	tg.othersWork = work
 	tg.othersCount = running
-	tg.reported = tg.book + work
-	tg.startedSince = 0
 }
 
 func (ow *Owner) importChat(now time.Time, chat chestnutroad.ChatID, state *handover, index int) {
--- a/internal/pool/move.go
+++ b/internal/pool/move.go
@@ -33,25 +33,19 @@
 // worst returns the most loaded target above the bound, without those from which nothing can be moved.
 func (ow *Owner) worst(now time.Time, pl poolLoad, stuck []*target) *target {
 	var worst *target
+	highest := ow.settings.limit(pl)
 	for _, tg := range ow.targets {
-		if !tg.eligible(now) || (worst != nil && tg.knownLoad(now) <= worst.knownLoad(now)) {
+		load := ow.load(now, tg)
+		if float64(load) <= highest || !tg.eligible(now) || slices.Contains(stuck, tg) {
 			continue
 		}
-		if ow.exceeds(now, tg, pl) && !slices.Contains(stuck, tg) {
-			worst = tg
+		if ow.settings.over(load, tg.largest(), pl) {
+			worst, highest = tg, float64(load)
 		}
 	}
 	return worst
 }
 
-func (ow *Owner) exceeds(now time.Time, tg *target, pl poolLoad) bool {
-	load := tg.knownLoad(now)
-	if load <= ow.settings.loadFloor || float64(load) <= ow.settings.multiple*pl.mean() {
-		return false
-	}
-	return ow.settings.over(load, tg.largest(), pl)
-}
-
 // moveOne moves the youngest resumable stream of the target that fits elsewhere.
 func (ow *Owner) moveOne(now time.Time, from *target, pl poolLoad) (Action, bool) {
 	var youngest *request
@@ -85,11 +79,11 @@
 	after := poolLoad{work: pl.work + float64(work-rq.work), targets: pl.targets}
 	var least *target
 	for _, tg := range ow.targets {
-		if tg == from || (least != nil && tg.load(now) >= least.load(now)) {
+		if tg == from || (least != nil && ow.load(now, tg) >= ow.load(now, least)) {
 			continue
 		}
-		load := tg.load(now) + work
-		if load >= from.knownLoad(now) || !ow.open(now, tg, rq) || !ow.pastTakeover(now, tg) {
+		load := ow.load(now, tg) + work
+		if load >= ow.load(now, from) || !ow.open(now, tg, rq) || !ow.pastTakeover(now, tg) {
 			continue
 		}
 		if !ow.settings.over(load, max(work, tg.largest()), after) {
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -94,7 +94,7 @@
 func (ow *Owner) leastLoaded(now time.Time, rq *request, work chestnutroad.WorkUnits, pl poolLoad) *target {
 	var least *target
 	for _, tg := range ow.targets {
-		if least != nil && tg.load(now) >= least.load(now) {
+		if least != nil && ow.load(now, tg) >= ow.load(now, least) {
 			continue
 		}
 		if ow.admissible(now, tg, rq, work, pl) {
--- /dev/null
+++ b/internal/pool/place_test.go
@@ -0,0 +1,287 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// desk submits chats one at a time and ends each at once unless it is held.
+type desk struct {
+	*pool.Owner
+	now    time.Time
+	number int
+}
+
+func newDesk(targets int, opts ...pool.Option) *desk {
+	dk := &desk{Owner: pool.New(testShard, opts...), now: testStart}
+	dk.SetTargets(dk.now, listOf(targets))
+	return dk
+}
+
+func listOf(targets int) []pool.Target {
+	listed := make([]pool.Target, targets)
+	for index := range listed {
+		listed[index].ID = chestnutroad.TargetID(fmt.Sprintf("engine-%d", index))
+	}
+	return listed
+}
+
+func (dk *desk) hold(chat chestnutroad.ChatID) pool.Action {
+	dk.number++
+	actions := dk.Submit(dk.now, chestnutroad.Request{
+		ID: chestnutroad.RequestID(fmt.Sprint(dk.number)), Chat: chat, Priority: chestnutroad.PriorityChat,
+		Repeat: chestnutroad.RepeatAllowed, Prompt: 1000, MaxOutput: 100,
+	})
+	if len(actions) == 0 {
+		return pool.Action{}
+	}
+	return actions[0]
+}
+
+func (dk *desk) turn(chat chestnutroad.ChatID) pool.Action {
+	ac := dk.hold(chat)
+	dk.Finish(dk.now, ac.Request)
+	return ac
+}
+
+func (dk *desk) places(chats int) map[chestnutroad.ChatID]chestnutroad.TargetID {
+	places := map[chestnutroad.ChatID]chestnutroad.TargetID{}
+	for chat := range chestnutroad.ChatID(chats) {
+		places[chat+1] = dk.turn(chat + 1).Target
+	}
+	return places
+}
+
+// Guards against chats that lose their context when targets join, leave, flap or come back to their list.
+func TestReturningChatsStay(t *testing.T) {
+	const chats = 500
+	cases := []struct {
+		name   string
+		change func(dk *desk)
+		lost   chestnutroad.TargetID // the only target whose chats may move
+	}{
+		{"targets join", func(dk *desk) { dk.SetTargets(dk.now, listOf(12)) }, ""},
+		{"a target leaves", func(dk *desk) { dk.SetTargets(dk.now, listOf(9)) }, "engine-9"},
+		{"a target flaps", func(dk *desk) {
+			dk.SetTargets(dk.now, listOf(9))
+			dk.now = dk.now.Add(10 * time.Second)
+			dk.SetTargets(dk.now, listOf(10))
+		}, ""},
+		{"a target restarts empty", func(dk *desk) {
+			dk.Report(dk.now, chestnutroad.LoadReport{Target: "engine-9", Incarnation: 7, Taken: dk.now})
+			dk.now = dk.now.Add(time.Second)
+			dk.Report(dk.now, chestnutroad.LoadReport{Target: "engine-9", Incarnation: 8, Taken: dk.now})
+		}, "engine-9"},
+		{"the owner is replaced", func(dk *desk) {
+			state := dk.Export()
+			dk.Owner = pool.New(testShard)
+			if err := dk.Import(dk.now, state); err != nil {
+				t.Fatal(err)
+			}
+			dk.SetTargets(dk.now, listOf(12))
+		}, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			dk := newDesk(10)
+			before := dk.places(chats)
+			tc.change(dk)
+			for chat, place := range before {
+				ac := dk.turn(chat)
+				if place == tc.lost && ac.Cached > 0 {
+					t.Fatalf("chat %s expects context on %s, which lost it", chat, ac.Target)
+				}
+				if place != tc.lost && (ac.Target != place || ac.Cached == 0) {
+					t.Fatalf("chat %s moved from %s to %s", chat, place, ac.Target)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a moved chat that goes back and loses its context twice.
+func TestMovedChatStaysAtItsNewTarget(t *testing.T) {
+	dk := newDesk(10)
+	home := dk.turn(1).Target
+	dk.SetLeaving(dk.now, home)
+	moved := dk.turn(1).Target
+	listed := listOf(10)
+	for _, leaving := range []bool{true, false} {
+		for index := range listed {
+			listed[index].Leaving = leaving && listed[index].ID == home
+		}
+		dk.SetTargets(dk.now, listed)
+	}
+	if after := dk.turn(1); moved == home || after.Target != moved || after.Cached == 0 {
+		t.Errorf("the chat went from %s to %s and then to %s", home, moved, after.Target)
+	}
+}
+
+// Guards against a new, cold target that gets its full part of the new chats at once.
+func TestSlowStart(t *testing.T) {
+	dk := newDesk(9)
+	dk.SetTargets(dk.now, listOf(10))
+	cases := []struct {
+		after       time.Duration
+		least, most int
+	}{{0, 0, 0}, {15 * time.Second, 30, 70}, {30 * time.Second, 75, 125}}
+	chat := chestnutroad.ChatID(0)
+	for _, tc := range cases {
+		dk.now = testStart.Add(tc.after)
+		got := 0
+		for range 1000 {
+			chat++
+			if dk.turn(chat).Target == "engine-9" {
+				got++
+			}
+		}
+		if got < tc.least || got > tc.most {
+			t.Errorf("%s after it joined the target got %d of 1000 new chats", tc.after, got)
+		}
+	}
+}
+
+// Guards against cache events that are ignored, or that count for an earlier life of the engine.
+func TestCacheEvents(t *testing.T) {
+	dk := newDesk(10)
+	home := dk.turn(1).Target
+	event := chestnutroad.CacheEvent{Target: home, Incarnation: 2, Sequence: 1, Chat: 1, Cached: 400}
+	dk.CacheEvent(dk.now, event)
+	if ac := dk.hold(1); ac.Cached != 400 {
+		t.Errorf("%d tokens expected in the cache after an event of 400", ac.Cached)
+	}
+	event.Sequence, event.Cached = 4, 0
+	dk.CacheEvent(dk.now, event)
+	if ac := dk.hold(1); ac.Cached != 0 || dk.Status(dk.now).Counts.CacheGaps != 1 {
+		t.Errorf("%d tokens expected in the cache after the eviction", ac.Cached)
+	}
+	dk.CacheEvent(dk.now, chestnutroad.CacheEvent{Target: "engine-3", Incarnation: 1, Sequence: 9, Chat: 77, Cached: 500})
+	if ac := dk.hold(77); ac.Target != "engine-3" || ac.Cached != 500 {
+		t.Errorf("a chat of which an event told went to %s with %d tokens", ac.Target, ac.Cached)
+	}
+}
+
+// Guards against a failed request that is run twice, lost or answered with the wrong verdict.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name   string
+		repeat chestnutroad.Repeat
+		kind   pool.FailureKind
+		again  bool
+		resume bool
+		want   chestnutroad.Kind
+		notRun bool
+	}{
+		{"order not run", chestnutroad.RepeatNever, pool.FailureNotRun, true, false, "", false},
+		{"order broken", chestnutroad.RepeatNever, pool.FailureBroken, false, false, chestnutroad.OutcomeUnknown, false},
+		{"order for a target that deduplicates", chestnutroad.RepeatTargetDeduplicates, pool.FailureBroken, true, false, "", false},
+		{"chat broken", chestnutroad.RepeatAllowed, pool.FailureBroken, true, true, "", false},
+		{"chat not run", chestnutroad.RepeatAllowed, pool.FailureNotRun, true, false, "", false},
+		{"bad answer", chestnutroad.RepeatAllowed, pool.FailureBadAnswer, false, false, chestnutroad.BadAnswer, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			ow := pool.New(testShard)
+			ow.SetTargets(testStart, listOf(3))
+			first := ow.Submit(testStart, chestnutroad.Request{ID: "one", Chat: 5, Repeat: tc.repeat, MaxOutput: 10})[0]
+			next := ow.Fail(testStart, "one", tc.kind)[0]
+			if again := next.Type == pool.ActionStart; again != tc.again || next.Target == first.Target || next.Resume != tc.resume {
+				t.Fatalf("first on %s, then %+v", first.Target, next)
+			}
+			if !tc.again && (next.Refusal.Kind != tc.want || next.Refusal.NotRun != tc.notRun) {
+				t.Errorf("refused with %+v", next.Refusal)
+			}
+		})
+	}
+}
+
+// Guards against requests that wait for a loaded shard while another one has room, and against a chat that is then sent
+// back and forth between its contexts.
+func TestRedirect(t *testing.T) {
+	dk := newDesk(1, pool.Slots(1), pool.ReservedShare(0))
+	dk.PeerSummary(dk.now, pool.Summary{Shard: otherSide, Targets: 4, Taken: dk.now})
+	held := dk.hold(1)
+	if ac := dk.hold(2); ac.Type != pool.ActionRedirect || ac.Shard != otherSide {
+		t.Fatalf("a request for a full shard got %+v", ac)
+	}
+	dk.Submit(dk.now, chestnutroad.Request{ID: "third", Chat: 3}, pool.Redirected(3))
+	if waiting := dk.Status(dk.now).Queues; len(waiting) != 1 {
+		t.Error("a request was redirected a fourth time")
+	}
+	dk.Finish(dk.now, held.Request)
+	dk.Finish(dk.now, "third")
+	dk.now = dk.now.Add(time.Second)
+	dk.PeerSummary(dk.now, pool.Summary{Shard: otherSide, Targets: 4, Taken: dk.now})
+	if ac := dk.hold(2); ac.Type != pool.ActionRedirect {
+		t.Errorf("a chat whose context is in the other shard got %+v", ac)
+	}
+	dk.now = dk.now.Add(2 * time.Second)
+	if ac := dk.hold(2); ac.Type != pool.ActionStart {
+		t.Errorf("with the other shard out of reach the chat got %+v", ac)
+	}
+}
+
+// Guards against a former owner that goes on admitting, and against queued requests that nobody answers.
+func TestStepDown(t *testing.T) {
+	dk := newDesk(1, pool.Slots(1), pool.ReservedShare(0))
+	dk.hold(1)
+	dk.hold(2)
+	refused := dk.StepDown(dk.now)
+	if len(refused) != 1 || refused[0].Refusal.Kind != chestnutroad.NotReady || !refused[0].Refusal.NotRun {
+		t.Errorf("stepping down gave %+v", refused)
+	}
+	if ac := dk.hold(3); ac.Type != pool.ActionRefuse {
+		t.Errorf("a former owner gave %+v", ac)
+	}
+}
+
+// Guards against a ranking that moves more chats than a change of the targets requires.
+func TestRankTargetsMovesFewChats(t *testing.T) {
+	candidates := make([]pool.Candidate, 20)
+	for index, tg := range listOf(20) {
+		candidates[index] = pool.Candidate{ID: tg.ID, Shard: testShard, Weight: 1}
+	}
+	candidates[19].Weight = 0.5
+	firsts := map[chestnutroad.TargetID]int{}
+	for chat := range chestnutroad.ChatID(20_000) {
+		ranked := pool.RankTargets(chat, candidates)
+		firsts[ranked[0].ID]++
+		without := pool.RankTargets(chat, candidates[1:])
+		if ranked[0].ID != "engine-0" && without[0].ID != ranked[0].ID {
+			t.Fatalf("chat %s moved from %s to %s without need", chat, ranked[0].ID, without[0].ID)
+		}
+	}
+	for id, count := range firsts {
+		want := 20_000 / 19.5
+		if id == "engine-19" {
+			want /= 2
+		}
+		if float64(count) < 0.85*want || float64(count) > 1.15*want {
+			t.Errorf("%s is first for %d chats, want about %.0f", id, count, want)
+		}
+	}
+}
+
+// Guards against a placement table that outgrows its limit or forgets chats in use before idle ones.
+func TestTableKeepsRecentChats(t *testing.T) {
+	dk := newDesk(4, pool.TableLimit(100))
+	dk.places(500)
+	for chat := chestnutroad.ChatID(401); chat <= 450; chat++ {
+		dk.turn(chat)
+	}
+	for chat := chestnutroad.ChatID(501); chat <= 550; chat++ {
+		dk.turn(chat)
+	}
+	if chats := dk.Status(dk.now).Chats; chats != 100 {
+		t.Errorf("%d chats in a table of 100", chats)
+	}
+	for chat := chestnutroad.ChatID(401); chat <= 450; chat++ {
+		if dk.turn(chat).Cached == 0 {
+			t.Fatalf("chat %s was forgotten", chat)
+		}
+	}
+}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -48,25 +48,26 @@
 	tg.ejectedUntil = time.Time{}
 }
 
-// take compares the report with the own work of its time; what it shows beyond that is work of other owners.
+// take compares the report with the own work of its time; what it shows beyond that is work of other owners. Without
+// such a sign a late report says nothing that the exact book doesn't.
 func (tg *target) take(now time.Time, report chestnutroad.LoadReport) {
 	tg.reportTaken = report.Taken
 	tg.clockAhead = max(tg.clockAhead, report.Taken.Sub(now))
 	tg.reportAt = report.Taken.Add(-tg.clockAhead)
-	tg.reported = report.Work
-	tg.startedSince = 0
-	for _, rq := range tg.running {
-		if rq.started.After(tg.reportAt) {
-			tg.startedSince += rq.work
-		}
-	}
-	work, count := tg.ownAt(tg.reportAt)
-	tg.othersWork = max(0, report.Work-work)
+	work, count := tg.ownAt(tg.reportAt, clockSlack)
+	tg.othersSeen = report.Work > work || report.Running > count
+	work, count = tg.ownAt(tg.reportAt, 0)
 	tg.othersCount = max(0, report.Running-count)
-	tg.othersSeen = tg.othersWork > 0 || tg.othersCount > 0
-	if !tg.othersSeen {
-		tg.othersWork = 0
+	tg.othersWork = max(0, report.Work-work, shareOf(report, tg.othersCount))
+}
+
+// shareOf returns the part of the reported work that falls on so many of the running requests. Own work is booked in full
+// until it ends, so that the difference to the book is too small where the engine reports the work that remains.
+func shareOf(report chestnutroad.LoadReport, count int) chestnutroad.WorkUnits {
+	if report.Running <= 0 {
+		return 0
 	}
+	return report.Work * chestnutroad.WorkUnits(count) / chestnutroad.WorkUnits(report.Running)
 }
 
 // CacheEvent takes an engine's word on its prefix cache; events may be late or missing.
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -52,5 +52,5 @@
 func (rq *request) refuse(kind chestnutroad.Kind, message string, retryAfter time.Duration) Action {
 	refusal := chestnutroad.Refuse(kind, message).After(retryAfter)
 	refusal.NotRun = !rq.ran
-	return Action{Type: ActionRefuse, Request: rq.ID, Refusal: refusal, Resume: rq.resume}
+	return Action{Type: ActionRefuse, Request: rq.ID, Refusal: refusal}
 }
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -23,6 +23,9 @@
 		ow.counts.Refused++
 		return []Action{refusal}
 	}
+	if rs := ow.knownShard(rq); rs != nil && rq.redirects == 0 && ow.admits(now, rs, rq) {
+		return []Action{ow.redirect(now, rq, rs)}
+	}
 	ow.requests[rq.ID] = rq
 	rq.work = rq.workWith(ow.cachedAnywhere(rq))
 	ow.queue.add(rq, ow.settings.teamWeight(rq.Team))
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -97,37 +97,33 @@
 	return fresh
 }
 
-// redirectFor returns the shard that should take a request for which no own target is admissible: the one to which the
-// chat was redirected before, otherwise the one with the lowest mean.
+// redirectFor returns the shard with the lowest mean when no own target is admissible and that shard has room.
 func (ow *Owner) redirectFor(now time.Time, rq *request) (*remoteShard, bool) {
 	if rq.redirects >= redirectLimit {
 		return nil, false
 	}
-	pl := ow.admissionLoad(now)
-	if rs := ow.knownShard(rq); rs != nil && ow.takes(now, rs, rq, pl) {
-		return rs, true
-	}
+	own := ow.ownLoad(now)
 	var lowest *remoteShard
 	for _, rs := range ow.remotes {
-		if (lowest == nil || rs.mean() < lowest.mean()) && ow.takes(now, rs, rq, pl) {
+		if own.targets > 0 && rs.mean() >= own.mean() {
+			continue
+		}
+		if (lowest == nil || rs.mean() < lowest.mean()) && ow.admits(now, rs, rq) {
 			lowest = rs
 		}
 	}
 	return lowest, lowest != nil
 }
 
-// takes says whether the shard's average target would admit the request, and so surely its least loaded one by load.
-func (ow *Owner) takes(now time.Time, rs *remoteShard, rq *request, pl poolLoad) bool {
+// admits says whether the shard's average target would admit the request, and so its least loaded one.
+func (ow *Owner) admits(now time.Time, rs *remoteShard, rq *request) bool {
 	if rs.last.Queued > 0 || !rs.fresh(now, ow.settings.summaryMaxAge) {
 		return false
 	}
-	own := ow.ownLoad(now)
-	if own.targets > 0 && rs.mean() >= own.mean() {
-		return false
-	}
-	return ow.settings.fits(chestnutroad.WorkUnits(rs.mean()), rq.workWith(0), pl)
+	return ow.settings.fits(chestnutroad.WorkUnits(rs.mean()), rq.workWith(0), ow.admissionLoad(now))
 }
 
+// knownShard returns the shard to which the chat was redirected last; its context is there.
 func (ow *Owner) knownShard(rq *request) *remoteShard {
 	if rq.Chat == 0 {
 		return nil
@@ -140,9 +136,11 @@
 }
 
 func (ow *Owner) redirect(now time.Time, rq *request, rs *remoteShard) Action {
-	ow.queue.remove(rq)
-	delete(ow.requests, rq.ID)
-	rs.sent += rq.work
+	if ow.queued(rq) {
+		ow.queue.remove(rq)
+		delete(ow.requests, rq.ID)
+	}
+	rs.sent += rq.workWith(0)
 	ow.counts.Redirected++
 	if rq.Chat != 0 {
 		ow.table.put(now, rq.Chat, rs.life, 0)
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -44,14 +44,12 @@
 	book    chestnutroad.WorkUnits
 	ended   []endedRequest
 
-	reported     chestnutroad.WorkUnits
-	reportTaken  time.Time // by the engine's clock
-	reportAt     time.Time // reportTaken by the owner's clock
-	clockAhead   time.Duration
-	othersSeen   bool
-	othersWork   chestnutroad.WorkUnits
-	othersCount  int
-	startedSince chestnutroad.WorkUnits
+	reportTaken time.Time // by the engine's clock
+	reportAt    time.Time // reportTaken by the owner's clock
+	clockAhead  time.Duration
+	othersSeen  bool
+	othersWork  chestnutroad.WorkUnits
+	othersCount int
 
 	failures     int
 	ejections    int
@@ -67,7 +65,9 @@
 
 func (tg *target) leaving() bool { return tg.listLeaving || !tg.heardLeaving.IsZero() }
 
-func (tg *target) ejected(now time.Time) bool { return now.Before(tg.ejectedUntil) }
+func (tg *target) ejected(now time.Time) bool {
+	return !tg.ejectedUntil.IsZero() && now.Before(tg.ejectedUntil)
+}
 
 // eligible says whether the target may receive new work and counts in the pool's mean.
 func (tg *target) eligible(now time.Time) bool {
@@ -86,24 +86,6 @@
 	return tg.othersSeen && now.Sub(tg.reportAt) < reportMaxAge
 }
 
-// load is the load that the owner assumes: its own book, or the last report plus own admissions since when the report
-// shows work of another owner. Without such a sign a late report says nothing that the exact book doesn't.
-func (tg *target) load(now time.Time) chestnutroad.WorkUnits {
-	if !tg.othersKnown(now) {
-		return tg.book
-	}
-	return max(tg.book, tg.reported+tg.startedSince)
-}
-
-// knownLoad is the least load that is certain; the pool's mean is taken from it, so that an error makes the bound
-// stricter.
-func (tg *target) knownLoad(now time.Time) chestnutroad.WorkUnits {
-	if !tg.othersKnown(now) {
-		return tg.book
-	}
-	return tg.book + tg.othersWork
-}
-
 // busy is the number of requests that the target is known to run.
 func (tg *target) busy(now time.Time) int {
 	if !tg.othersKnown(now) {
@@ -129,9 +111,6 @@
 	rq.slot = len(tg.running)
 	tg.running = append(tg.running, rq)
 	tg.book += work
-	if now.After(tg.reportAt) {
-		tg.startedSince += work
-	}
 }
 
 // end takes the request off the book.
@@ -141,9 +120,6 @@
 	last.slot = rq.slot
 	tg.running = tg.running[:len(tg.running)-1]
 	tg.book -= rq.work
-	if rq.started.After(tg.reportAt) {
-		tg.startedSince -= rq.work
-	}
 	if len(tg.ended) >= endedKept {
 		tg.ended = append(tg.ended[:0], tg.ended[endedKept/2:]...)
 	}
@@ -152,17 +128,17 @@
 }
 
 // ownAt returns the owner's own requests that may have run on the target at that time.
-func (tg *target) ownAt(at time.Time) (chestnutroad.WorkUnits, int) {
+func (tg *target) ownAt(at time.Time, slack time.Duration) (chestnutroad.WorkUnits, int) {
 	var work chestnutroad.WorkUnits
 	count := 0
 	for _, rq := range tg.running {
-		if !rq.started.After(at.Add(clockSlack)) {
+		if !rq.started.After(at.Add(slack)) {
 			work += rq.work
 			count++
 		}
 	}
 	for _, en := range tg.ended {
-		if !en.started.After(at.Add(clockSlack)) && !en.ended.Before(at.Add(-clockSlack)) {
+		if !en.started.After(at.Add(slack)) && !en.ended.Before(at.Add(-slack)) {
 			work += en.work
 			count++
 		}
