--- /dev/null
+++ b/test/process/fleet_test.go
@@ -0,0 +1,329 @@
+package process
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/load"
+	"github.com/chestnutroad/chestnutroad/internal/operator"
+	"github.com/chestnutroad/chestnutroad/internal/platform"
+	"github.com/chestnutroad/chestnutroad/internal/standin/engine"
+	"github.com/chestnutroad/chestnutroad/internal/standin/service"
+)
+
+const readyLimit = 30 * time.Second
+
+// binaries holds the paths of the built commands.
+var binaries struct{ chestnutroad, standin string }
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	directory, err := os.MkdirTemp("", "chestnutroad")
+	if err != nil {
+		fmt.Println(err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	build := exec.Command("go", "build", "-o", directory, "../../cmd/...") //nolint:noctx // go test's own limit ends it
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Printf("go build: %v\n%s", err, output)
+		return 1
+	}
+	binaries.chestnutroad = filepath.Join(directory, "chestnutroad")
+	binaries.standin = filepath.Join(directory, "standin")
+	return m.Run()
+}
+
+// process is one running command.
+type process struct {
+	name    string
+	command *exec.Cmd
+	stderr  bytes.Buffer
+	address string
+	ended   chan struct{}
+}
+
+// start runs a command and ends it with the test.
+func start(t *testing.T, name, binary string, arguments ...string) (*process, io.Reader) {
+	t.Helper()
+	ps := &process{name: name, ended: make(chan struct{})}
+	ps.command = exec.CommandContext(t.Context(), binary, arguments...)
+	ps.command.Stderr = &ps.stderr
+	stdout, err := ps.command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := ps.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ps.signal(syscall.SIGCONT)
+		ps.signal(syscall.SIGKILL)
+		<-ps.ended
+		if t.Failed() {
+			t.Logf("%s wrote:\n%s", name, tail(ps.stderr.String(), 40))
+		}
+	})
+	return ps, stdout
+}
+
+func tail(text string, lines int) string {
+	all := strings.Split(text, "\n")
+	return strings.Join(all[max(0, len(all)-lines):], "\n")
+}
+
+// signal sends a signal to this process only.
+func (ps *process) signal(signal os.Signal) { _ = ps.command.Process.Signal(signal) }
+
+func (ps *process) wait() {
+	_ = ps.command.Wait()
+	close(ps.ended)
+}
+
+// startStandIn runs a stand-in and reads its address.
+func startStandIn(t *testing.T, name string, arguments ...string) *process {
+	t.Helper()
+	ps, stdout := start(t, name, binaries.standin, arguments...)
+	line, err := bufio.NewReader(stdout).ReadBytes('\n')
+	go ps.wait()
+	var started struct{ Address string }
+	if err != nil || json.Unmarshal(line, &started) != nil {
+		t.Fatalf("%s: no address in %q: %v", name, line, err)
+	}
+	ps.address = started.Address
+	return ps
+}
+
+// fleet is a site of separate processes.
+type fleet struct {
+	log, hostList *process
+	engines       []*process
+	orders        []*process
+	routers       []*router
+}
+
+type router struct {
+	*process
+	id       string
+	caller   string
+	peer     string
+	operator string
+	settings string
+	extra    []string
+}
+
+var centres = []string{"poznan-a", "poznan-b", "konin"}
+
+// startFleet runs a log, a host list, three engines, three order services and as many routers as asked for.
+func startFleet(t *testing.T, routers int) *fleet {
+	t.Helper()
+	fl := &fleet{log: startStandIn(t, "log", "log")}
+	listed := platform.HostsResponse{}
+	for index, centre := range centres {
+		name := fmt.Sprintf("engine-%d", index+1)
+		target := startStandIn(t, name, "engine", "--id", name, "--token-time", "5ms", "--batch-time", "0s")
+		fl.engines = append(fl.engines, target)
+		listed.Hosts = append(listed.Hosts, listedTarget(name, "assistant", centre, target.address))
+		name = fmt.Sprintf("orders-%d", index+1)
+		target = startStandIn(t, name, "service")
+		fl.orders = append(fl.orders, target)
+		listed.Hosts = append(listed.Hosts, listedTarget(name, "orders", centre, target.address))
+	}
+	directory := t.TempDir()
+	file := filepath.Join(directory, "hosts.json")
+	writeJSON(t, file, listed)
+	fl.hostList = startStandIn(t, "host list", "hostlist", "--hosts", file)
+	for index := range routers {
+		fl.routers = append(fl.routers, fl.newRouter(t, directory, index))
+	}
+	for _, rt := range fl.routers {
+		rt.start(t)
+	}
+	fl.publish(t, "../../examples/warta/base.toml", "../../examples/warta/wielkopolska.toml")
+	fl.awaitReady(t)
+	return fl
+}
+
+func listedTarget(name, service, centre, address string) chestnutroad.ListedHost {
+	return chestnutroad.ListedHost{
+		Name: name, Role: chestnutroad.RoleTarget, Service: chestnutroad.ServiceID(service),
+		DataCentre: chestnutroad.DataCentreID(centre), Address: address,
+	}
+}
+
+func writeJSON(t *testing.T, path string, value any) {
+	t.Helper()
+	data, err := json.Marshal(value)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// newRouter writes the process settings of a router; each joins by the first one.
+func (fl *fleet) newRouter(t *testing.T, directory string, index int) *router {
+	t.Helper()
+	ports := freePorts(t, 3)
+	rt := &router{
+		id: fmt.Sprintf("router-%d", index+1), caller: ports[0], peer: ports[1], operator: ports[2],
+		settings: filepath.Join(directory, fmt.Sprintf("router-%d.toml", index+1)),
+	}
+	peers := ""
+	if index > 0 {
+		peers = fmt.Sprintf("Peers = { %s = %q }\n", fl.routers[0].id, fl.routers[0].peer)
+	}
+	text := fmt.Sprintf(`[Host]
+ID = %q
+Site = "wielkopolska"
+DataCentre = %q
+CallerAddress = %q
+PeerAddress = %q
+OperatorAddress = %q
+LogAddress = %q
+HostListAddress = %q
+ClusterKey = "925abff564b434334802067be96b16015db36dd4f86671dc2391ce326700fdac"
+TimelineFile = "router-%d.jsonl"
+LogLevel = "debug"
+%s`, rt.id, centres[index%len(centres)], rt.caller, rt.peer, rt.operator, fl.log.address, fl.hostList.address,
+		index+1, peers)
+	if err := os.WriteFile(rt.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return rt
+}
+
+func (rt *router) start(t *testing.T) {
+	t.Helper()
+	rt.process, _ = start(t, rt.id, binaries.chestnutroad, append([]string{"serve", "--host", rt.settings}, rt.extra...)...)
+	go rt.wait()
+}
+
+// freePorts asks the system for free addresses and holds all of them until the last one is known.
+func freePorts(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// publish publishes settings files and returns the output.
+func (fl *fleet) publish(t *testing.T, files ...string) string {
+	t.Helper()
+	arguments := append([]string{"config", "publish", "--log", fl.log.address}, files...)
+	output, err := exec.CommandContext(t.Context(), binaries.chestnutroad, arguments...).CombinedOutput()
+	if err != nil {
+		t.Fatalf("publish: %v\n%s", err, output)
+	}
+	return string(output)
+}
+
+// awaitReady waits until no router names a reason for which a request could have to wait.
+func (fl *fleet) awaitReady(t *testing.T) {
+	t.Helper()
+	deadline := time.Now().Add(readyLimit)
+	for _, rt := range fl.routers {
+		for {
+			readiness, err := rt.readiness(t)
+			if err == nil && readiness.Ready && len(readiness.Reasons) == 0 {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s is not ready after %v: %+v, %v", rt.id, readyLimit, readiness, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+func (rt *router) readiness(t *testing.T) (operator.Readiness, error) {
+	t.Helper()
+	var readiness operator.Readiness
+	err := getJSON(t, "http://"+rt.operator+operator.PathReady, &readiness)
+	return readiness, err
+}
+
+func getJSON(t *testing.T, url string, into any) error {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// plan returns a load on all routers: chats and orders, checked.
+func (fl *fleet) plan(duration time.Duration) load.Plan {
+	plan := load.Plan{
+		Token: "order-desk-token", Model: "warta-assistant", OrderPath: "/orders", OrderShare: 0.3,
+		Rate: 40, Duration: duration, Chats: 30, MaxTokens: 60, Seed: 11, Tries: 20, CheckChat: checkChat,
+	}
+	for _, rt := range fl.routers {
+		plan.Entries = append(plan.Entries, "http://"+rt.caller)
+	}
+	return plan
+}
+
+func checkChat(body []byte, content string) error {
+	tokens, err := engine.Expected(body, 0)
+	if err != nil {
+		return err
+	}
+	if want := strings.Join(tokens, ""); content != want {
+		return errors.New("the answer is not the one to its own request")
+	}
+	return nil
+}
+
+// checkOrders requires that no order ran twice and that each answered one ran.
+func (fl *fleet) checkOrders(t *testing.T, report *load.Report) {
+	t.Helper()
+	counts := map[string]int{}
+	for _, target := range fl.orders {
+		var executions service.Executions
+		if err := getJSON(t, "http://"+target.address+"/admin/executions", &executions); err != nil {
+			t.Fatal(err)
+		}
+		for _, execution := range executions.Executions {
+			counts[execution.Key] += execution.Count
+		}
+	}
+	for key, count := range counts {
+		if count > 1 {
+			t.Errorf("order %s ran %d times", key, count)
+		}
+	}
+	for key := range report.Receipts() {
+		if counts[key] == 0 {
+			t.Errorf("order %s was answered but did not run", key)
+		}
+	}
+}
