--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	if err := greetServer(conn, cl.key, hello{class: class, host: cl.self}, cl.settings.dialTimeout); err != nil {
+	if err := greetServer(conn, cl.key, hello{class: class, host: cl.self}); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -46,8 +46,8 @@
 
 // greetServer proves the client's key against the server's nonce and checks the server's proof. The nonces keep a
 // recorded handshake from being replayed.
-func greetServer(conn net.Conn, key []byte, hl hello, timeout time.Duration) error {
-	_ = conn.SetDeadline(time.Now().Add(timeout))
+func greetServer(conn net.Conn, key []byte, hl hello) error {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	theirs := make([]byte, nonceSize)
 	if _, err := io.ReadFull(conn, theirs); err != nil {
 		return errors.Wrap(err, "handshake")
@@ -73,8 +73,8 @@
 }
 
 // greetClient checks the client's proof and sends the server's.
-func greetClient(conn net.Conn, key []byte, timeout time.Duration) (hello, error) {
-	_ = conn.SetDeadline(time.Now().Add(timeout))
+func greetClient(conn net.Conn, key []byte) (hello, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	ours := make([]byte, nonceSize)
 	_, _ = rand.Read(ours)
 	if _, err := conn.Write(ours); err != nil {
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -12,6 +12,7 @@
 	missedKeepAlives      = 3
 	defaultIdleTimeout    = 15 * time.Second
 	defaultDialTimeout    = time.Second
+	handshakeTimeout      = 2 * time.Second
 	defaultStateTimeout   = 10 * time.Second
 	defaultPeerLimit      = 256
 	defaultIdleLimit      = 16
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -115,7 +115,7 @@
 		sv.counters.rejected.Inc()
 		return
 	}
-	hl, err := greetClient(conn, sv.key, sv.settings.dialTimeout)
+	hl, err := greetClient(conn, sv.key)
 	<-sv.handshakes
 	if err != nil {
 		sv.counters.rejected.Inc()
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -8,30 +8,48 @@
 // silence closes a connection when a stream waits for a frame for longer than the limit. Time that the receiver spends
 // on a frame does not count, so that a slow reader isn't taken for a silent connection.
 type silence struct {
-	limit  time.Duration
-	timer  *time.Timer
-	silent atomic.Bool
+	limit    time.Duration
+	interval time.Duration
+	timer    *time.Timer
+	// armed is when the wait began, in nanoseconds.
+	armed     atomic.Int64
+	closeConn func()
+	silent    atomic.Bool
 }
 
 func newSilence(st *settings, closeConn func()) *silence {
-	sl := &silence{limit: missedKeepAlives * st.keepAlive}
+	sl := &silence{limit: missedKeepAlives * st.keepAlive, interval: st.keepAlive, closeConn: closeConn}
 	if st.noKeepAlives {
 		return sl
 	}
+	ready := make(chan struct{})
 	sl.timer = time.AfterFunc(sl.limit, func() {
-		sl.silent.Store(true)
-		closeConn()
+		<-ready
+		sl.expired()
 	})
 	sl.timer.Stop()
+	close(ready)
 	return sl
 }
 
 func (sl *silence) wait() {
 	if sl.timer != nil {
+		sl.armed.Store(time.Now().UnixNano())
 		sl.timer.Reset(sl.limit)
 	}
 }
 
+// expired closes the connection, unless the timer is late: then this process itself was paused, and what arrived
+// meanwhile is still to be read.
+func (sl *silence) expired() {
+	if time.Since(time.Unix(0, sl.armed.Load())) > sl.limit+sl.interval {
+		sl.wait()
+		return
+	}
+	sl.silent.Store(true)
+	sl.closeConn()
+}
+
 func (sl *silence) heard() {
 	if sl.timer != nil {
 		sl.timer.Stop()
