--- a/test/process/faults_test.go
+++ b/test/process/faults_test.go
@@ -244,7 +244,7 @@
 // with an older one, while the log is down.
 func TestEmptyRouterDuringLogOutage(t *testing.T) {
 	fl := startFleet(t, 3)
-	fl.publish(t, "../../examples/warta/base.toml", "../../examples/warta/wielkopolska.toml")
+	fl.publish(t)
 	fl.awaitVersion(t, fl.routers, 2)
 	setFaults(t, fl.log, standin.Faults{Down: true})
 	replaced := fl.routers[2]
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -154,7 +154,7 @@
 	for _, rt := range fl.routers {
 		rt.start(t)
 	}
-	fl.publish(t, "../../examples/warta/base.toml", "../../examples/warta/wielkopolska.toml")
+	fl.publish(t)
 	fl.awaitReady(t)
 	return fl
 }
@@ -230,15 +230,14 @@
 	return addresses
 }
 
-// publish publishes settings files and returns the output.
-func (fl *fleet) publish(t *testing.T, files ...string) string {
+// publish publishes the example's settings as the next version.
+func (fl *fleet) publish(t *testing.T) {
 	t.Helper()
-	arguments := append([]string{"config", "publish", "--log", fl.log.address}, files...)
-	output, err := exec.CommandContext(t.Context(), binaries.chestnutroad, arguments...).CombinedOutput()
+	output, err := exec.CommandContext(t.Context(), binaries.chestnutroad, "config", "publish", "--log", fl.log.address,
+		"../../examples/warta/base.toml", "../../examples/warta/wielkopolska.toml").CombinedOutput()
 	if err != nil {
 		t.Fatalf("publish: %v\n%s", err, output)
 	}
-	return string(output)
 }
 
 // awaitReady waits until no router names a reason for which a request could have to wait.
