--- /dev/null
+++ b/internal/order/table_test.go
@@ -0,0 +1,88 @@
+package order
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/record"
+)
+
+// TestTable guards the state that all hosts derive from the log. A step is a host and the number of its claim after "+"
+// for a claim, "-" for a release, "!" for an outcome or "?" for an unknown one; a number is a pause in minutes.
+func TestTable(t *testing.T) {
+	t.Parallel()
+	tests := []struct{ name, steps, holder string }{
+		{"first claim wins", "a+1 b+1", "a1"},
+		{"claim after a release", "a+1 a-1 b+1", "b1"},
+		{"lost claim is never promoted", "a+1 b+1 a-1", ""},
+		{"copy of a lost claim", "a+1 b+1 a-1 b+1", ""},
+		{"copy of a released claim", "a+1 a-1 a+1", ""},
+		{"release before its claim", "a-1 a+1", ""},
+		{"release before an earlier claim", "a-2 a+1", ""},
+		{"release of a later claim", "a+1 a-2", ""},
+		{"release of an earlier claim", "a+2 a-1", "a2"},
+		{"release by another host", "a+1 b-1", "a1"},
+		{"release after the outcome", "a+1 a!1 a-1 b+1", "a1!"},
+		{"release after an unknown outcome", "a+1 a?1 a-1 b+1", "a1?"},
+		{"known after unknown outcome", "a+1 a?1 a!1", "a1!"},
+		{"unknown after known outcome", "a+1 a!1 a?1", "a1!"},
+		{"outcome of a lost claim", "a+1 b+1 b!1", "a1"},
+		{"new claim of a host after its release", "a+1 a-1 a+2", "a2"},
+		{"expired claim", "a+1 a!1 10 b+1", "b1"},
+		{"claim just before it expires", "a+1 a!1 9 b+1", "a1!"},
+		{"late outcome of an expired claim", "a+1 10 b+1 a!1", "b1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			tb := applySteps(tt.steps)
+			copied := newTable()
+			if err := copied.Load(tb.Payload()); err != nil {
+				t.Fatal(err)
+			}
+			if got := holder(tb); got != tt.holder || holder(copied) != got {
+				t.Errorf("holder: got %q, after a snapshot %q, want %q", got, holder(copied), tt.holder)
+			}
+			if count := len(tb.entries); strings.HasPrefix(tt.name, "expired") && count != 1 {
+				t.Errorf("%d entries in the snapshot", count)
+			}
+		})
+	}
+}
+
+func applySteps(steps string) *table {
+	tb := newTable()
+	now := time.Unix(1_800_000_000, 0)
+	types := map[byte]record.EntryType{'+': record.EntryClaim, '-': record.EntryRelease, '!': record.EntryOutcome, '?': record.EntryOutcome}
+	for step := range strings.FieldsSeq(steps) {
+		if minutes, err := strconv.Atoi(step); err == nil {
+			now = now.Add(time.Duration(minutes) * time.Minute)
+			continue
+		}
+		entry := record.Entry{Type: types[step[1]], Key: "key", KeepMs: (10 * time.Minute).Milliseconds()}
+		entry.Claimant = record.Claimant{Host: chestnutroad.HostID(step[:1]), Sequence: uint64(step[2] - '0')}
+		if entry.Type == record.EntryOutcome {
+			entry.Outcome = &Outcome{Unknown: step[1] == '?'}
+		}
+		tb.Apply(chestnutroad.Record{Appended: now, Data: record.EncodeOrders([]record.Entry{entry})})
+	}
+	return tb
+}
+
+func holder(tb *table) string {
+	en := tb.live(Key{Key: "key"})
+	if en == nil || !en.taken() {
+		return ""
+	}
+	text := string(en.claimant.Host) + strconv.FormatUint(en.claimant.Sequence, 10)
+	switch {
+	case en.known():
+		text += "!"
+	case en.outcome != nil:
+		text += "?"
+	}
+	return text
+}
