--- a/internal/order/expire.go
+++ b/internal/order/expire.go
@@ -39,8 +39,7 @@
 
 // claimTimeout refuses an order whose claim was not read back in time, unless another host holds the key.
 func (mc *Machine) claimTimeout(now time.Time, fl *flight) {
-	en := mc.table.live(fl.key)
-	if en != nil && en.taken() && en.claimant != fl.claim && !mc.abandoned(fl.key, en) {
+	if mc.heldElsewhere(fl) {
 		mc.giveUpClaim(now, fl)
 		fl.phase = phaseWaiting
 		mc.resolve(now, fl)
@@ -49,6 +48,12 @@
 	mc.refuseAll(now, fl, refuseLog())
 }
 
+// heldElsewhere reports whether another claim holds the flight's key, so that "not run" could be wrong for the key.
+func (mc *Machine) heldElsewhere(fl *flight) bool {
+	en := mc.table.live(fl.key)
+	return en != nil && en.taken() && en.claimant != fl.claim && !mc.abandoned(fl.key, en)
+}
+
 // refuseExpired refuses the requests whose deadline has passed. "Not run" is true only if the claim is given up with
 // the last one.
 func (mc *Machine) refuseExpired(now time.Time, fl *flight) {
@@ -71,7 +76,7 @@
 	switch {
 	case fl.phase == phaseRunning && request == fl.runner:
 		return refuseUnknown()
-	case fl.phase == phaseRunning, fl.phase == phaseWaiting:
+	case fl.phase == phaseRunning, fl.phase == phaseWaiting, mc.heldElsewhere(fl):
 		return refuseInProgress()
 	default:
 		return refuseLate(last)
--- a/internal/order/snapshot.go
+++ b/internal/order/snapshot.go
@@ -75,7 +75,9 @@
 	en := &entry{digest: stored.Digest, expires: stored.ExpiresMs, outcome: stored.Outcome, barred: stored.Barred}
 	if stored.Claimant != nil {
 		en.claimant = *stored.Claimant
+		en.claimant.Host = chestnutroad.HostID(tb.name(string(en.claimant.Host)))
 		tb.noteLife(en.claimant)
 	}
-	tb.entries[Key{Team: stored.Team, Key: stored.Key}] = en
+	team := chestnutroad.TeamID(tb.name(string(stored.Team)))
+	tb.entries[Key{Team: team, Key: stored.Key}] = en
 }
--- a/internal/order/table.go
+++ b/internal/order/table.go
@@ -55,6 +55,8 @@
 	sweep int64
 	// touched collects the keys whose entry changed since the machine last looked.
 	touched []Key
+	// names has one copy of each host and team, which all entries share.
+	names map[string]string
 	// lives has the latest incarnation of each host that claimed.
 	lives map[chestnutroad.HostID]chestnutroad.Incarnation
 	// lease makes claims without an outcome pass on after that time. Only the baseline in tests sets it.
@@ -62,7 +64,7 @@
 }
 
 func newTable() *table {
-	tb := &table{lives: map[chestnutroad.HostID]chestnutroad.Incarnation{}}
+	tb := &table{names: map[string]string{}, lives: map[chestnutroad.HostID]chestnutroad.Incarnation{}}
 	tb.Reset()
 	return tb
 }
@@ -92,6 +94,8 @@
 }
 
 func (tb *table) applyEntry(step *record.Entry, appended time.Time) {
+	step.Team = chestnutroad.TeamID(tb.name(string(step.Team)))
+	step.Claimant.Host = chestnutroad.HostID(tb.name(string(step.Claimant.Host)))
 	key := Key{Team: step.Team, Key: step.Key}
 	tb.touched = append(tb.touched, key)
 	tb.noteLife(step.Claimant)
@@ -106,6 +110,14 @@
 	}
 }
 
+func (tb *table) name(text string) string {
+	if known, found := tb.names[text]; found {
+		return known
+	}
+	tb.names[text] = text
+	return text
+}
+
 func (tb *table) noteLife(claimant record.Claimant) {
 	tb.lives[claimant.Host] = max(tb.lives[claimant.Host], claimant.Incarnation)
 }
--- a/internal/record/reader.go
+++ b/internal/record/reader.go
@@ -40,6 +40,8 @@
 	kind  Type
 	state State
 	next  chestnutroad.Offset
+	// oldest is the highest oldest offset that the log has reported.
+	oldest chestnutroad.Offset
 	// based is true while the state covers every record below next.
 	based bool
 	// current is true once a based reader has reached the end of the log.
@@ -74,14 +76,15 @@
 
 // Read takes a batch and reports whether the whole state was replaced or lost instead of continued.
 func (rd *Reader) Read(now time.Time, batch chestnutroad.Batch) bool {
+	rd.oldest = max(rd.oldest, batch.Oldest)
 	replaced := rd.checkGap(batch)
-	rd.assemblies.dropBefore(batch.Oldest)
+	rd.assemblies.dropBefore(rd.oldest)
 	for _, rec := range batch.Records {
 		if rec.Offset != rd.next {
 			continue
 		}
 		rd.next++
-		if rd.take(rec, batch.Oldest) {
+		if rd.take(rec) {
 			return true
 		}
 	}
@@ -112,7 +115,7 @@
 }
 
 // take handles one record and reports whether it completed a snapshot that became the base.
-func (rd *Reader) take(rec chestnutroad.Record, oldest chestnutroad.Offset) bool {
+func (rd *Reader) take(rec chestnutroad.Record) bool {
 	if rec.Offset == FirstOffset {
 		rd.covered = later(rd.covered, rec.Appended)
 	}
@@ -126,11 +129,11 @@
 	if err != nil || part.Through >= rec.Offset {
 		return false
 	}
-	return rd.takePart(part, oldest)
+	return rd.takePart(part)
 }
 
-func (rd *Reader) takePart(part *SnapshotPart, oldest chestnutroad.Offset) bool {
-	if part.Through+1 < oldest && !rd.ignoreThrough {
+func (rd *Reader) takePart(part *SnapshotPart) bool {
+	if part.Through+1 < rd.oldest && !rd.ignoreThrough {
 		return false
 	}
 	as := rd.assemblies.of(part.id())
@@ -160,10 +163,10 @@
 	return true
 }
 
-// Import takes a peer's state as base if it is further than the reader's own, and reports whether it did. A gap behind
-// it is found at the next batch.
+// Import takes a peer's state as base if it is further than the reader's own and no record after it is known to be gone,
+// and reports whether it did. A gap that isn't known yet is found at the next batch.
 func (rd *Reader) Import(snapshot Snapshot) bool {
-	if rd.based && snapshot.Through+1 <= rd.next {
+	if rd.based && snapshot.Through+1 <= rd.next || snapshot.Through+1 < rd.oldest {
 		return false
 	}
 	if err := rd.state.Load(snapshot.Payload); err != nil {
--- a/internal/record/reader_test.go
+++ b/internal/record/reader_test.go
@@ -111,6 +111,7 @@
 		{"two writers interleaved", [][]byte{parts[0], other[0], parts[1], other[1], parts[2]}, 2, true, big + "2 "},
 		{"first part expired", parts, 4, false, ""},
 		{"last part missing", parts[:2], 2, false, ""},
+		{"too many parts", [][]byte{encodePart(SnapshotPart{Type: TypeOrderSnapshot, Parts: 1 << 40})}, 2, false, ""},
 		{"damaged part", [][]byte{parts[0], damaged, parts[2]}, 2, false, ""},
 	}
 	for _, tt := range tests {
@@ -161,6 +162,9 @@
 	if lost := rd.Read(testStart, lg.read(rd.From())); !lost || rd.Based() {
 		t.Fatalf("lost %v, based %v after a gap", lost, rd.Based())
 	}
+	if rd.Import(Snapshot{Through: 1, Payload: []byte("0 1 ")}) {
+		t.Error("the reader took a peer's state although record 2 is gone")
+	}
 	lg.add(snapshotOf("one", 2, "0 1 2 ")...)
 	rd.Read(testStart, lg.read(rd.From()))
 	if !rd.Based() || rd.Ready() || rd.From() != 3 {
--- a/internal/record/snapshot.go
+++ b/internal/record/snapshot.go
@@ -16,6 +16,9 @@
 // partSize is the number of payload bytes in one part; base64 adds a third, and the head needs some bytes.
 const partSize = (MaxSize - 1024) / 4 * 3
 
+// maxParts bounds the memory that a damaged record can ask for; it allows for a snapshot of 12 GiB.
+const maxParts = 1 << 16
+
 // Writer names the life of a host that wrote a snapshot.
 type Writer struct {
 	Host        chestnutroad.HostID
@@ -59,7 +62,7 @@
 }
 
 func (pt *SnapshotPart) valid() bool {
-	return pt.Parts > 0 && pt.Part >= 0 && pt.Part < pt.Parts
+	return pt.Parts > 0 && pt.Parts <= maxParts && pt.Part >= 0 && pt.Part < pt.Parts
 }
 
 // EncodeSnapshot returns the log records that hold the snapshot; each stays under MaxSize.
