Keep probes going beside keep-alive frames

The frames of some two hundred idle streams fill the control budget, and the bucket then held nothing for probes (the changed test saw no entry sent). A debit now leaves the size of one datagram.

--- a/internal/member/budget.go
+++ b/internal/member/budget.go
@@ -122,10 +122,13 @@
 	}
 }
 
-// Debit takes bytes out of the bucket that were sent without waiting, such as keep-alive frames on streams.
+// Debit takes bytes out of the bucket that were sent without waiting, such as keep-alive frames on streams. It leaves
+// the size of one datagram: the frames of a few hundred idle streams fill the whole rate, and a host that sends no
+// probes and answers any more is held dead.
 func (bg *Budget) Debit(now time.Time, size int) {
 	bg.fill(now)
-	bg.tokens = max(0, bg.tokens-float64(size))
+	floor := min(bg.tokens, MaxDatagram+UDPOverhead)
+	bg.tokens = max(floor, bg.tokens-float64(size))
 }
 
 // Counts returns what became of the entries of a priority so far.
--- a/internal/peer/control_test.go
+++ b/internal/peer/control_test.go
@@ -162,6 +162,7 @@
 
 // A flood of placement exceptions must neither take the host over its budget nor keep probes from being sent.
 func TestBudgetOnTheWire(t *testing.T) {
+	t.Parallel()
 	first := startPeer(t, "first", nil)
 	second := startPeer(t, "second", []*runningPeer{first})
 	eventually(t, "the peers know each other", 5*time.Second, func() bool { return len(first.Hosts()) == 2 })
