Tell a silent HTTP/2 connection from a peer that does not speak HTTP/2 by the first frame

Under load, with tests on one core, a connection that net/http closed for a missing ping answer was at times called BadAnswer, since bytes had arrived just before. net/http's errors for this and for malformed frames have no types, so the client now looks at the first frame of the connection; any later failure on HTTP/2 is StreamBroken, which can be resumed.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -59,7 +59,7 @@
 	// The inner context cancels the engine's work when the answer returns an error.
 	inner, cancel := context.WithCancel(ctx)
 	defer cancel()
-	at := target.NewAttempt(cl.ping)
+	at := target.NewAttempt()
 	failure := target.Failure{Call: call, Attempt: at, Broken: chestnutroad.StreamBroken}
 	req, err := target.NewRequest(at.Context(inner), cl.address, call)
 	if err != nil {
--- a/internal/engine/poll.go
+++ b/internal/engine/poll.go
@@ -107,7 +107,7 @@
 func (cl *Client) ask(ctx context.Context, method, path string, body []byte, into any) error {
 	inner, cancel := context.WithTimeout(ctx, cl.pollTimeout)
 	defer cancel()
-	at := target.NewAttempt(cl.ping)
+	at := target.NewAttempt()
 	call := &chestnutroad.Call{Method: method, Path: path, Body: body, Repeat: chestnutroad.RepeatAllowed}
 	failure := target.Failure{Call: call, Attempt: at, Broken: chestnutroad.OutcomeUnknown}
 	req, err := target.NewRequest(at.Context(inner), cl.address, call)
--- a/internal/platform/exchange.go
+++ b/internal/platform/exchange.go
@@ -49,7 +49,7 @@
 // get sends a GET request and decodes the answer.
 func (ex *exchanger) get(ctx context.Context, path string, into any) error {
 	call := &chestnutroad.Call{Method: http.MethodGet, Path: path, Repeat: chestnutroad.RepeatAllowed}
-	rp, err := ex.exchange(ctx, target.NewAttempt(0), call)
+	rp, err := ex.exchange(ctx, target.NewAttempt(), call)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
--- a/internal/platform/log.go
+++ b/internal/platform/log.go
@@ -41,7 +41,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, lg.timeout)
 	defer cancel()
-	at := target.NewAttempt(0)
+	at := target.NewAttempt()
 	rp, err := lg.exchange(ctx, at, &chestnutroad.Call{
 		Method: http.MethodPost,
 		Path:   recordsPath(stream),
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -55,7 +55,7 @@
 func (cl *Client) Do(ctx context.Context, call *chestnutroad.Call, answer chestnutroad.Answer) error {
 	inner, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	at := target.NewAttempt(0)
+	at := target.NewAttempt()
 	failure := target.Failure{Call: call, Attempt: at, Broken: chestnutroad.OutcomeUnknown}
 	req, err := target.NewRequest(at.Context(inner), cl.address, call)
 	if err != nil {
--- a/internal/standin/raw/server.go
+++ b/internal/standin/raw/server.go
@@ -81,6 +81,8 @@
 	for {
 		req, err := http.ReadRequest(reader)
 		if err != nil {
+			// What follows the preface of HTTP/2 is no request; the peer decides when the connection ends.
+			_, _ = io.Copy(io.Discard, reader)
 			return
 		}
 		_, err = io.Copy(io.Discard, req.Body)
--- a/internal/target/attempt.go
+++ b/internal/target/attempt.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http/httptrace"
 	"sync/atomic"
-	"time"
 )
 
 // The states of an attempt; untouched changes once, to written or to sealed.
@@ -26,12 +25,10 @@
 	state  atomic.Int32
 	conn   atomic.Pointer[conn]
 	before atomic.Int64
-	// silence is the time without a byte after which a closed HTTP/2 connection counts as silent.
-	silence time.Duration
 }
 
-// NewAttempt returns an attempt; silence is the ping timeout of the transport, zero where it sends no pings.
-func NewAttempt(silence time.Duration) *Attempt { return &Attempt{silence: silence} }
+// NewAttempt returns an attempt of which nothing was written yet.
+func NewAttempt() *Attempt { return new(Attempt) }
 
 // Context returns a context that ties the connections of one RoundTrip to the attempt.
 func (at *Attempt) Context(ctx context.Context) context.Context {
@@ -64,17 +61,15 @@
 }
 
 // broke reports whether err comes from a connection or stream that failed, closed or went silent, rather than from
-// bytes that make no sense.
+// bytes that make no sense. net/http's error for a missing ping answer has no type of its own, and nor have its errors
+// for malformed frames, so that on HTTP/2 only a peer that never spoke HTTP/2 is told from a broken connection.
 func (at *Attempt) broke(err error) bool {
-	if isConnectionError(err) {
-		return true
-	}
 	cn := at.conn.Load()
-	if cn == nil || cn.failed.Load() {
-		return true
+	if cn != nil && cn.shared {
+		return !cn.foreign.Load()
 	}
-	if cn.shared {
-		return at.silence > 0 && cn.quietFor() >= at.silence
+	if isConnectionError(err) || cn == nil || cn.failed.Load() {
+		return true
 	}
 	return cn.received.Load() == at.before.Load()
 }
--- a/internal/target/conn.go
+++ b/internal/target/conn.go
@@ -5,7 +5,6 @@
 	"net"
 	"os"
 	"sync/atomic"
-	"time"
 )
 
 // errSealed is returned to net/http when it tries to write a call that was already reported as not run.
@@ -18,23 +17,22 @@
 	shared   bool
 	attempt  atomic.Pointer[Attempt]
 	received atomic.Int64
-	lastRead atomic.Int64
 	failed   atomic.Bool
+	// foreign is true once a peer on an HTTP/2 connection has sent something other than HTTP/2.
+	foreign atomic.Bool
 }
 
 func newConn(raw net.Conn, shared bool) *conn {
-	cn := &conn{Conn: raw, shared: shared}
-	cn.lastRead.Store(time.Now().UnixNano())
-	return cn
+	return &conn{Conn: raw, shared: shared}
 }
 
 // Read records how much arrived and whether the peer or the network ended the connection.
 func (cn *conn) Read(data []byte) (int, error) {
 	count, err := cn.Conn.Read(data)
-	if count > 0 {
-		cn.received.Add(int64(count))
-		cn.lastRead.Store(time.Now().UnixNano())
+	if cn.shared && cn.received.Load() == 0 && !startsHTTP2(data[:count]) {
+		cn.foreign.Store(true)
 	}
+	cn.received.Add(int64(count))
 	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded) {
 		cn.failed.Store(true)
 	}
@@ -53,7 +51,14 @@
 	return cn.Conn.Write(data)
 }
 
-// quietFor returns the time since the last byte arrived.
-func (cn *conn) quietFor() time.Duration {
-	return time.Duration(time.Now().UnixNano() - cn.lastRead.Load())
+// The first frame of an HTTP/2 server is a SETTINGS frame; the type follows the three bytes of the length (RFC 9113,
+// sections 3.4 and 4.1).
+const (
+	frameTypeIndex    = 3
+	settingsFrameType = 4
+)
+
+// startsHTTP2 reports whether the first bytes from a server may be HTTP/2.
+func startsHTTP2(data []byte) bool {
+	return len(data) <= frameTypeIndex || data[frameTypeIndex] == settingsFrameType
 }
