--- a/internal/host/site_test.go
+++ b/internal/host/site_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -172,3 +174,14 @@
 		}
 	}
 }
+
+// freeAddress asks the system for a free port on loopback.
+func freeAddress(tb testing.TB) netip.AddrPort {
+	tb.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
