--- a/internal/order/read.go
+++ b/internal/order/read.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -14,6 +15,7 @@
 	touched := mc.table.takeTouched()
 	if replaced || !ready && mc.Ready() {
 		mc.resolveAll(now)
+		mc.releaseOrphans(now)
 	} else {
 		mc.resolveKeys(now, touched)
 	}
@@ -35,6 +37,23 @@
 	}
 }
 
+// releaseOrphans frees the keys that a new base shows as held by abandoned claims, which were never read one by one.
+func (mc *Machine) releaseOrphans(now time.Time) {
+	if !mc.Ready() {
+		return
+	}
+	var orphans []Key
+	for key, en := range mc.table.entries {
+		if mc.abandoned(key, en) && mc.flights[key] == nil && mc.table.live(key) != nil {
+			orphans = append(orphans, key)
+		}
+	}
+	slices.SortFunc(orphans, compareKeys)
+	for _, key := range orphans {
+		mc.releaseAbandoned(now, key, mc.table.entries[key].claimant)
+	}
+}
+
 func (mc *Machine) resolveAll(now time.Time) {
 	mc.settleAll(mc.outcomes)
 	mc.settleAll(mc.releases)
