Keep a release until readers have forgotten its claim

On a quiet log the claim outlived the host's memory of its release, so an order that a target had refused stayed claimed.

--- a/internal/order/expire.go
+++ b/internal/order/expire.go
@@ -114,10 +114,16 @@
 	delete(mc.running, fl.runner)
 }
 
+// moot reports whether a release is so old that readers forget its claim. On a quiet log they may do so late.
+func (mc *Machine) moot(now time.Time, wr *write) bool {
+	en := mc.table.live(wr.key)
+	return now.Sub(wr.since) > mc.set.keep() && (en == nil || !en.covers(wr.step.Claimant))
+}
+
 // expireWrites sends entries again whose append has an unknown result, and forgets releases that no longer matter.
 func (mc *Machine) expireWrites(now time.Time, writes map[Key]*write) {
 	for key, wr := range writes {
-		if wr.step.Type == record.EntryRelease && now.Sub(wr.since) > mc.set.keep() {
+		if wr.step.Type == record.EntryRelease && mc.moot(now, wr) {
 			delete(writes, key)
 			continue
 		}
