--- a/internal/order/append.go
+++ b/internal/order/append.go
@@ -49,8 +49,10 @@
 	waiting := mc.queue.writes
 	mc.queue.writes = nil
 	for _, wr := range waiting {
+		writes := mc.writes(wr)
+		mc.settle(writes, wr.key)
 		switch {
-		case wr.state != writeQueued || !mc.wanted(wr):
+		case wr.state != writeQueued || writes[wr.key] != wr:
 		case ba.full():
 			mc.queue.writes = append(mc.queue.writes, wr)
 		default:
@@ -59,11 +61,7 @@
 	}
 }
 
-// wanted reports whether the write is still the latest of its kind for its key and not in the log yet.
-func (mc *Machine) wanted(wr *write) bool {
-	return mc.writes(wr)[wr.key] == wr && !wr.done(mc.table)
-}
-
+// writes returns the map that has the latest write of that kind for each key.
 func (mc *Machine) writes(wr *write) map[Key]*write {
 	if wr.step.Type == record.EntryRelease {
 		return mc.releases
--- a/internal/order/expire.go
+++ b/internal/order/expire.go
@@ -122,7 +122,8 @@
 
 // expireWrites sends entries again whose append has an unknown result, and forgets releases that no longer matter.
 func (mc *Machine) expireWrites(now time.Time, writes map[Key]*write) {
-	for key, wr := range writes {
+	for _, key := range sortedKeys(writes) {
+		wr := writes[key]
 		if wr.step.Type == record.EntryRelease && mc.moot(now, wr) {
 			delete(writes, key)
 			continue
--- a/internal/order/write.go
+++ b/internal/order/write.go
@@ -1,6 +1,7 @@
 package order
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad/internal/record"
@@ -57,3 +58,13 @@
 	}
 	return false
 }
+
+// sortedKeys returns the keys in a fixed order, so that equal inputs give equal appends.
+func sortedKeys(writes map[Key]*write) []Key {
+	keys := make([]Key, 0, len(writes))
+	for key := range writes {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
