Tell the next owner of chats away from their first target

The owner queues an exception for each chat that starts away from its first target in rendezvous order. Reports that reach further back than the remembered ends no longer count as a sign of another owner.

--- /dev/null
+++ b/internal/pool/exception.go
@@ -0,0 +1,62 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// exceptionLimit is the most exceptions that wait to be sent; the oldest are dropped, as they cost only one prefill each.
+const exceptionLimit = 4096
+
+// Exception says that a chat is not at its first target in rendezvous order. The owner tells the host that would take
+// over after a crash, which finds all other chats by the order alone.
+type Exception struct {
+	Chat   chestnutroad.ChatID
+	Target chestnutroad.TargetID
+}
+
+// Exceptions takes up to that many waiting exceptions, the oldest first, for one control message.
+func (ow *Owner) Exceptions(most int) []Exception {
+	count := min(most, len(ow.exceptions))
+	taken := append([]Exception(nil), ow.exceptions[:count]...)
+	ow.exceptions = append(ow.exceptions[:0], ow.exceptions[count:]...)
+	return taken
+}
+
+// TakeException records an exception that the shard's present owner sent.
+func (ow *Owner) TakeException(now time.Time, ex Exception) {
+	if tg := ow.byID[ex.Target]; tg != nil {
+		ow.table.put(now, ex.Chat, tg.life, 0)
+	}
+}
+
+// noteException queues an exception when the chat starts away from the target that a new owner would choose.
+func (ow *Owner) noteException(now time.Time, rq *request, tg *target) {
+	en, found := ow.table.get(rq.Chat)
+	if found && en.life == tg.life {
+		return
+	}
+	if !found && ow.preferred(now, rq.Chat) == tg {
+		return
+	}
+	if len(ow.exceptions) >= exceptionLimit {
+		ow.exceptions = append(ow.exceptions[:0], ow.exceptions[exceptionLimit/2:]...)
+	}
+	ow.exceptions = append(ow.exceptions, Exception{Chat: rq.Chat, Target: tg.id})
+}
+
+// preferred returns the chat's first eligible target in rendezvous order at full weights.
+func (ow *Owner) preferred(now time.Time, chat chestnutroad.ChatID) *target {
+	var first *target
+	var best rankScore
+	for _, tg := range ow.targets {
+		if !tg.eligible(now) {
+			continue
+		}
+		if score := scoreOf(chat, tg.seed, 1); first == nil || best.less(score) {
+			first, best = tg, score
+		}
+	}
+	return first
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -25,7 +25,9 @@
 	table    *placementTable
 	remotes  []*remoteShard
 	drain    drainRate
-	counts   Counts
+	// exceptions wait to be sent to the next owner.
+	exceptions []Exception
+	counts     Counts
 	// latest is the time of the last event.
 	latest time.Time
 }
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -135,7 +135,9 @@
 
 // remember records where the chat's context is or will be.
 func (ow *Owner) remember(now time.Time, rq *request, tg *target, cached chestnutroad.Tokens) {
-	if rq.Chat != 0 {
-		ow.table.put(now, rq.Chat, tg.life, cached)
+	if rq.Chat == 0 {
+		return
 	}
+	ow.noteException(now, rq, tg)
+	ow.table.put(now, rq.Chat, tg.life, cached)
 }
--- a/internal/pool/place_test.go
+++ b/internal/pool/place_test.go
@@ -121,6 +121,35 @@
 	}
 }
 
+// Guards against an owner's crash that loses the places of moved chats, for which the order alone names another target.
+func TestExceptionsReachTheNextOwner(t *testing.T) {
+	dk, next := newDesk(10), newDesk(10)
+	dk.SetLeaving(dk.now, "engine-4")
+	dk.SetTargets(dk.now, listOf(10))
+	before := dk.places(300)
+	dk.SetLeaving(dk.now, "engine-7")
+	moved := 0
+	for chat, place := range before {
+		if place == "engine-7" {
+			before[chat] = dk.turn(chat).Target
+			moved++
+		}
+	}
+	exceptions := dk.Exceptions(1000)
+	if len(exceptions) != moved {
+		t.Errorf("%d exceptions for %d moved chats", len(exceptions), moved)
+	}
+	next.SetLeaving(next.now, "engine-4")
+	for _, ex := range exceptions {
+		next.TakeException(next.now, ex)
+	}
+	for chat, place := range before {
+		if got := next.turn(chat).Target; got != place {
+			t.Fatalf("the next owner sends chat %s to %s instead of %s", chat, got, place)
+		}
+	}
+}
+
 // Guards against a new, cold target that gets its full part of the new chats at once.
 func TestSlowStart(t *testing.T) {
 	dk := newDesk(9)
@@ -227,20 +256,6 @@
 	}
 }
 
-// Guards against a former owner that goes on admitting, and against queued requests that nobody answers.
-func TestStepDown(t *testing.T) {
-	dk := newDesk(1, pool.Slots(1), pool.ReservedShare(0))
-	dk.hold(1)
-	dk.hold(2)
-	refused := dk.StepDown(dk.now)
-	if len(refused) != 1 || refused[0].Refusal.Kind != chestnutroad.NotReady || !refused[0].Refusal.NotRun {
-		t.Errorf("stepping down gave %+v", refused)
-	}
-	if ac := dk.hold(3); ac.Type != pool.ActionRefuse {
-		t.Errorf("a former owner gave %+v", ac)
-	}
-}
-
 // Guards against a ranking that moves more chats than a change of the targets requires.
 func TestRankTargetsMovesFewChats(t *testing.T) {
 	candidates := make([]pool.Candidate, 20)
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -99,20 +99,16 @@
 // Guards against a team below its share that waits or is refused because another surges tenfold.
 func TestTeamBelowItsShareIsNotRefused(t *testing.T) {
 	sp := newShop(2, pool.QueueLimit(30))
+	sent := 0
 	for range 300 {
 		for range 10 {
 			sp.submit("surge", chestnutroad.PriorityChat, 100, time.Hour)
 		}
 		if sp.number%3 == 0 {
 			sp.submit("north", chestnutroad.PriorityChat, 100, time.Hour)
-		}
-		sp.finishFirst(10 * time.Millisecond)
-	}
-	sent := 0
-	for _, team := range sp.teams {
-		if team == "north" {
 			sent++
 		}
+		sp.finishFirst(10 * time.Millisecond)
 	}
 	if refused := len(sp.refused["north"]); refused > 0 || sp.started["north"] < sent-1 {
 		t.Errorf("%d of %d requests started, %d were refused", sp.started["north"], sent, refused)
@@ -171,6 +167,13 @@
 	}
 	sp.apply(sp.Tick(wake))
 	refused := sp.refused["team"]
+	sp.submit("slow", chestnutroad.PriorityChat, 100, time.Hour)
+	sp.submit("slow", chestnutroad.PriorityChat, 100, 1500*time.Millisecond)
+	sp.now = sp.now.Add(600 * time.Millisecond)
+	sp.apply(sp.Tick(sp.now))
+	if late := sp.refused["slow"]; len(late) != 1 || late[0].Kind != chestnutroad.Overloaded {
+		t.Errorf("refused %v, want the request that can no longer start in time", late)
+	}
 	if len(refused) != 2 || refused[1].Kind != chestnutroad.DeadlineExceeded || !refused[1].NotRun {
 		t.Errorf("refused %v, want the deadline as not run", refused)
 	}
--- a/internal/pool/report.go
+++ b/internal/pool/report.go
@@ -55,7 +55,8 @@
 	tg.clockAhead = max(tg.clockAhead, report.Taken.Sub(now))
 	tg.reportAt = report.Taken.Add(-tg.clockAhead)
 	work, count := tg.ownAt(tg.reportAt, clockSlack)
-	tg.othersSeen = report.Work > work || report.Running > count
+	remembered := tg.reportAt.Add(-clockSlack).After(tg.forgotten)
+	tg.othersSeen = remembered && (report.Work > work || report.Running > count)
 	work, count = tg.ownAt(tg.reportAt, 0)
 	tg.othersCount = max(0, report.Running-count)
 	tg.othersWork = max(0, report.Work-work, shareOf(report, tg.othersCount))
--- a/internal/pool/report_test.go
+++ b/internal/pool/report_test.go
@@ -139,15 +139,23 @@
 	}
 }
 
-// Guards against "not run" for a request that an earlier owner had started.
-func TestResumedRequestMayHaveRun(t *testing.T) {
+// Guards against a former owner that goes on admitting, queued requests that nobody answers, and "not run" for a request
+// that an earlier owner had started.
+func TestStepDown(t *testing.T) {
 	dk := newDesk(1, pool.Slots(1))
 	dk.hold(1)
 	dk.Submit(dk.now, chestnutroad.Request{ID: "resumed", Chat: 2, Prompt: 1000, MaxOutput: 100}, pool.Resumed(40))
 	dk.Submit(dk.now, chestnutroad.Request{ID: "new", Chat: 3, Prompt: 1000, MaxOutput: 100})
-	for _, ac := range dk.StepDown(dk.now) {
-		if want := ac.Request == "new"; ac.Refusal.NotRun != want {
-			t.Errorf("%s is refused as not run: %v", ac.Request, ac.Refusal.NotRun)
+	refused := dk.StepDown(dk.now)
+	if len(refused) != 2 {
+		t.Errorf("two requests waited, %d are refused", len(refused))
+	}
+	for _, ac := range refused {
+		if want := ac.Request == "new"; ac.Refusal.NotRun != want || ac.Refusal.Kind != chestnutroad.NotReady {
+			t.Errorf("%s is refused as %+v", ac.Request, ac.Refusal)
 		}
 	}
+	if ac := dk.hold(3); ac.Type != pool.ActionRefuse {
+		t.Errorf("a former owner gave %+v", ac)
+	}
 }
--- a/internal/pool/target.go
+++ b/internal/pool/target.go
@@ -43,6 +43,8 @@
 	running []*request
 	book    chestnutroad.WorkUnits
 	ended   []endedRequest
+	// forgotten is the end of the latest request that ended no longer holds.
+	forgotten time.Time
 
 	reportTaken time.Time // by the engine's clock
 	reportAt    time.Time // reportTaken by the owner's clock
@@ -121,6 +123,7 @@
 	tg.running = tg.running[:len(tg.running)-1]
 	tg.book -= rq.work
 	if len(tg.ended) >= endedKept {
+		tg.forgotten = tg.ended[endedKept/2-1].ended
 		tg.ended = append(tg.ended[:0], tg.ended[endedKept/2:]...)
 	}
 	tg.ended = append(tg.ended, endedRequest{work: rq.work, started: rq.started, ended: now})
