--- /dev/null
+++ b/internal/host/exceptions_test.go
@@ -0,0 +1,51 @@
+package host
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/host/hostpb"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// TestExceptionStoreIsBounded guards against a store that grows for as long as another host owns the shard, and against
+// one that forgets the newest places.
+func TestExceptionStoreIsBounded(t *testing.T) {
+	var store exceptionStore
+	const chats = 3 * keptExceptions
+	for chat := range chats {
+		store.add([]pool.Exception{{Chat: chestnutroad.ChatID(chat + 1), Target: "engine-1"}})
+	}
+	if len(store.order) > keptExceptions || len(store.places) > keptExceptions {
+		t.Errorf("%d exceptions and %d places are kept, want at most %d", len(store.order), len(store.places), keptExceptions)
+	}
+	if store.places[chats] != "engine-1" {
+		t.Error("the newest exception was forgotten")
+	}
+}
+
+// TestMalformedExceptions guards against a message that makes the host read beyond a list.
+func TestMalformedExceptions(t *testing.T) {
+	tests := []struct {
+		name    string
+		message *hostpb.PlacementExceptions
+		valid   bool
+	}{
+		{"valid", &hostpb.PlacementExceptions{Targets: []string{"a"}, Chats: []uint64{1}, Places: []uint32{0}}, true},
+		{"place beyond the targets", &hostpb.PlacementExceptions{Targets: []string{"a"}, Chats: []uint64{1}, Places: []uint32{1}}, false},
+		{"more chats than places", &hostpb.PlacementExceptions{Targets: []string{"a"}, Chats: []uint64{1, 2}, Places: []uint32{0}}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			data, err := proto.Marshal(tt.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, _, err := decodeExceptions("site", data); (err == nil) != tt.valid {
+				t.Errorf("error %v, want valid %v", err, tt.valid)
+			}
+		})
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -132,6 +132,7 @@
 	})
 	ho.control(func(ctx context.Context) { every(ctx, ownershipInterval, func() { ho.ownership.step(ctx) }) })
 	ho.control(func(ctx context.Context) { every(ctx, summaryInterval, ho.shareSummaries) })
+	ho.control(func(ctx context.Context) { every(ctx, exceptionInterval, ho.shareExceptions) })
 	ho.control(func(ctx context.Context) { every(ctx, snapshotInterval, func() { ho.writeSnapshots(ctx) }) })
 	ho.control(func(ctx context.Context) { every(ctx, fetchInterval, func() { ho.fetchMissing(ctx) }) })
 }
--- a/internal/host/link.go
+++ b/internal/host/link.go
@@ -26,6 +26,8 @@
 	Version() (chestnutroad.Version, chestnutroad.Offset)
 	// SendSummary sends a load summary to another host within the control budget.
 	SendSummary(to chestnutroad.HostID, summary pool.Summary)
+	// SendExceptions sends placement exceptions to another host within the control budget.
+	SendExceptions(to chestnutroad.HostID, id chestnutroad.ShardID, exceptions []pool.Exception)
 	// Forward sends a request to the owner of its shard.
 	Forward(ctx context.Context, to member.HostView, shard chestnutroad.ShardID, request *chestnutroad.Request,
 		call *chestnutroad.Call, answer chestnutroad.Answer, redirects int) error
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -28,6 +28,7 @@
 	released []*shard
 	// received holds state that a former owner handed over before this host took the shard.
 	received map[chestnutroad.ShardID][]byte
+	kept     map[chestnutroad.ShardID]*exceptionStore
 }
 
 func newOwnership(host *Host) *ownership {
@@ -36,6 +37,7 @@
 		books:    member.NewOwnership(host.settings.ID),
 		shards:   map[chestnutroad.ShardID]*shard{},
 		received: map[chestnutroad.ShardID][]byte{},
+		kept:     map[chestnutroad.ShardID]*exceptionStore{},
 	}
 }
 
@@ -76,6 +78,9 @@
 	sh.setTargets(ow.host.targets.ofShard(id))
 	ow.host.peers.ObserveEpoch(id, decision.Epoch)
 	fetched := ow.importState(ctx, sh, decision, hosts)
+	if !fetched {
+		ow.applyExceptions(sh)
+	}
 	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
 		return owner.TakeOver(now, decision.Epoch, fetched)
 	})
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -70,15 +70,20 @@
 
 // receivePayload takes in what another host's datagram carries.
 func (ho *Host) receivePayload(_ chestnutroad.HostID, kind member.PayloadKind, data []byte) {
-	if kind != member.LoadSummary {
-		return
-	}
-	summary, err := decodeSummary(ho.settings.Site, data)
-	if err != nil {
-		return
-	}
-	for _, sh := range ho.ownership.owned() {
-		sh.hear(summary)
+	switch kind {
+	case member.LoadSummary:
+		summary, err := decodeSummary(ho.settings.Site, data)
+		if err != nil {
+			return
+		}
+		for _, sh := range ho.ownership.owned() {
+			sh.hear(summary)
+		}
+	case member.PlacementException:
+		id, exceptions, err := decodeExceptions(ho.settings.Site, data)
+		if err == nil {
+			ho.ownership.takeExceptions(id, exceptions)
+		}
 	}
 }
 
