Place new chats on targets at or below the mean

A chat without known context took the first admissible target in rendezvous order, which filled targets up to the bound and left no room for returning chats.

--- a/internal/pool/bound.go
+++ b/internal/pool/bound.go
@@ -23,7 +23,7 @@
 //
 // That equals the report plus the own admissions and less the own ends since it was taken. Others' work fades with the
 // report's age by the mean time that work stays, as it ends unseen: taken at its full value, two owners of one shard
-// both fill the targets that look empty to them (highest load 1.64 times the mean instead of 1.40, reports 1 s late).
+// both fill the targets that look empty to them (highest load 1.66 times the mean instead of 1.37, reports 1 s late).
 func (ow *Owner) load(now time.Time, tg *target) chestnutroad.WorkUnits {
 	if !tg.othersKnown(now) {
 		return tg.book
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -104,11 +105,24 @@
 	return least
 }
 
-// firstInOrder returns the first admissible target in rendezvous order.
+// firstInOrder returns the first target in rendezvous order for a chat without known context: the first at or below the
+// mean, or the first admissible one when there is none. New chats that stay off the targets near the bound leave room
+// there for returning ones and save moves.
 func (ow *Owner) firstInOrder(now time.Time, rq *request, work chestnutroad.WorkUnits, pl poolLoad) *target {
+	if tg := ow.firstUpTo(now, rq, work, pl, pl.mean()); tg != nil {
+		return tg
+	}
+	return ow.firstUpTo(now, rq, work, pl, math.Inf(1))
+}
+
+// firstUpTo returns the first admissible target in rendezvous order of those up to that load.
+func (ow *Owner) firstUpTo(now time.Time, rq *request, work chestnutroad.WorkUnits, pl poolLoad, most float64) *target {
 	var first *target
 	var best rankScore
 	for _, tg := range ow.targets {
+		if float64(ow.load(now, tg)) > most {
+			continue
+		}
 		score := scoreOf(rq.Chat, tg.seed, tg.weight(now, ow.settings.slowStart))
 		if first != nil && score.less(best) {
 			continue
