--- a/internal/standin/raw/script.go
+++ b/internal/standin/raw/script.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -13,6 +14,9 @@
 // resetDelay lets the bytes before a reset arrive, since a reset discards what the peer has not read.
 const resetDelay = 50 * time.Millisecond
 
+// repeatsPerWrite keeps an endless answer from being slowed down by small writes.
+const repeatsPerWrite = 256
+
 // Say answers with the text and keeps the connection open.
 func Say(text string) Script {
 	return func(connection net.Conn, _ *http.Request) { _, _ = io.WriteString(connection, text) }
@@ -41,9 +45,10 @@
 // SayForever answers with the first text, and then with the other one until the peer closes the connection.
 func SayForever(first, again string) Script {
 	return func(connection net.Conn, _ *http.Request) {
+		block := strings.Repeat(again, repeatsPerWrite)
 		_, err := io.WriteString(connection, first)
 		for err == nil {
-			_, err = io.WriteString(connection, again)
+			_, err = io.WriteString(connection, block)
 		}
 	}
 }
