--- /dev/null
+++ b/internal/replay/cache.go
@@ -0,0 +1,56 @@
+package replay
+
+import (
+	"container/list"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// prefixCache keeps the contexts of chats, the most recently used ones up to a number of tokens.
+type prefixCache struct {
+	limit   chestnutroad.Tokens
+	size    chestnutroad.Tokens
+	entries map[chestnutroad.ChatID]*list.Element
+	order   *list.List // of cachedChat, the most recently used first
+}
+
+type cachedChat struct {
+	chat   chestnutroad.ChatID
+	tokens chestnutroad.Tokens
+}
+
+func newPrefixCache(limit chestnutroad.Tokens) *prefixCache {
+	return &prefixCache{limit: limit, entries: map[chestnutroad.ChatID]*list.Element{}, order: list.New()}
+}
+
+// get returns the cached tokens of the chat and counts as a use.
+func (pc *prefixCache) get(chat chestnutroad.ChatID) chestnutroad.Tokens {
+	el := pc.entries[chat]
+	if el == nil {
+		return 0
+	}
+	pc.order.MoveToFront(el)
+	return el.Value.(cachedChat).tokens
+}
+
+// put stores the chat's context and returns the chats that it evicts.
+func (pc *prefixCache) put(chat chestnutroad.ChatID, tokens chestnutroad.Tokens) []chestnutroad.ChatID {
+	if el := pc.entries[chat]; el != nil {
+		pc.remove(el)
+	}
+	pc.entries[chat] = pc.order.PushFront(cachedChat{chat, tokens})
+	pc.size += tokens
+	var evicted []chestnutroad.ChatID
+	for pc.size > pc.limit {
+		oldest := pc.order.Back()
+		evicted = append(evicted, oldest.Value.(cachedChat).chat)
+		pc.remove(oldest)
+	}
+	return evicted
+}
+
+func (pc *prefixCache) remove(el *list.Element) {
+	entry := pc.order.Remove(el).(cachedChat)
+	delete(pc.entries, entry.chat)
+	pc.size -= entry.tokens
+}
--- /dev/null
+++ b/internal/replay/instance.go
@@ -0,0 +1,229 @@
+package replay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+// instance is one running policy: the owner of a shard, the router of one entry host, or the single router of a pool.
+type instance struct {
+	si      *simulation
+	policy  pool.Policy
+	owner   *pool.Owner // nil unless the policy is an owner
+	service settings.Service
+	shard   chestnutroad.ShardID
+	host    *host // nil for the single router
+	centre  chestnutroad.DataCentreID
+	live    bool
+	routes  map[chestnutroad.RequestID]*route
+}
+
+// route is one request at one instance.
+type route struct {
+	call     *call
+	number   int
+	instance *instance
+	id       chestnutroad.RequestID
+	attempt  *attempt
+	sent     chestnutroad.Tokens
+	// claimed is true once the order log has let the order run.
+	claimed bool
+	// abandoned is true when the entry no longer waits for the answer.
+	abandoned bool
+}
+
+func (si *simulation) newInstance(service settings.Service, policy pool.Policy, ho *host) *instance {
+	in := &instance{
+		si: si, policy: policy, service: service, host: ho, live: true, routes: map[chestnutroad.RequestID]*route{},
+	}
+	if ho != nil {
+		in.centre = ho.DataCentre
+	}
+	in.owner, _ = policy.(*pool.Owner)
+	return in
+}
+
+// submit gives the request to the policy.
+func (in *instance) submit(ca *call, number int) {
+	rt := &route{call: ca, number: number, instance: in, id: ca.attemptID(number), sent: ca.sent}
+	in.routes[rt.id] = rt
+	ca.route = rt
+	req := ca.req
+	req.ID = rt.id
+	opts := []pool.SubmitOption{pool.Redirected(ca.redirects)}
+	if rt.sent > 0 {
+		opts = append(opts, pool.Resumed(rt.sent))
+	}
+	in.apply(in.policy.Submit(in.si.time(), req, opts...))
+}
+
+// apply carries out the actions of the policy.
+func (in *instance) apply(actions []pool.Action) {
+	if !in.live {
+		return
+	}
+	for _, action := range actions {
+		rt := in.routes[action.Request]
+		if rt == nil {
+			continue
+		}
+		switch action.Type {
+		case pool.ActionStart:
+			in.start(rt, action.Target)
+		case pool.ActionMove:
+			in.si.measure.moves++
+			in.cancelAttempt(rt)
+			in.start(rt, action.Target)
+		case pool.ActionRedirect:
+			in.redirect(rt, action.Shard)
+		case pool.ActionRefuse:
+			in.refuse(rt, action.Refusal)
+		}
+	}
+}
+
+func (in *instance) start(rt *route, id chestnutroad.TargetID) {
+	rt.attempt = &attempt{
+		call: rt.call, instance: in, id: rt.id, target: in.si.targets[id], sent: rt.sent, resumed: rt.sent > 0,
+	}
+	if in.ordered(rt) && !rt.claimed {
+		in.host.submitOrder(rt)
+		return
+	}
+	in.dispatch(rt.attempt)
+}
+
+// ordered reports whether the call runs through the order log.
+func (in *instance) ordered(rt *route) bool {
+	return in.owner != nil && rt.call.req.Repeat == chestnutroad.RepeatNever
+}
+
+// dispatch sends the attempt to its target.
+func (in *instance) dispatch(at *attempt) {
+	if !in.si.send(in.centre, at.target.DataCentre, func() { at.target.accept(at) }) {
+		in.si.queue.after(dialTimeout, func() { in.failed(at, pool.FailureNotRun) })
+	}
+}
+
+func (in *instance) progress(at *attempt) {
+	if rt := in.routes[at.id]; rt != nil && rt.attempt == at {
+		rt.sent = at.sent
+		in.policy.Progress(in.si.time(), at.id, at.sent)
+	}
+}
+
+// finished takes the whole answer from the target.
+func (in *instance) finished(at *attempt) {
+	rt := in.routes[at.id]
+	if !in.live || rt == nil || rt.attempt != at {
+		return
+	}
+	delete(in.routes, rt.id)
+	actions := in.policy.Finish(in.si.time(), rt.id)
+	if rt.claimed {
+		in.host.orderDone(rt)
+	} else {
+		in.reply(rt, func(ca *call) { ca.finish("") })
+	}
+	in.apply(actions)
+}
+
+// failed takes the word that the target broke the attempt off.
+func (in *instance) failed(at *attempt, kind pool.FailureKind) {
+	at.over = true
+	rt := in.routes[at.id]
+	if !in.live || rt == nil || rt.attempt != at {
+		return
+	}
+	in.apply(in.policy.Fail(in.si.time(), rt.id, kind))
+}
+
+func (in *instance) refuse(rt *route, refusal *chestnutroad.Refusal) {
+	delete(in.routes, rt.id)
+	if rt.claimed {
+		in.host.orderRefused(rt, refusal)
+		return
+	}
+	in.replyRefused(rt, refusal)
+}
+
+func (in *instance) replyRefused(rt *route, refusal *chestnutroad.Refusal) {
+	in.reply(rt, func(ca *call) { ca.refused(in.shard, refusal) })
+}
+
+func (in *instance) redirect(rt *route, shard chestnutroad.ShardID) {
+	delete(in.routes, rt.id)
+	in.si.measure.redirects++
+	if rt.call.entry != in.host {
+		in.host.control.add(in.si.queue.now, redirectBytes(shard))
+		rt.call.entry.control.add(in.si.queue.now, forwardBytes(&rt.call.req, rt.id))
+	}
+	in.reply(rt, func(ca *call) { ca.redirected(shard) })
+}
+
+// reply sends an answer to the entry host, which ignores it when it has gone on without it.
+func (in *instance) reply(rt *route, fn func(*call)) {
+	if rt.abandoned {
+		return
+	}
+	in.si.send(in.centre, rt.call.entry.DataCentre, func() {
+		if rt.call.done || rt.call.number != rt.number {
+			return
+		}
+		fn(rt.call)
+	})
+}
+
+func (in *instance) cancelAttempt(rt *route) {
+	at := rt.attempt
+	if at == nil || at.over {
+		return
+	}
+	if !at.target.holds(at) {
+		at.over = true // still on its way to the target
+		return
+	}
+	at.target.cancel(at)
+}
+
+// withdraw ends the request because its entry went away or gave up. An order that has its claim runs on.
+func (in *instance) withdraw(rt *route) {
+	if in.routes[rt.id] != rt {
+		return
+	}
+	rt.abandoned = true
+	if in.ordered(rt) && rt.attempt != nil {
+		in.host.cancelOrder(rt)
+		if rt.claimed {
+			return
+		}
+	}
+	delete(in.routes, rt.id)
+	in.cancelAttempt(rt)
+	in.apply(in.policy.Cancel(in.si.time(), rt.id))
+}
+
+// sortedRoutes returns the routes in order of their calls, so that a run is repeatable.
+func (in *instance) sortedRoutes() []*route {
+	routes := make([]*route, 0, len(in.routes))
+	for _, rt := range in.routes {
+		routes = append(routes, rt)
+	}
+	slices.SortFunc(routes, func(one, other *route) int {
+		return cmp.Or(cmp.Compare(one.call.index, other.call.index), cmp.Compare(one.number, other.number))
+	})
+	return routes
+}
+
+// stop ends the instance with its host: the connections to targets and entries break.
+func (in *instance) stop() {
+	in.live = false
+	for _, rt := range in.sortedRoutes() {
+		in.cancelAttempt(rt)
+		rt.call.broken(rt)
+	}
+}
--- /dev/null
+++ b/internal/replay/reports.go
@@ -0,0 +1,59 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// startReports lets the engine report its load until it has gone.
+func (tg *target) startReports() {
+	if !tg.isEngine() {
+		return
+	}
+	interval := time.Duration(tg.si.tr.Header.ReportIntervalMs) * time.Millisecond
+	tg.si.queue.after(time.Duration(tg.si.random.Int64N(int64(interval))), func() { tg.report(interval) })
+}
+
+func (tg *target) report(interval time.Duration) {
+	if tg.gone || tg.si.queue.now > tg.si.end {
+		return
+	}
+	tg.si.queue.after(interval, func() { tg.report(interval) })
+	if !tg.up {
+		return
+	}
+	report := chestnutroad.LoadReport{
+		Target: tg.ID, Incarnation: tg.incarnation, Taken: tg.si.time(),
+		Running: len(tg.running) + len(tg.waiting), Work: tg.work,
+	}
+	lag := time.Duration(tg.si.tr.Header.ReportLagMs) * time.Millisecond
+	tg.si.queue.after(lag, func() {
+		tg.deliver(func(in *instance) []pool.Action { return in.policy.Report(tg.si.time(), report) })
+	})
+}
+
+// cacheEvent announces a change of the cache, late, or not at all.
+func (tg *target) cacheEvent(chat chestnutroad.ChatID, cached chestnutroad.Tokens) {
+	tg.sequence++
+	event := chestnutroad.CacheEvent{
+		Target: tg.ID, Incarnation: tg.incarnation, Sequence: tg.sequence, Chat: chat, Cached: cached,
+	}
+	if tg.si.random.Float64() < tg.si.tr.Header.CacheEventLoss {
+		return
+	}
+	lag := time.Duration(tg.si.tr.Header.CacheEventLagMs) * time.Millisecond
+	tg.si.queue.after(lag, func() {
+		tg.deliver(func(in *instance) []pool.Action { return in.policy.CacheEvent(tg.si.time(), event) })
+	})
+}
+
+// deliver gives an engine's word to the routers that listen to it.
+func (tg *target) deliver(tell func(*instance) []pool.Action) {
+	for _, in := range tg.si.listeners(tg) {
+		if in.live && tg.si.net.reaches(tg.DataCentre, in.centre) {
+			in.apply(tell(in))
+		}
+	}
+}
--- /dev/null
+++ b/internal/replay/simulation.go
@@ -0,0 +1,241 @@
+package replay
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/member"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/pool/baseline"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/internal/trace"
+)
+
+const (
+	// warmUp is the time from the start of the hosts to the trace's time zero; owners are found in it.
+	warmUp = 10 * time.Second
+	// drain is the time after the trace in which the last requests end; it is over the longest usual deadline.
+	drain = 150 * time.Second
+)
+
+// simulation is one run of a trace through one policy.
+type simulation struct {
+	tr        *trace.Trace
+	effective *settings.Effective
+	services  map[chestnutroad.ServiceID]settings.Service
+	entry     baseline.Entry
+	seed      uint64
+	random    *rand.Rand
+	queue     eventQueue
+	start     time.Time
+	// end is when reports and summaries stop.
+	end     time.Duration
+	net     network
+	log     platformLog
+	measure *measures
+
+	targets     map[chestnutroad.TargetID]*target
+	targetOrder []*target
+	pools       []*poolLoad
+	hosts       map[chestnutroad.HostID]*host
+	hostOrder   []*host
+	single      map[chestnutroad.ServiceID]*instance
+	open        map[int]*call
+	calls       int
+
+	// candidates and shards are what the platform's list says of the targets.
+	candidates map[chestnutroad.ServiceID][]pool.Candidate
+	shards     []chestnutroad.ShardID
+}
+
+func newSimulation(tr *trace.Trace, effective *settings.Effective, entry baseline.Entry, seed uint64) (*simulation, error) {
+	hd := &tr.Header
+	length := time.Duration(hd.DurationMs) * time.Millisecond
+	si := &simulation{
+		tr: tr, effective: effective, entry: entry, seed: seed, random: rand.New(rand.NewPCG(seed, hd.Seed)),
+		start: time.Unix(1_800_000_000, 0).UTC(), end: warmUp + length + drain,
+		services: map[chestnutroad.ServiceID]settings.Service{},
+		net: network{
+			oneWay: time.Duration(hd.OneWayLatencyMs * float64(time.Millisecond)),
+			cut:    map[chestnutroad.DataCentreID]bool{},
+		},
+		log:     platformLog{up: true},
+		targets: map[chestnutroad.TargetID]*target{},
+		hosts:   map[chestnutroad.HostID]*host{},
+		single:  map[chestnutroad.ServiceID]*instance{},
+		open:    map[int]*call{},
+	}
+	for _, service := range effective.Services {
+		si.services[service.ID] = service
+	}
+	si.measure = newMeasures(si)
+	for _, tg := range hd.Targets {
+		if _, known := si.services[tg.Service]; !known {
+			return nil, errors.Newf("the settings have no service %q, which the trace's target %s belongs to", tg.Service, tg.ID)
+		}
+	}
+	return si, nil
+}
+
+// time returns the present time by all clocks; clocks agree in a replay.
+func (si *simulation) time() time.Time { return si.start.Add(si.queue.now) }
+
+// run replays the trace to its end.
+func (si *simulation) run() {
+	si.setUp()
+	for index := range si.tr.Events {
+		ev := &si.tr.Events[index]
+		si.queue.at(warmUp+time.Duration(ev.AtMs)*time.Millisecond, func() { si.handle(ev) })
+	}
+	si.queue.run(si.end, si.settled)
+}
+
+// setUp starts the site as the header describes it.
+func (si *simulation) setUp() {
+	for _, tg := range si.tr.Header.Targets {
+		si.addTarget(tg).listed = true
+	}
+	for _, description := range si.tr.Header.Hosts {
+		si.newHost(description)
+	}
+	if si.entry.Scope == baseline.ScopePool {
+		for _, service := range si.effective.Services {
+			si.single[service.ID] = si.newInstance(service, si.newPolicy(service), nil)
+		}
+	}
+	for _, ho := range si.hostOrder {
+		si.addRouters(ho)
+		for _, other := range si.hostOrder {
+			ho.views = append(ho.views, member.HostView{
+				Host: member.Host{ID: other.ID, DataCentre: other.DataCentre, Incarnation: other.incarnation()},
+			})
+		}
+	}
+	si.publishList()
+}
+
+func (si *simulation) addTarget(description trace.Target) *target {
+	tg := &target{
+		si: si, Target: description, slots: si.services[description.Service].Slots, up: true, incarnation: 1,
+		pool: si.poolOf(description.Service),
+	}
+	if description.CacheTokens > 0 {
+		tg.cache = newPrefixCache(description.CacheTokens)
+	}
+	si.targets[tg.ID] = tg
+	si.targetOrder = append(si.targetOrder, tg)
+	slices.SortFunc(si.targetOrder, func(one, other *target) int { return cmp.Compare(one.ID, other.ID) })
+	tg.pool.add(tg)
+	tg.startReports()
+	return tg
+}
+
+func (tg *target) shard() chestnutroad.ShardID {
+	return chestnutroad.ShardID{
+		Pool:       chestnutroad.PoolID{Site: tg.si.tr.Header.Site, Service: tg.Service},
+		DataCentre: tg.DataCentre,
+	}
+}
+
+func (tg *target) holds(at *attempt) bool {
+	return slices.Contains(tg.running, at) || slices.Contains(tg.waiting, at)
+}
+
+// addRouters gives the host a router of its own for each service if the policy is one for each host.
+func (si *simulation) addRouters(ho *host) {
+	if si.entry.Scope != baseline.ScopeHost {
+		return
+	}
+	for _, service := range si.effective.Services {
+		in := si.newInstance(service, si.newPolicy(service), ho)
+		ho.instances[service.ID] = in
+		in.apply(in.policy.SetTargets(si.time(), si.listOf(in.sees)))
+	}
+}
+
+func (si *simulation) newPolicy(service settings.Service) pool.Policy {
+	return si.entry.New(baseline.Setup{Seed: si.random.Uint64(), Options: si.ownerOptions(service)})
+}
+
+// ownerOptions returns the owner's options for a service, as internal/host sets them.
+func (si *simulation) ownerOptions(service settings.Service) []pool.Option {
+	fleet := si.effective.Fleet
+	opts := []pool.Option{
+		pool.Multiple(service.Multiple),
+		pool.LoadFloor(service.LoadFloor),
+		pool.QueueLimit(service.QueueLimit),
+		pool.SlowStart(service.SlowStart),
+		pool.Slots(service.Slots),
+		pool.SummaryMaxAge(fleet.SummaryMaxAge),
+		pool.TakeoverDelay(fleet.TakeoverDelay),
+		pool.ReservedShare(fleet.ReservedHeadroom),
+		pool.TableLimit(fleet.PlacementEntries),
+		pool.EjectLimit(fleet.EjectionLimit),
+		pool.Reports(service.Kind == settings.KindEngine),
+		pool.Moves(service.Kind == settings.KindEngine),
+	}
+	for _, team := range si.effective.Teams {
+		opts = append(opts, pool.TeamWeight(team.ID, float64(team.Weight)))
+	}
+	return opts
+}
+
+// listeners returns the instances that hear an engine's reports and events.
+func (si *simulation) listeners(tg *target) []*instance {
+	var heard []*instance
+	switch si.entry.Scope {
+	case baseline.ScopePool:
+		heard = append(heard, si.single[tg.Service])
+	case baseline.ScopeHost:
+		for _, ho := range si.hostOrder {
+			if ho.alive {
+				heard = append(heard, ho.instances[tg.Service])
+			}
+		}
+	case baseline.ScopeShard:
+		for _, ho := range si.hostOrder {
+			if in := ho.owned[tg.shard()]; ho.alive && in != nil {
+				heard = append(heard, in)
+			}
+		}
+	}
+	return heard
+}
+
+// allInstances returns the live instances in a fixed order.
+func (si *simulation) allInstances() []*instance {
+	var all []*instance
+	for _, service := range si.effective.Services {
+		if in := si.single[service.ID]; in != nil {
+			all = append(all, in)
+		}
+	}
+	for _, ho := range si.hostOrder {
+		if !ho.alive {
+			continue
+		}
+		all = append(all, ho.sortedInstances()...)
+		all = append(all, ho.former...)
+		for _, shard := range si.shards {
+			if in := ho.owned[shard]; in != nil {
+				all = append(all, in)
+			}
+		}
+	}
+	return all
+}
+
+// openCalls returns the calls without a final answer in order of arrival.
+func (si *simulation) openCalls() []*call {
+	open := make([]*call, 0, len(si.open))
+	for _, ca := range si.open {
+		open = append(open, ca)
+	}
+	slices.SortFunc(open, func(one, other *call) int { return cmp.Compare(one.index, other.index) })
+	return open
+}
