--- a/internal/cli/application.go
+++ b/internal/cli/application.go
@@ -25,7 +25,6 @@
 	serve     func(ctx context.Context, env *Environment, arguments *Serve) error
 	demo      func(ctx context.Context, env *Environment, arguments *Demo) error
 	load      func(ctx context.Context, env *Environment, arguments *Load) error
-	replay    func(ctx context.Context, env *Environment, arguments *Replay) error
 }
 
 // Application runs verbs.
--- a/internal/cli/verbs.go
+++ b/internal/cli/verbs.go
@@ -71,8 +71,13 @@
 		func() Command { return &Load{} },
 	},
 	{
-		"replay", "send the requests of a recorded trace again",
-		"chestnutroad replay --entry 127.0.0.1:8080 --speed 2 trace.jsonl",
+		"trace generate", "generate a trace of a user's requests and churn",
+		"chestnutroad trace generate --user warta --seed 1",
+		func() Command { return &TraceGenerate{} },
+	},
+	{
+		"replay", "put a trace through routing policies and measure their decisions",
+		"chestnutroad replay --settings base.toml wielkopolska.toml --trace warta.jsonl --policy Owner,Random",
 		func() Command { return &Replay{} },
 	},
 }
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -23,9 +23,9 @@
 	control   controlCounter
 	instances map[chestnutroad.ServiceID]*instance
 
-	books    *member.Ownership
-	views    []member.HostView
-	owned    map[chestnutroad.ShardID]*instance
+	books *member.Ownership
+	views []member.HostView
+	owned map[chestnutroad.ShardID]*instance
 	// former holds the instances of shards that the host gave up, which end what they still run.
 	former   []*instance
 	received map[chestnutroad.ShardID][]byte
--- a/internal/replay/measure.go
+++ b/internal/replay/measure.go
@@ -155,7 +155,7 @@
 }
 
 func (me *measures) refusalCounts() []RefusalCount {
-	counts := []RefusalCount{}
+	counts := make([]RefusalCount, 0, len(me.refusals))
 	for kind, count := range me.refusals {
 		counts = append(counts, RefusalCount{kind, count})
 	}
@@ -176,7 +176,7 @@
 }
 
 func (me *measures) waitResults() []WaitResult {
-	var results []WaitResult
+	results := make([]WaitResult, 0, len(me.waits))
 	for index, histogram := range me.waits {
 		results = append(results, WaitResult{
 			Priority: chestnutroad.Priority(index).String(), Count: histogram.TotalCount(),
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -10,8 +10,9 @@
 
 // Policies returns the names of the policies that Run knows.
 func Policies() []string {
-	var names []string
-	for _, entry := range baseline.Table() {
+	table := baseline.Table()
+	names := make([]string, 0, len(table))
+	for _, entry := range table {
 		names = append(names, entry.Name)
 	}
 	return names
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -162,10 +162,14 @@
 	return si.entry.New(baseline.Setup{Seed: si.random.Uint64(), Options: si.ownerOptions(service)})
 }
 
+// ownerOptionCount is the number of options besides the teams' weights.
+const ownerOptionCount = 12
+
 // ownerOptions returns the owner's options for a service, as internal/host sets them.
 func (si *simulation) ownerOptions(service settings.Service) []pool.Option {
 	fleet := si.effective.Fleet
-	opts := []pool.Option{
+	opts := make([]pool.Option, 0, ownerOptionCount+len(si.effective.Teams))
+	opts = append(opts,
 		pool.Multiple(service.Multiple),
 		pool.LoadFloor(service.LoadFloor),
 		pool.QueueLimit(service.QueueLimit),
@@ -178,7 +182,7 @@
 		pool.EjectLimit(fleet.EjectionLimit),
 		pool.Reports(service.Kind == settings.KindEngine),
 		pool.Moves(service.Kind == settings.KindEngine),
-	}
+	)
 	for _, team := range si.effective.Teams {
 		opts = append(opts, pool.TeamWeight(team.ID, float64(team.Weight)))
 	}
--- a/internal/replay/skew.go
+++ b/internal/replay/skew.go
@@ -54,7 +54,7 @@
 			return pl
 		}
 	}
-	pl := &poolLoad{si: si, service: si.services[id], open: map[chestnutroad.TargetID]*breach{}}
+	pl := &poolLoad{si: si, service: si.services[id], open: map[chestnutroad.TargetID]*breach{}, first: []BreachExample{}}
 	si.pools = append(si.pools, pl)
 	return pl
 }
--- a/internal/trace/traffic.go
+++ b/internal/trace/traffic.go
@@ -111,7 +111,9 @@
 	}
 }
 
-func newChat(rd *rand.Rand) chestnutroad.ChatID { return chestnutroad.ChatID(rd.Uint64()>>(64-chatBits) | 1) }
+func newChat(rd *rand.Rand) chestnutroad.ChatID {
+	return chestnutroad.ChatID(rd.Uint64()>>(64-chatBits) | 1)
+}
 
 // pause draws the time until a chat returns, from seconds to hours, with long ones compressed.
 func pause(rd *rand.Rand) time.Duration {
@@ -162,4 +164,6 @@
 	return chestnutroad.Tokens(math.Round(min(limit, max(1, median*math.Exp(spread*rd.NormFloat64())))))
 }
 
-func drawOutput(rd *rand.Rand) chestnutroad.Tokens { return heavy(rd, outputMedian, outputSpread, outputLimit) }
+func drawOutput(rd *rand.Rand) chestnutroad.Tokens {
+	return heavy(rd, outputMedian, outputSpread, outputLimit)
+}
