--- /dev/null
+++ b/internal/replay/control.go
@@ -0,0 +1,94 @@
+package replay
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/host/hostpb"
+	"github.com/chestnutroad/chestnutroad/internal/member"
+	"github.com/chestnutroad/chestnutroad/internal/peer/peerpb"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+const (
+	// segmentBytes is the data of one TCP segment.
+	segmentBytes = 1440
+	// peerAddress has the length of a usual peer address, which each datagram carries.
+	peerAddress = "10.10.10.10:7000"
+	// membershipBytes is what membership with its epochs costs a host in a second: the busiest of 21 hosts under churn,
+	// as TestControlBytesFitTheTarget of internal/member prints it.
+	membershipBytes = 1067
+)
+
+// controlCounter counts the control bytes that a host sends, by second.
+type controlCounter struct {
+	total   int64
+	seconds []int64
+}
+
+func (cc *controlCounter) add(now time.Duration, bytes int) {
+	second := int(now / time.Second)
+	for len(cc.seconds) <= second {
+		cc.seconds = append(cc.seconds, 0)
+	}
+	cc.seconds[second] += int64(bytes)
+	cc.total += int64(bytes)
+}
+
+// highest returns the bytes of the busiest second.
+func (cc *controlCounter) highest() int64 {
+	var most int64
+	for _, bytes := range cc.seconds {
+		most = max(most, bytes)
+	}
+	return most
+}
+
+// summaryBytes is the size of a load summary on the wire: a membership datagram with the payload that
+// internal/host sends.
+func summaryBytes(ho *host, summary pool.Summary) int {
+	message := member.Message{
+		Type: member.PayloadMessage, From: member.Host{ID: ho.ID, DataCentre: ho.DataCentre, PeerAddress: peerAddress, Incarnation: ho.incarnation()},
+		PayloadKind: member.LoadSummary, Payload: summaryPayload(summary),
+	}
+	data, err := message.Encode()
+	if err != nil {
+		panic(err) // a summary always fits a datagram
+	}
+	return len(data) + member.DatagramOverhead + member.UDPOverhead
+}
+
+func summaryPayload(summary pool.Summary) []byte {
+	data, err := proto.Marshal(&hostpb.LoadSummary{
+		Service: string(summary.Shard.Pool.Service), DataCentre: string(summary.Shard.DataCentre),
+		EpochMillis: summary.Epoch.Millis, EpochHost: string(summary.Epoch.Host), Targets: int64(summary.Targets),
+		Work: int64(summary.Work), Queued: int64(summary.Queued), Drained: int64(summary.Drained),
+		TakenUnixNanos: summary.Taken.UnixNano(),
+	})
+	if err != nil {
+		panic(err) // a message of plain fields always encodes
+	}
+	return data
+}
+
+// redirectBytes is the size of an owner's answer that names another shard.
+func redirectBytes(shard chestnutroad.ShardID) int {
+	return member.TCPOverhead + proto.Size(&peerpb.ForwardDown{RedirectDataCentre: string(shard.DataCentre)})
+}
+
+// forwardBytes is the size of the head of a request that is forwarded once more; the body is the caller's traffic.
+func forwardBytes(req *chestnutroad.Request, id chestnutroad.RequestID) int {
+	return member.TCPOverhead + proto.Size(&peerpb.ForwardUp{Head: &peerpb.RequestHead{
+		Id: string(id), Team: string(req.Team), Service: string(req.Service), Chat: uint64(req.Chat),
+		Priority: int32(req.Priority), Repeat: string(req.Repeat), Key: string(req.Key), PromptTokens: int64(req.Prompt),
+		MaxOutputTokens: int64(req.MaxOutput), DeadlineUnixNanos: req.Deadline.UnixNano(),
+	}})
+}
+
+// stateBytes is the size of a shard's state in TCP segments.
+func stateBytes(state []byte) int {
+	segments := (len(state) + segmentBytes - 1) / segmentBytes
+	return len(state) + segments*member.TCPOverhead
+}
