Drop idle connections to a host when any stream to it breaks

The side that notices silence first closes the connection, and the other side then sees a closed connection rather than a silent one; it kept the idle connections, of which the next call took a silent one (seen once in a run under the race detector). Keep-alive times now come from the monotonic clock.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -263,13 +263,15 @@
 	}
 	if fc.silence != nil && fc.silence.silent.Load() {
 		fc.client.counters.silent.Inc()
-		fc.client.streams.dropIdle(fc.address)
 		err = errSilent
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return written, ctx.Err()
 	}
 	fc.client.counters.broken.Inc()
+	// What broke this connection, be it silence that the other side noticed first, broke the idle ones as well.
+	fc.client.streams.dropIdle(fc.address)
+	fc.client.states.dropIdle(fc.address)
 	return written, refusal(ctx, err, written)
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -142,7 +142,7 @@
 	<-conn.slots.slots
 }
 
-// dropIdle closes the idle connections to a peer, of which one was found silent.
+// dropIdle closes the idle connections to a peer, of which one broke.
 func (pl *connPool) dropIdle(address string) { pl.closeIdle(pl.peer(address), time.Time{}) }
 
 // expire closes connections that have been idle for too long.
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -11,14 +11,21 @@
 	limit    time.Duration
 	interval time.Duration
 	timer    *time.Timer
-	// armed is when the wait began, in nanoseconds.
+	// start is when the stream began; armed is the time from then to the beginning of the wait. Times are taken from the
+	// monotonic clock, so that a step of the wall clock breaks no stream.
+	start     time.Time
 	armed     atomic.Int64
 	closeConn func()
 	silent    atomic.Bool
 }
 
 func newSilence(st *settings, closeConn func()) *silence {
-	sl := &silence{limit: missedKeepAlives * st.keepAlive, interval: st.keepAlive, closeConn: closeConn}
+	sl := &silence{
+		limit:     missedKeepAlives * st.keepAlive,
+		interval:  st.keepAlive,
+		start:     time.Now(),
+		closeConn: closeConn,
+	}
 	if st.noKeepAlives {
 		return sl
 	}
@@ -34,7 +41,7 @@
 
 func (sl *silence) wait() {
 	if sl.timer != nil {
-		sl.armed.Store(time.Now().UnixNano())
+		sl.armed.Store(int64(time.Since(sl.start)))
 		sl.timer.Reset(sl.limit)
 	}
 }
@@ -42,7 +49,7 @@
 // expired closes the connection, unless the timer is late: then this process itself was paused, and what arrived
 // meanwhile is still to be read.
 func (sl *silence) expired() {
-	if time.Since(time.Unix(0, sl.armed.Load())) > sl.limit+sl.interval {
+	if time.Since(sl.start)-time.Duration(sl.armed.Load()) > sl.limit+sl.interval {
 		sl.wait()
 		return
 	}
@@ -59,6 +66,7 @@
 // pulse sends a keep-alive frame whenever a stream has sent nothing for an interval.
 type pulse struct {
 	interval time.Duration
+	start    time.Time
 	last     atomic.Int64
 	stopped  atomic.Bool
 	timer    *time.Timer
@@ -66,7 +74,7 @@
 }
 
 func startPulse(st *settings, send func() error) *pulse {
-	pl := &pulse{interval: st.keepAlive, send: send}
+	pl := &pulse{interval: st.keepAlive, start: time.Now(), send: send}
 	pl.sent()
 	if st.noKeepAlives {
 		return pl
@@ -81,13 +89,13 @@
 }
 
 // sent notes that the stream carried a frame.
-func (pl *pulse) sent() { pl.last.Store(time.Now().UnixNano()) }
+func (pl *pulse) sent() { pl.last.Store(int64(time.Since(pl.start))) }
 
 func (pl *pulse) beat() {
 	if pl.stopped.Load() {
 		return
 	}
-	idle := time.Since(time.Unix(0, pl.last.Load()))
+	idle := time.Since(pl.start) - time.Duration(pl.last.Load())
 	if idle >= pl.interval {
 		if pl.send() != nil {
 			return
