Clear the leaving mark of a machine that is listed anew

A machine that left the host list while leaving and came back under the same name stayed marked for a minute. The random fault test now delays and reorders messages too.

--- a/internal/member/hostlist.go
+++ b/internal/member/hostlist.go
@@ -15,7 +15,8 @@
 	// stamp is zero while no record about the machine exists.
 	stamp int64
 	fold  uint32
-	// named and listedLeaving are what this host's own last list said.
+	// named says whether this host's own last list names the machine, listedLeaving what the last one that did said. A
+	// machine that left the list while leaving and comes back is a new one.
 	named         bool
 	listedLeaving bool
 	// contradicted is since when the list has named the machine as not leaving against the record.
@@ -44,7 +45,6 @@
 	for name, mc := range mb.machines {
 		if !named[name] {
 			mc.named = false
-			mc.listedLeaving = false
 			mc.contradicted = time.Time{}
 		}
 	}
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -22,6 +22,8 @@
 	order uint64
 	opts  []Option
 	loss  float64
+	// delay is the most by which a message is late; messages overtake each other.
+	delay time.Duration
 	// cut says whether messages from one node to another are lost.
 	cut      func(from, to *node) bool
 	messages uint64
@@ -180,6 +182,9 @@
 	nw.order++
 	item.order = nw.order
 	item.at = nw.now.Add(time.Duration(500+nw.rnd.IntN(1500)) * time.Microsecond)
+	if nw.delay > 0 {
+		item.at = item.at.Add(time.Duration(nw.rnd.Int64N(int64(nw.delay))))
+	}
 	heap.Push(&nw.queue, item)
 }
 
--- a/internal/member/random_test.go
+++ b/internal/member/random_test.go
@@ -43,7 +43,9 @@
 	index := rapid.IntRange(0, len(nw.nodes)-1).Draw(rt, "Host")
 	nd := nw.nodes[index]
 	other := nw.nodes[rapid.IntRange(0, len(nw.nodes)-1).Draw(rt, "Other")]
-	switch rapid.IntRange(0, 8).Draw(rt, "Fault") {
+	switch rapid.IntRange(0, 9).Draw(rt, "Fault") {
+	case 9:
+		nw.delay = 800 * time.Millisecond
 	case 0:
 		nw.loss = 0.3
 	case 1:
@@ -63,13 +65,13 @@
 		nd.ObserveEpoch(testShard, chestnutroad.Epoch{Millis: nw.now.UnixMilli(), Host: nd.Self().ID})
 		nd.AnnounceLeaving(nw.now, "engine-1", index%2 == 0)
 	default:
-		nw.loss = 0
+		nw.loss, nw.delay = 0, 0
 		nw.cut = func(_, _ *node) bool { return false }
 	}
 }
 
 func endFaults(nw *network) {
-	nw.loss = 0
+	nw.loss, nw.delay = 0, 0
 	nw.cut = func(_, _ *node) bool { return false }
 	for _, nd := range nw.nodes {
 		nw.wake(nd)
