Refuse a stream over the connection limit at once

Waiting for a free connection made a queue at the entry host that knew nothing of the owner's priorities and shares, and its answer came only at the deadline.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -86,7 +86,8 @@
 
 // Forward sends a request to the host at the address and passes the answer on. It returns nil at the end of the
 // answer, a *Redirect, a *NotOwner, or a *chestnutroad.Refusal whose NotRun is true only when nothing was written to
-// the host or the host said so. An error of the answer's methods, and the cancellation of ctx, come back as they are.
+// the host or the host said so. The body must not change afterwards, since an early answer may come before all of it
+// is sent. An error of the answer's methods, and the cancellation of ctx, come back as they are.
 func (cl *Client) Forward(
 	ctx context.Context, address string, head *peerpb.RequestHead, body []byte, answer chestnutroad.Answer,
 ) error {
@@ -109,7 +110,7 @@
 		return ctx.Err()
 	}
 	if errors.Is(err, errPeerLimit) {
-		return chestnutroad.Refuse(chestnutroad.Overloaded, err.Error())
+		return chestnutroad.Refuse(chestnutroad.Overloaded, err.Error()).After(peerLimitRetry)
 	}
 	return refusal(ctx, err, false)
 }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -14,7 +14,8 @@
 	defaultDialTimeout    = time.Second
 	handshakeTimeout      = 2 * time.Second
 	defaultStateTimeout   = 10 * time.Second
-	defaultPeerLimit      = 256
+	defaultPeerLimit      = 512
+	peerLimitRetry        = time.Second
 	defaultIdleLimit      = 16
 	defaultConnections    = 4096
 	defaultMaxBody        = 8 << 20
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -66,17 +66,14 @@
 	return conns
 }
 
-// take returns an idle connection or a new one; it waits for one when the peer has as many as allowed.
+// take returns an idle connection or a new one. It does not wait when the peer has as many as allowed: a queue here would
+// pass over the owner's priorities and shares.
 func (pl *connPool) take(ctx context.Context, address string) (*pooledConn, error) {
 	conns := pl.peer(address)
 	select {
 	case conns.slots <- struct{}{}:
 	default:
-		select {
-		case conns.slots <- struct{}{}:
-		case <-ctx.Done():
-			return nil, errors.CombineErrors(errPeerLimit, ctx.Err())
-		}
+		return nil, errPeerLimit
 	}
 	if conn := pl.takeIdle(conns); conn != nil {
 		conn.reused = true
