--- a/internal/replay/ownership.go
+++ b/internal/replay/ownership.go
@@ -61,6 +61,8 @@
 	}
 	if state == member.Dead {
 		ho.applyOrders(ho.machine.HostGone(ho.si.time(), about.ID, about.incarnation()))
+	} else {
+		ho.applyOrders(ho.machine.HostBack(ho.si.time(), about.ID, about.incarnation()))
 	}
 	ho.wakeBooks()
 }
