--- a/internal/pool/move.go
+++ b/internal/pool/move.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -48,28 +50,40 @@
 
 // moveOne moves the youngest resumable stream of the target that fits elsewhere.
 func (ow *Owner) moveOne(now time.Time, from *target, pl poolLoad) (Action, bool) {
-	var youngest *request
-	var to *target
+	least := ow.leastLoad(now)
+	var movable []*request
 	for _, rq := range from.running {
-		if !rq.resumable() || (youngest != nil && !rq.moveBefore(youngest)) {
-			continue
+		if rq.resumable() && least+rq.workWith(0) < ow.load(now, from) {
+			movable = append(movable, rq)
 		}
-		if dest := ow.destination(now, from, rq, pl); dest != nil {
-			youngest, to = rq, dest
+	}
+	slices.SortFunc(movable, (*request).compareForMove)
+	for _, rq := range movable {
+		if to := ow.destination(now, from, rq, pl); to != nil {
+			return ow.move(now, rq, from, to), true
 		}
 	}
-	if youngest == nil {
-		return Action{}, false
+	return Action{}, false
+}
+
+// leastLoad is the lowest load of a target that may receive work.
+func (ow *Owner) leastLoad(now time.Time) chestnutroad.WorkUnits {
+	least := chestnutroad.WorkUnits(math.MaxInt64 / 2)
+	for _, tg := range ow.targets {
+		if tg.eligible(now) {
+			least = min(least, ow.load(now, tg))
+		}
 	}
-	return ow.move(now, youngest, from, to), true
+	return least
 }
 
-// moveBefore prefers the stream that was moved less often, then the younger one, which has the least context to lose.
-func (rq *request) moveBefore(other *request) bool {
-	if rq.moves != other.moves {
-		return rq.moves < other.moves
+// compareForMove puts first the stream that was moved less often, then the younger one, which has the least context to
+// lose.
+func (rq *request) compareForMove(other *request) int {
+	if order := cmp.Compare(rq.moves, other.moves); order != 0 {
+		return order
 	}
-	return rq.started.After(other.started)
+	return other.started.Compare(rq.started)
 }
 
 // destination returns the least loaded target on which the stream fits, if that one's load stays below the load of the
