--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// Guards against small drafts that pass a large order which the bound holds back.
+func TestBlockedOrderHoldsBackDrafts(t *testing.T) {
+	dk := newDesk(1)
+	dk.PeerSummary(dk.now, pool.Summary{Shard: otherSide, Targets: 1, Work: 600, Taken: dk.now, Queued: 1})
+	requests := []chestnutroad.Request{
+		{ID: "held", Priority: chestnutroad.PriorityOrder, MaxOutput: 700},
+		{ID: "order", Priority: chestnutroad.PriorityOrder, MaxOutput: 900},
+		{ID: "draft", Priority: chestnutroad.PriorityDraft, MaxOutput: 10},
+	}
+	for index, req := range requests {
+		if started := len(dk.Submit(dk.now, req)) > 0; started != (index == 0) {
+			t.Errorf("%s started: %v", req.ID, started)
+		}
+	}
+}
+
 // Guards against a request that waits although its deadline can't be met, and against a late or wrong answer to it.
 func TestDeadlines(t *testing.T) {
 	sp := newShop(1)
--- a/internal/pool/report_test.go
+++ b/internal/pool/report_test.go
@@ -112,12 +112,13 @@
 	}
 }
 
-// Guards against a bound that an old summary makes looser: what the other shard may have finished since must not count.
+// Guards against a bound that an old summary makes looser: what the other shard may have finished since must
+// not count, and after SummaryMaxAge the shard is left out.
 func TestOldSummariesMakeTheBoundStricter(t *testing.T) {
 	cases := []struct {
 		age    time.Duration
 		starts int
-	}{{0, 1}, {900 * time.Millisecond, 0}}
+	}{{0, 1}, {900 * time.Millisecond, 0}, {1100 * time.Millisecond, 1}}
 	for _, tc := range cases {
 		dk := newDesk(1)
 		dk.Submit(dk.now, chestnutroad.Request{ID: "held", MaxOutput: 700})
--- a/internal/pool/twoowners_test.go
+++ b/internal/pool/twoowners_test.go
@@ -215,3 +215,17 @@
 		})
 	}
 }
+
+// Guards against a report from before the takeover that an engine's fast clock makes look newer.
+func TestTakeOverWithAFastClock(t *testing.T) {
+	dk := newDesk(1)
+	dk.Report(dk.now, chestnutroad.LoadReport{Target: "engine-0", Taken: dk.now.Add(10 * time.Second)})
+	takeover := dk.now.Add(time.Second)
+	dk.TakeOver(takeover, chestnutroad.Epoch{Millis: 1}, false)
+	dk.now = takeover.Add(2 * time.Second)
+	dk.Report(dk.now, chestnutroad.LoadReport{Target: "engine-0", Taken: takeover.Add(9 * time.Second)})
+	dk.hold(1)
+	if ac := dk.hold(2); ac.Type == pool.ActionStart && ac.Request == "2" {
+		t.Error("the new owner went beyond the floor on a report from before its takeover")
+	}
+}
