Store the outcome of a run that outlasted its claim

If a late copy of the claim held the key again, the outcome was dropped as expired and the key stayed claimed.

--- a/internal/order/fault_test.go
+++ b/internal/order/fault_test.go
@@ -30,6 +30,7 @@
 		{"late claim after its release expired", "0:order 0:late pass=2s settle jump=12m land settle 1:run", "LogUnavailable Reply runs=1"},
 		{"release waits on a quiet log", "0:place 0:read 0:notrun 0:never jump=12m 0:read settle 1:run", "TargetRefused Reply runs=1"},
 		{"late claim while its release waits", "0:order 0:late pass=2s 0:never pass=2s 0:never jump=12m land settle 1:run", "LogUnavailable Reply runs=1"},
+		{"copy of the claim after a long run", "0:order 0:twice 0:read jump=12m land 0:read 0:done settle 1:run", "OutcomeUnknown Reply runs=1"},
 		{"pause past lease and deadline", "0:place jump=40s 0:read settle 1:run", "DeadlineExceeded Reply runs=1"},
 		{"pause past all limits", "0:place jump=5m 0:read settle 1:run", "DeadlineExceeded Reply runs=1"},
 		{"another claim is first", "0:order 0:late 1:place 0:read 1:read pass=2s pass=31s", "InProgress OutcomeUnknown runs=1"},
--- a/internal/order/result.go
+++ b/internal/order/result.go
@@ -97,8 +97,12 @@
 	mc.drop(fl)
 }
 
-// store queues the outcome for the log. It stays until it is read back, however long the log is down.
+// store queues the outcome for the log. It stays until it is read back, however long the log is down. After a run that
+// outlasted the claim, a late copy of the claim may hold the key again, and its own expiry counts.
 func (mc *Machine) store(now time.Time, fl *flight, outcome Outcome) {
+	if en := mc.table.live(fl.key); en != nil && en.claimant == fl.claim {
+		fl.expires = en.expires
+	}
 	wr := &write{key: fl.key, since: now, expires: fl.expires, step: record.Entry{
 		Type: record.EntryOutcome, Team: fl.key.Team, Key: fl.key.Key, Claimant: fl.claim,
 		Digest: fl.digest, Outcome: &outcome,
