Let returning chats wait for their target, and keep admissions below the bound

Admissions broke the bound although the owner's book was exact: the mean that it knew was 1 to 8% too high, since summaries lag, and a target at or below the mean took work of any size.

Change: a returning chat waits up to Patience for its target; the others pass it. Admissions use Headroom (0.8) of the way from the mean to the bound, and with a LoadFloor the rule is the design's, without the exception for targets below the mean.

--- a/internal/host/ownedshard.go
+++ b/internal/host/ownedshard.go
@@ -110,7 +110,7 @@
 }
 
 // shardOptions is the number of options that don't concern a team.
-const shardOptions = 12
+const shardOptions = 14
 
 // poolOptions returns the owner's options for a service of the configuration in force.
 func poolOptions(effective *settings.Effective, service settings.Service) []pool.Option {
@@ -121,6 +121,8 @@
 		pool.LoadFloor(service.LoadFloor),
 		pool.QueueLimit(service.QueueLimit),
 		pool.SlowStart(service.SlowStart),
+		pool.Headroom(service.Headroom),
+		pool.Patience(service.Patience),
 		pool.Slots(service.Slots),
 		pool.SummaryMaxAge(fleet.SummaryMaxAge),
 		pool.TakeoverDelay(fleet.TakeoverDelay),
--- a/internal/pool/bound.go
+++ b/internal/pool/bound.go
@@ -70,21 +70,29 @@
 
 // fits is the admission rule for work on a target of that load:
 //
-//	load + work <= max(Multiple * (T + work) / n, LoadFloor)
+//	load + work <= max(M * (T + work) / n, LoadFloor), M = 1 + Headroom * (Multiple - 1)
 //
-// A target at or below the mean may always take one request. Without this a pool of equal requests stops at one request
-// a target until the mean reaches 1/(Multiple-1) requests, and a request above LoadFloor starves.
+// An empty target may always take one request, so that a request above LoadFloor does not starve. Without a floor a pool
+// of equal requests would stop at one request a target until the mean reaches 1/(M-1) requests; there a target at or
+// below the mean may take one more.
 func (st *settings) fits(load, work chestnutroad.WorkUnits, pl poolLoad) bool {
 	if pl.targets == 0 {
 		return false
 	}
 	after := float64(load + work)
-	if after <= float64(st.loadFloor) || float64(load) <= pl.mean() {
+	if after <= float64(st.loadFloor) || load == 0 {
 		return true
 	}
-	return after <= st.multiple*(pl.work+float64(work))/pl.targets
+	if st.loadFloor == 0 && float64(load) <= pl.mean() {
+		return true
+	}
+	return after <= st.admissionMultiple()*(pl.work+float64(work))/pl.targets
 }
 
+// admissionMultiple is the multiple of the mean up to which work is admitted. It stays below the bound, since the mean
+// that an owner knows lags behind by a summary and since departures elsewhere lower it afterwards.
+func (st *settings) admissionMultiple() float64 { return 1 + st.headroom*(st.multiple-1) }
+
 // over says whether a target breaks the bound: it is above the multiple of the mean and the floor, and above the mean
 // even without its largest request.
 func (st *settings) over(load, largest chestnutroad.WorkUnits, pl poolLoad) bool {
--- a/internal/pool/option.go
+++ b/internal/pool/option.go
@@ -14,6 +14,8 @@
 	defaultTakeoverDelay = 1500 * time.Millisecond
 	defaultTableLimit    = 200_000
 	defaultReservedShare = 0.2
+	defaultHeadroom      = 0.8
+	defaultPatience      = time.Second
 	defaultEjectLimit    = 0.3
 	defaultSlots         = 128
 	defaultTeamWeight    = 1.0
@@ -29,6 +31,8 @@
 	takeoverDelay time.Duration
 	tableLimit    int
 	reservedShare float64
+	headroom      float64
+	patience      time.Duration
 	ejectLimit    float64
 	slots         int
 	reports       bool
@@ -45,6 +49,8 @@
 		takeoverDelay: defaultTakeoverDelay,
 		tableLimit:    defaultTableLimit,
 		reservedShare: defaultReservedShare,
+		headroom:      defaultHeadroom,
+		patience:      defaultPatience,
 		ejectLimit:    defaultEjectLimit,
 		slots:         defaultSlots,
 		reports:       true,
@@ -63,8 +69,9 @@
 
 // LoadFloor sets the load in work units below which a target is never called overloaded (default 0).
 //
-// Whatever the floor, a target at or below the mean may take one more request of any size, so that neither a small
-// mean nor a large request stops the pool.
+// The floor keeps a small mean from stopping the pool: targets that carry L equal requests each can take another one only
+// if L is at least 1/(Headroom*(Multiple-1)) or the load stays below the floor. Without a floor a target at or below the
+// mean may take one more request of any size.
 func LoadFloor(floor chestnutroad.WorkUnits) Option {
 	return func(st *settings) { st.loadFloor = max(0, floor) }
 }
@@ -99,6 +106,16 @@
 	return func(st *settings) { st.reservedShare = min(1, max(0, share)) }
 }
 
+// Headroom sets the part of the way from the mean to the bound that admissions use, from 0 to 1 (default 0.8).
+func Headroom(share float64) Option {
+	return func(st *settings) { st.headroom = min(1, max(0, share)) }
+}
+
+// Patience sets how long a returning chat waits for the target that has its context (default 1 s).
+func Patience(wait time.Duration) Option {
+	return func(st *settings) { st.patience = max(0, wait) }
+}
+
 // EjectLimit sets the largest share of the shard's targets that failures may eject at one time (default 0.3).
 func EjectLimit(share float64) Option {
 	return func(st *settings) { st.ejectLimit = min(1, max(0, share)) }
--- /dev/null
+++ b/internal/pool/patience_test.go
@@ -0,0 +1,92 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
+)
+
+// Guards against a returning chat that loses its context to a short wait, and against one that waits for ever. Without
+// patience, the baseline, the chat starts elsewhere at once.
+func TestReturningChatWaitsForItsTarget(t *testing.T) {
+	const patience = 500 * time.Millisecond
+	cases := []struct {
+		name     string
+		patience time.Duration
+		// freed is true when the chat's target becomes free before the patience ends.
+		freed bool
+		stays bool
+	}{
+		{"the target is freed in time", patience, true, true},
+		{"the target stays busy", patience, false, false},
+		{"no patience", 0, true, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			dk := newDesk(3, pool.LoadFloor(150), pool.SlowStart(0), pool.Moves(false), pool.Patience(tc.patience))
+			home := dk.turn(1).Target
+			blocker := dk.fill(home)
+			started := dk.hold(1)
+			waits := tc.patience > 0
+			if waits != (started.Request == "") {
+				t.Fatalf("got %+v at once, want a wait: %v", started, waits)
+			}
+			dk.now = dk.now.Add(patience / 2)
+			if tc.freed && waits {
+				started = startOf(dk.Finish(dk.now, blocker))
+			}
+			dk.now = dk.now.Add(patience)
+			if late := startOf(dk.Tick(dk.now)); late.Request != "" {
+				started = late
+			}
+			if started.Request == "" || (started.Target == home) != tc.stays {
+				t.Errorf("the chat started as %+v, want its own target %s: %v", started, home, tc.stays)
+			}
+		})
+	}
+}
+
+// fill occupies the target with a chat of its own and returns the request.
+func (dk *desk) fill(id chestnutroad.TargetID) chestnutroad.RequestID {
+	for chat := chestnutroad.ChatID(100); ; chat++ {
+		started := dk.hold(chat)
+		if started.Target == id {
+			return started.Request
+		}
+		dk.Finish(dk.now, started.Request)
+	}
+}
+
+func startOf(actions []pool.Action) pool.Action {
+	for _, action := range actions {
+		if action.Type == pool.ActionStart {
+			return action
+		}
+	}
+	return pool.Action{}
+}
+
+// Guards against admissions up to the bound itself, which departures elsewhere and the age of the known mean then
+// break. The full way to the bound, the baseline, admits more.
+func TestAdmissionsLeaveHeadroom(t *testing.T) {
+	started := func(headroom float64) int {
+		dk := newDesk(2, pool.LoadFloor(600), pool.SlowStart(0), pool.Moves(false), pool.Headroom(headroom))
+		dk.SetLeaving(dk.now, "engine-1")
+		dk.PeerSummary(dk.now, pool.Summary{
+			Shard:   chestnutroad.ShardID{Pool: testShard.Pool, DataCentre: "elsewhere"},
+			Targets: 9, Work: 9 * 2000, Taken: dk.now,
+		})
+		count := 0
+		for chat := chestnutroad.ChatID(1); dk.hold(chat).Type == pool.ActionStart && count < 100; chat++ {
+			if dk.load("engine-0") > 0 {
+				count++
+			}
+		}
+		return count
+	}
+	if full, part := started(1), started(0.5); part >= full {
+		t.Errorf("%d requests were admitted with half of the way, %d with the full one", part, full)
+	}
+}
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -36,7 +36,8 @@
 			actions = append(actions, ow.start(now, rq, tg, work, cached))
 			continue
 		}
-		if skip >= len(pq.front) || len(rq.failed) == 0 {
+		passed := skip < len(pq.front) && len(rq.failed) > 0
+		if !passed && !ow.patient(now, rq) {
 			return actions, true
 		}
 		skip++
@@ -56,11 +57,24 @@
 		if ow.admissible(now, tg, rq, work, pl) {
 			return tg, work, cached
 		}
+		if ow.patient(now, rq) {
+			return nil, 0, 0
+		}
 	}
 	work := rq.workWith(0)
 	return ow.firstInOrder(now, rq, work, pl), work, 0
 }
 
+// patient says whether the request still waits for the target that has its context. Another target would have to build
+// the context again, which delays the answer too and loads the pool with work that a short wait saves.
+func (ow *Owner) patient(now time.Time, rq *request) bool {
+	if !now.Before(rq.patientUntil) {
+		return false
+	}
+	tg, _ := ow.knownPlace(rq)
+	return tg != nil && tg.eligible(now) && !rq.excludes(tg.id)
+}
+
 // forgiveTargets clears the request's failed targets when no other is left.
 func (ow *Owner) forgiveTargets(now time.Time, rq *request) {
 	if len(rq.failed) == 0 {
--- a/internal/pool/queue.go
+++ b/internal/pool/queue.go
@@ -201,6 +201,9 @@
 	if skip == len(pq.front) {
 		return pq.head()
 	}
+	if skip < pq.length {
+		return pq.order()[skip]
+	}
 	return nil
 }
 
@@ -219,7 +222,7 @@
 
 func (pq *priorityQueue) charge(rq *request) {
 	tq := pq.teams[rq.Team]
-	if tq == nil || len(tq.waiting) == 0 || tq.waiting[0] != rq {
+	if tq == nil || len(tq.waiting) == 0 || !slices.Contains(tq.waiting, rq) {
 		return
 	}
 	pq.virtual = max(pq.virtual, tq.tag)
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -17,10 +17,12 @@
 	// resume is true when part of the answer was produced on an earlier target.
 	resume bool
 	// ran is true when it is not certain that no target started the request.
-	ran       bool
-	redirects int
-	attempts  int
-	moves     int
+	ran bool
+	// patientUntil is until when a returning chat waits for the target that has its context.
+	patientUntil time.Time
+	redirects    int
+	attempts     int
+	moves        int
 	// failed lists targets on which the request broke.
 	failed  []chestnutroad.TargetID
 	target  *target
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -174,6 +174,8 @@
 		pool.LoadFloor(service.LoadFloor),
 		pool.QueueLimit(service.QueueLimit),
 		pool.SlowStart(service.SlowStart),
+		pool.Headroom(service.Headroom),
+		pool.Patience(service.Patience),
 		pool.Slots(service.Slots),
 		pool.SummaryMaxAge(fleet.SummaryMaxAge),
 		pool.TakeoverDelay(fleet.TakeoverDelay),
--- a/internal/settings/service.go
+++ b/internal/settings/service.go
@@ -32,6 +32,10 @@
 	Deadline time.Duration
 	// Multiple is the most load that a target carries, as a multiple of the pool's mean.
 	Multiple float64
+	// Headroom is the part of the way from the mean to Multiple that admissions use.
+	Headroom float64
+	// Patience is how long a returning chat waits for the target that has its context.
+	Patience time.Duration
 	// LoadFloor is the load below which a target is never called overloaded.
 	LoadFloor chestnutroad.WorkUnits
 	// QueueLimit is the number of requests that wait in one shard.
@@ -68,6 +72,7 @@
 
 const (
 	defaultMultiple        = 1.25
+	defaultHeadroom        = 0.8
 	defaultMaxPromptTokens = 8192
 	defaultMaxOutputTokens = 1024
 	plainCallWork          = 1
@@ -83,6 +88,8 @@
 		Kind:            kind,
 		Deadline:        rd.duration("Deadline", defaultDeadline(kind), 10*time.Millisecond, 24*time.Hour),
 		Multiple:        rd.ratio("Multiple", defaultMultiple, 1.01, 10),
+		Headroom:        rd.ratio("Headroom", defaultHeadroom, 0.1, 1),
+		Patience:        rd.duration("Patience", time.Second, 0, time.Minute),
 		QueueLimit:      int(rd.count("QueueLimit", 1000, 0, 1_000_000)),
 		Slots:           int(rd.count("Slots", 32, 1, 100_000)),
 		SlowStart:       rd.duration("SlowStart", 30*time.Second, 0, time.Hour),
@@ -107,12 +114,12 @@
 // defaultLoadFloor returns the work of the largest request of an engine.
 //
 // Calls of a plain service all count as one unit. A pool whose targets carry L equal calls each can start another one only
-// if L is at least 1/(Multiple-1); a floor of one call would therefore hold such a pool at one call a target.
+// if L is at least 1/(Headroom*(Multiple-1)); a floor of one call would therefore hold such a pool at one call a target.
 func defaultLoadFloor(sv Service) chestnutroad.WorkUnits {
 	if sv.Kind == KindEngine {
 		return chestnutroad.WorkOf(sv.MaxPromptTokens, sv.MaxOutputTokens)
 	}
-	return chestnutroad.WorkUnits(math.Ceil(plainCallWork / (sv.Multiple - 1)))
+	return chestnutroad.WorkUnits(math.Ceil(plainCallWork / (sv.Headroom * (sv.Multiple - 1))))
 }
 
 // readEngineKeys reads what only engines have.
