--- a/internal/cli/verbs.go
+++ b/internal/cli/verbs.go
@@ -80,6 +80,11 @@
 		"chestnutroad replay --settings base.toml wielkopolska.toml --trace warta.jsonl --policy Owner,Random",
 		func() Command { return &Replay{} },
 	},
+	{
+		"capacity", "measure what a host's parts cost as their load grows",
+		"chestnutroad capacity --seed 1 pool order",
+		func() Command { return &Capacity{} },
+	},
 }
 
 // Verbs returns the table of verbs.
