--- /dev/null
+++ b/test/operating/doc.go
@@ -0,0 +1,2 @@
+// Package operating runs every command of docs/operating.md.
+package operating
--- /dev/null
+++ b/test/operating/page_test.go
@@ -0,0 +1,183 @@
+package operating
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	pagePath   = "../../docs/operating.md"
+	blockLimit = 40 * time.Second
+)
+
+// wanted holds, for each shell block of the page in order, texts that its output must have.
+var wanted = [][]string{
+	{},
+	{},
+	{},
+	{"accepted as version 1"},
+	{"shard wielkopolska/assistant/poznan-a, owner host-1", "target engine-1"},
+	{"chat.completion", "order-1"},
+	{"host-1", "host-2"},
+	{"night-desk", "accepted as version 2"},
+	{"Teams.night-desk", "12"},
+	{"accepted as version 3", "target search-1"},
+	{"target engine-2"},
+	{"accepted as version 4", "refused"},
+	{"target engine-2, leaving"},
+	{"host-1", "unreachable"},
+	{"version=2"},
+	{"chestnutroad_requests_total"},
+	{"target engine-1", "chestnutroad_control_bytes_total", "Accepted"},
+}
+
+// TestPage guards against an operator's command that doesn't work, and against metrics that the page names wrongly.
+func TestPage(t *testing.T) {
+	page, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	blocks := shellBlocks(string(page))
+	if len(blocks) != len(wanted) {
+		t.Fatalf("the page has %d shell blocks, the test knows %d", len(blocks), len(wanted))
+	}
+	directory := t.TempDir()
+	environment := prepare(t, directory)
+	t.Cleanup(func() { endProcesses(t, directory) })
+	for index, block := range blocks {
+		output := runBlock(t, directory, environment, block)
+		for _, text := range wanted[index] {
+			if !strings.Contains(output, text) {
+				t.Errorf("the output has no %q:\n%s\n%s", text, block, output)
+			}
+		}
+	}
+	checkMetrics(t, string(page), filepath.Join(directory, "metrics.out"))
+}
+
+// shellBlocks returns the fenced shell blocks of a page.
+func shellBlocks(page string) []string {
+	var blocks []string
+	for _, match := range regexp.MustCompile("(?s)```sh\n(.*?)```").FindAllStringSubmatch(page, -1) {
+		blocks = append(blocks, match[1])
+	}
+	return blocks
+}
+
+// prepare builds the commands into the directory and returns the environment of the page.
+func prepare(t *testing.T, directory string) []string {
+	t.Helper()
+	binaries := t.TempDir()
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binaries, "../../cmd/...").CombinedOutput()
+	if err != nil {
+		t.Fatalf("go build: %v\n%s", err, output)
+	}
+	examples, err := filepath.Abs("../../examples/warta")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := []string{
+		"LOG", "HOSTLIST", "ENGINE_1", "ENGINE_2", "ORDERS_1", "SEARCH_1",
+		"ENTRY_1", "PEER_1", "OPERATOR_1", "ENTRY_2", "PEER_2", "OPERATOR_2",
+	}
+	environment := append(os.Environ(), "EXAMPLES="+examples, "PATH="+binaries+":"+os.Getenv("PATH"))
+	for index, address := range freeAddresses(t, len(names)) {
+		environment = append(environment, names[index]+"="+address)
+	}
+	return environment
+}
+
+// freeAddresses asks the system for free addresses and holds all of them until the last one is known.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// runBlock runs a block up to its end; a command that fails ends it.
+func runBlock(t *testing.T, directory string, environment []string, block string) string {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), blockLimit)
+	defer cancel()
+	command := exec.CommandContext(ctx, "sh", "-eu", "-c", block)
+	command.Dir, command.Env = directory, environment
+	command.WaitDelay = time.Second
+	output, err := command.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s\n%s\n%s", err, block, output, processLogs(directory))
+	}
+	return string(output)
+}
+
+func processLogs(directory string) string {
+	var text strings.Builder
+	paths, _ := filepath.Glob(filepath.Join(directory, "host-*.out"))
+	for _, path := range paths {
+		data, _ := os.ReadFile(path)
+		fmt.Fprintf(&text, "%s:\n%s\n", filepath.Base(path), data[max(0, len(data)-4000):])
+	}
+	return text.String()
+}
+
+// endProcesses ends the processes whose ids the page's commands wrote down.
+func endProcesses(t *testing.T, directory string) {
+	t.Helper()
+	paths, _ := filepath.Glob(filepath.Join(directory, "*.pid"))
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue
+		}
+		if id, err := strconv.Atoi(strings.TrimSpace(string(data))); err == nil && id > 1 && isOurs(id, directory) {
+			_ = syscall.Kill(id, syscall.SIGKILL)
+		}
+	}
+}
+
+// isOurs reports whether the process still runs in the test's directory, since the system reuses ids.
+func isOurs(id int, directory string) bool {
+	working, err := os.Readlink(fmt.Sprintf("/proc/%d/cwd", id))
+	return err == nil && working == directory
+}
+
+// checkMetrics requires that the page's table names exactly the metrics that the host has.
+func checkMetrics(t *testing.T, page, path string) {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	name := regexp.MustCompile(`(?m)^chestnutroad_[a-z_]*`)
+	listed := regexp.MustCompile("(?m)^\\| `(chestnutroad_[a-z_]*)`")
+	var onPage []string
+	for _, match := range listed.FindAllStringSubmatch(page, -1) {
+		onPage = append(onPage, match[1])
+	}
+	if served := sorted(name.FindAllString(string(data), -1)); !slices.Equal(served, sorted(onPage)) {
+		t.Errorf("the host has the metrics\n%s\nthe page names\n%s", strings.Join(served, "\n"), strings.Join(sorted(onPage), "\n"))
+	}
+}
+
+func sorted(names []string) []string {
+	slices.Sort(names)
+	return slices.Compact(names)
+}
