--- a/internal/capacity/pool.go
+++ b/internal/capacity/pool.go
@@ -20,6 +20,7 @@
 	targets := []int{10, 100, 600}
 	return []Slope{
 		slope("placement table", "bytes/chat", "chats", []int{10_000, 200_000, 1_000_000}, bytesOfChat),
+		slope("hand-over of a shard", "bytes/chat", "chats", []int{10_000, 50_000, 200_000}, bytesOfHandOver),
 		slope("shard owner, target list and reports", "bytes/target", "targets", []int{100, 1_000, 10_000}, bytesOfTarget),
 		slope("shard owner, queues of teams", "bytes/team", "teams", []int{180, 1_800, 18_000}, bytesOfTeam),
 		slope("request, Submit and Finish", "us/request", "targets of the shard", targets, func(size int) float64 {
@@ -50,15 +51,25 @@
 func bytesOfChat(chats int) float64 {
 	ow := newOwner(1, pool.TableLimit(chats))
 	return bytesEach(chats, func() any {
-		for number := range chats {
-			ow.CacheEvent(start, chestnutroad.CacheEvent{
-				Target: targetID(0), Incarnation: 1, Sequence: uint64(number + 1), Chat: chestnutroad.ChatID(number + 1), Cached: 1,
-			})
-		}
+		fillTable(ow, chats)
 		return ow
 	})
 }
 
+func fillTable(ow *pool.Owner, chats int) {
+	for number := range chats {
+		ow.CacheEvent(start, chestnutroad.CacheEvent{
+			Target: targetID(0), Incarnation: 1, Sequence: uint64(number + 1), Chat: chestnutroad.ChatID(number + 1), Cached: 1,
+		})
+	}
+}
+
+func bytesOfHandOver(chats int) float64 {
+	ow := newOwner(1, pool.TableLimit(chats))
+	fillTable(ow, chats)
+	return float64(len(ow.Export())) / float64(chats)
+}
+
 func bytesOfTarget(targets int) float64 {
 	return bytesEach(targets, func() any {
 		ow := newOwner(targets)
--- a/test/operating/page_test.go
+++ b/test/operating/page_test.go
@@ -34,7 +34,7 @@
 	{"Teams.night-desk", "12"},
 	{"accepted as version 3", "target search-1"},
 	{"target engine-2"},
-	{"accepted as version 4", "refused"},
+	{"accepted as version 4", "accepted as version 5", "refused: the parent is version 4"},
 	{"target engine-2, Leaving"},
 	{"host-1", "unreachable"},
 	{"version=2"},
