--- a/internal/replay/control.go
+++ b/internal/replay/control.go
@@ -46,31 +46,27 @@
 	return most
 }
 
-// summaryBytes is the size of a load summary on the wire: a membership datagram with the payload that
-// internal/host sends.
-func summaryBytes(ho *host, summary pool.Summary) int {
+// payloadBytes is the size of a membership datagram with a payload of internal/host.
+func payloadBytes(ho *host, kind member.PayloadKind, payload []byte) int {
 	message := member.Message{
-		Type: member.PayloadMessage, From: member.Host{ID: ho.ID, DataCentre: ho.DataCentre, PeerAddress: peerAddress, Incarnation: ho.incarnation()},
-		PayloadKind: member.LoadSummary, Payload: summaryPayload(summary),
+		Type: member.PayloadMessage, PayloadKind: kind, Payload: payload, From: member.Host{
+			ID: ho.ID, DataCentre: ho.DataCentre, PeerAddress: peerAddress, Incarnation: ho.incarnation(),
+		},
 	}
 	data, err := message.Encode()
 	if err != nil {
-		panic(err) // a summary always fits a datagram
+		panic(err) // the payloads fit a datagram
 	}
 	return len(data) + member.DatagramOverhead + member.UDPOverhead
 }
 
 func summaryPayload(summary pool.Summary) []byte {
-	data, err := proto.Marshal(&hostpb.LoadSummary{
+	return encoded(&hostpb.LoadSummary{
 		Service: string(summary.Shard.Pool.Service), DataCentre: string(summary.Shard.DataCentre),
 		EpochMillis: summary.Epoch.Millis, EpochHost: string(summary.Epoch.Host), Targets: int64(summary.Targets),
 		Work: int64(summary.Work), Queued: int64(summary.Queued), Drained: int64(summary.Drained),
 		TakenUnixNanos: summary.Taken.UnixNano(),
 	})
-	if err != nil {
-		panic(err) // a message of plain fields always encodes
-	}
-	return data
 }
 
 // redirectBytes is the size of an owner's answer that names another shard.
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/member"
 	"github.com/chestnutroad/chestnutroad/internal/order"
+	"github.com/chestnutroad/chestnutroad/internal/pool"
 	"github.com/chestnutroad/chestnutroad/internal/trace"
 )
 
@@ -29,6 +30,8 @@
 	// former holds the instances of shards that the host gave up, which end what they still run.
 	former   []*instance
 	received map[chestnutroad.ShardID][]byte
+	// kept holds what the owners of shards tell the next in line about chats away from their first target.
+	kept     map[chestnutroad.ShardID][]pool.Exception
 	deciding bool
 	// decideUntil is when the books need no more decisions if nothing new is learnt.
 	decideUntil time.Duration
@@ -50,6 +53,7 @@
 		books:     member.NewOwnership(description.ID),
 		owned:     map[chestnutroad.ShardID]*instance{},
 		received:  map[chestnutroad.ShardID][]byte{},
+		kept:      map[chestnutroad.ShardID][]pool.Exception{},
 		orders:    map[chestnutroad.RequestID]*route{},
 		machine: order.New(description.ID, member.IncarnationAt(si.time()),
 			order.WithAppendInterval(fleet.AppendInterval), order.WithAppendBudget(fleet.AppendBudget),
--- a/internal/replay/ownership.go
+++ b/internal/replay/ownership.go
@@ -119,13 +119,17 @@
 	in.shard = shard
 	in.apply(in.policy.SetTargets(si.time(), si.listOf(func(tg *target) bool { return tg.shard() == shard })))
 	fetched := ho.importState(in, decision)
+	if !fetched {
+		ho.applyExceptions(in)
+	}
 	if in.owner != nil {
 		in.apply(in.owner.TakeOver(si.time(), decision.Epoch, fetched))
 	}
 	ho.owned[shard] = in
 	ho.followOrders()
 	si.spreadEpoch(ho, shard, decision.Epoch)
-	si.queue.after(0, func() { in.share() })
+	si.queue.after(0, in.share)
+	si.queue.after(exceptionInterval, in.shareExceptions)
 	si.queue.after(tickInterval, in.tick)
 }
 
@@ -232,7 +236,7 @@
 func (in *instance) shareWith(to *host, shard chestnutroad.ShardID, summary pool.Summary) {
 	si := in.si
 	if to != in.host {
-		in.host.control.add(si.queue.now, summaryBytes(in.host, summary))
+		in.host.control.add(si.queue.now, payloadBytes(in.host, member.LoadSummary, summaryPayload(summary)))
 	}
 	si.send(in.centre, to.DataCentre, func() {
 		if other := to.owned[shard]; to.alive && other != nil {
