--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -66,6 +66,7 @@
 // eachSite runs a goal for both users, except where KNOWN-RED.txt lists it.
 func eachSite(t *testing.T, check func(t *testing.T, st site)) {
 	t.Helper()
+	t.Parallel()
 	for _, st := range sites {
 		t.Run(st.user, func(t *testing.T) {
 			t.Parallel()
@@ -177,13 +178,13 @@
 // surge; so it must hold in a trace without churn too.
 func TestGoalOrdersUnderSurge(t *testing.T) {
 	eachSite(t, func(t *testing.T, st site) {
-		calm := []trace.Option{trace.WithoutChurn(), trace.WithDuration(8 * time.Minute)}
+		calm, short := trace.WithoutChurn(), trace.WithDuration(8*time.Minute)
 		cases := []struct {
 			name          string
 			with, without *replay.Result
 		}{
 			{"churn", st.whole(t, "Owner"), st.run(t, "Owner", trace.WithoutSurge())},
-			{"no churn", st.run(t, "Owner", calm...), st.run(t, "Owner", append(calm, trace.WithoutSurge())...)},
+			{"no churn", st.run(t, "Owner", calm, short), st.run(t, "Owner", calm, short, trace.WithoutSurge())},
 		}
 		for _, cs := range cases {
 			with, without := cs.with.Waits[chestnutroad.PriorityOrder], cs.without.Waits[chestnutroad.PriorityOrder]
