--- a/internal/replay/ownership.go
+++ b/internal/replay/ownership.go
@@ -177,11 +177,12 @@
 	}
 	state := in.owner.Export()
 	si.send(ho.DataCentre, successor.DataCentre, func() {
-		if !successor.alive {
-			return
-		}
 		ho.control.add(si.queue.now, stateBytes(state))
 		si.measure.stateBytes += int64(stateBytes(state))
+		if !successor.alive || successor.owned[decision.Shard] != nil {
+			return // internal/host refuses state for a shard that it owns
+		}
+		successor.books.Observe(decision.Shard, decision.Epoch)
 		successor.received[decision.Shard] = state
 		successor.books.HandedOver(decision.Shard)
 		successor.wakeBooks()
