Send an unchanged load summary every 500 ms only

Cause: the owners of a pool sent their summaries every 250 ms whether or not the load had changed; a host that owns both shards of its data centre spent most of its control traffic on them.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -199,7 +199,10 @@
 func (ho *Host) shareSummaries() {
 	hosts := ho.peers.Hosts()
 	for _, sh := range ho.ownership.owned() {
-		summary := sh.summary()
+		summary, due := sh.dueSummary()
+		if !due {
+			continue
+		}
 		for _, id := range ho.targets.shards() {
 			if id.Pool != sh.id.Pool || id == sh.id {
 				continue
--- a/internal/host/ownedshard.go
+++ b/internal/host/ownedshard.go
@@ -145,11 +145,16 @@
 	return sh.owner.Export()
 }
 
-// summary returns the shard's load for the owners of the pool's other shards.
-func (sh *shard) summary() pool.Summary {
+// dueSummary returns the shard's load for the owners of the pool's other shards, and whether it is to be sent now.
+func (sh *shard) dueSummary() (pool.Summary, bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return sh.owner.Summary(sh.now())
+	summary := sh.owner.Summary(sh.now())
+	if !summary.Due(sh.shared) {
+		return summary, false
+	}
+	sh.shared = summary
+	return summary, true
 }
 
 // hear takes in the load of another shard of the pool.
--- a/internal/host/shard.go
+++ b/internal/host/shard.go
@@ -38,6 +38,8 @@
 	owner *pool.Owner
 	calls map[chestnutroad.RequestID]*mailbox
 	links map[chestnutroad.TargetID]*link
+	// shared is the summary that was sent last.
+	shared pool.Summary
 	// released is true once another host owns the shard.
 	released bool
 	// handedOver is true once the state was given to the next owner, or can't be.
--- a/internal/pool/summary.go
+++ b/internal/pool/summary.go
@@ -43,6 +43,16 @@
 	}
 }
 
+// summaryRefresh is the age at which an unchanged summary is sent again. With the default SummaryMaxAge of 1 s, one lost
+// datagram leaves the shard's load known.
+const summaryRefresh = 450 * time.Millisecond
+
+// Due reports whether the summary is to be sent: it differs from the last one sent, or that one is about to be too old.
+func (sm Summary) Due(last Summary) bool {
+	changed := sm.Work != last.Work || sm.Targets != last.Targets || sm.Queued != last.Queued || sm.Epoch != last.Epoch
+	return changed || sm.Taken.Sub(last.Taken) >= summaryRefresh
+}
+
 // PeerSummary takes the load of another shard of the pool. Its age counts from when it was heard, since clocks differ.
 func (ow *Owner) PeerSummary(now time.Time, summary Summary) []Action {
 	if summary.Shard == ow.shard || summary.Shard.Pool != ow.shard.Pool {
--- a/internal/replay/instance.go
+++ b/internal/replay/instance.go
@@ -19,7 +19,9 @@
 	host    *host // nil for the single router
 	centre  chestnutroad.DataCentreID
 	live    bool
-	routes  map[chestnutroad.RequestID]*route
+	// shared is the summary that was sent last.
+	shared pool.Summary
+	routes map[chestnutroad.RequestID]*route
 }
 
 // route is one request at one instance.
--- a/internal/replay/ownership.go
+++ b/internal/replay/ownership.go
@@ -224,6 +224,10 @@
 	}
 	si.queue.after(si.effective.Fleet.SummaryInterval, in.share)
 	summary := in.owner.Summary(si.time())
+	if !summary.Due(in.shared) {
+		return
+	}
+	in.shared = summary
 	for _, shard := range si.shards {
 		if shard.Pool != in.shard.Pool || shard == in.shard {
 			continue
