Answer short forwarded calls in one frame, and forward the time left instead of a deadline

Cause: profiles of a forwarded lookup show write system calls first; the owner sent head, body and end as three frames. A short body whose length is known now goes into one frame with both. The deadline travelled as the entry host's wall-clock time, which another host's clock moves.

--- a/internal/host/forwarded.go
+++ b/internal/host/forwarded.go
@@ -102,9 +102,10 @@
 		Attempt:         int32(call.Attempt),
 		DataCentre:      string(id.DataCentre),
 		Redirects:       int32(redirects),
+		Streamed:        isChat(request),
 	}
 	if !request.Deadline.IsZero() {
-		head.DeadlineUnixNanos = request.Deadline.UnixNano()
+		head.TimeoutNanos = int64(time.Until(request.Deadline))
 	}
 	for name, values := range call.Header {
 		for _, value := range values {
@@ -114,7 +115,7 @@
 	return head
 }
 
-// requestOf reads a request from its head.
+// requestOf reads a request from its head. The deadline travels as the time that is left, since clocks differ.
 func requestOf(head *peerpb.RequestHead) *chestnutroad.Request {
 	request := &chestnutroad.Request{
 		ID:        chestnutroad.RequestID(head.GetId()),
@@ -128,8 +129,8 @@
 		MaxOutput: chestnutroad.Tokens(head.GetMaxOutputTokens()),
 		Arrived:   time.Now(),
 	}
-	if deadline := head.GetDeadlineUnixNanos(); deadline != 0 {
-		request.Deadline = time.Unix(0, deadline)
+	if left := head.GetTimeoutNanos(); left != 0 {
+		request.Deadline = request.Arrived.Add(time.Duration(left))
 	}
 	return request
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -179,10 +181,11 @@
 		defer close(ended)
 		cancel(sr.receiveRest(stream, silence))
 	}()
+	answer := &streamAnswer{stream: stream, pulse: pulse, streamed: head.GetStreamed()}
 	if err == nil {
-		err = sr.server.handler.Forward(ctx, head, body, &streamAnswer{stream: stream, pulse: pulse, streamed: head.GetStreamed()})
+		err = sr.server.handler.Forward(ctx, head, body, answer)
 	}
-	if err := stream.Send(downOf(err)); err != nil {
+	if err := answer.finish(downOf(err)); err != nil {
 		sr.server.counters.broken.Inc()
 		return err
 	}
@@ -284,15 +287,65 @@
 	// streamed is true for an answer of server-sent events, which must arrive whole: when the stream breaks inside an
 	// event, the caller would otherwise get its beginning twice.
 	streamed bool
+	// held is the head, with the body where that is short and whole, which goes into one frame with what follows.
+	held *peerpb.ForwardDown
+	// length is the body length that the head states, or -1.
+	length int
 }
 
-// Head sends the status and the header.
+// Head sends the status and the header. For an answer that is not streamed they wait for the body, which saves a frame
+// and with it a write.
 func (an *streamAnswer) Head(status int, header http.Header) error {
-	return an.send(&peerpb.ForwardDown{Head: &peerpb.AnswerHead{Status: int32(status), Headers: protoHeader(header)}})
+	down := &peerpb.ForwardDown{Head: &peerpb.AnswerHead{Status: int32(status), Headers: protoHeader(header)}}
+	if an.streamed {
+		return an.send(down)
+	}
+	an.held = down
+	an.length = contentLength(header)
+	return nil
+}
+
+// contentLength returns the body length that the header states, or -1.
+func contentLength(header http.Header) int {
+	length, err := strconv.Atoi(header.Get("Content-Length"))
+	if err != nil {
+		return -1
+	}
+	return length
+}
+
+// flush sends what is held.
+func (an *streamAnswer) flush() error {
+	if an.held == nil {
+		return nil
+	}
+	held := an.held
+	an.held = nil
+	return an.send(held)
+}
+
+// finish sends the last frame, in one with what is held where the answer is complete.
+func (an *streamAnswer) finish(last *peerpb.ForwardDown) error {
+	if an.held != nil && last.GetEnd() {
+		an.held.End = true
+		return an.flush()
+	}
+	if err := an.flush(); err != nil {
+		return err
+	}
+	return an.stream.Send(last)
 }
 
 // Chunk sends a piece of the body; one over the frame limit goes in several frames, of which the last counts the tokens.
 func (an *streamAnswer) Chunk(data []byte, tokens chestnutroad.Tokens) error {
+	if an.held != nil && len(an.held.GetChunk()) == 0 && len(data) == an.length && len(data) <= chunkSize {
+		an.held.Chunk = bytes.Clone(data)
+		an.held.Tokens = int64(tokens)
+		return nil
+	}
+	if err := an.flush(); err != nil {
+		return err
+	}
 	more := an.streamed && len(data) <= maxWholeChunk
 	for len(data) > chunkSize {
 		if err := an.send(&peerpb.ForwardDown{Chunk: data[:chunkSize], More: more}); err != nil {
--- a/internal/replay/control.go
+++ b/internal/replay/control.go
@@ -79,7 +79,7 @@
 	return member.TCPOverhead + proto.Size(&peerpb.ForwardUp{Head: &peerpb.RequestHead{
 		Id: string(id), Team: string(req.Team), Service: string(req.Service), Chat: uint64(req.Chat),
 		Priority: int32(req.Priority), Repeat: string(req.Repeat), Key: string(req.Key), PromptTokens: int64(req.Prompt),
-		MaxOutputTokens: int64(req.MaxOutput), DeadlineUnixNanos: req.Deadline.UnixNano(),
+		MaxOutputTokens: int64(req.MaxOutput), TimeoutNanos: int64(req.Deadline.Sub(req.Arrived)),
 	}})
 }
 
