Record the steps of each request, and carry the hybrid clock along calls between hosts

timeline now follows a request over the processes; the clock goes along in the head of a forwarded request and in its last frame.

--- a/internal/host/fleet.go
+++ b/internal/host/fleet.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/caller"
 	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/timeline"
 )
 
 // shards ranks the shards that can take the request: by the chat's rendezvous order for a chat, otherwise the own data
@@ -40,6 +41,9 @@
 	if !found || owner.ID == ho.settings.ID {
 		return errNotOwner
 	}
+	ho.record(timeline.Event{
+		Type: timeline.Forwarded, Request: request.ID, Shard: id.String(), Detail: "to " + string(owner.ID),
+	})
 	return ho.peers.Forward(ctx, owner, id, request, call, answer, redirects)
 }
 
@@ -69,13 +73,23 @@
 ) error {
 	ho.counters.open.Add(1)
 	defer ho.counters.open.Add(-1)
+	ho.record(timeline.Event{Type: timeline.Received, Request: request.ID, Detail: string(request.Service)})
 	err := ho.entry.Forward(ctx, request, call, answer)
 	if errors.Is(err, errNotOwner) {
-		return chestnutroad.Refuse(chestnutroad.NoTarget, "the shard has no owner at the moment").After(noOwnerRetry)
+		err = chestnutroad.Refuse(chestnutroad.NoTarget, "the shard has no owner at the moment").After(noOwnerRetry)
 	}
+	ho.record(endEvent(request, err))
 	return err
 }
 
+// endEvent says how a caller's request ended.
+func endEvent(request *chestnutroad.Request, err error) timeline.Event {
+	if err == nil {
+		return timeline.Event{Type: timeline.Answered, Request: request.ID}
+	}
+	return timeline.Event{Type: timeline.Refused, Request: request.ID, Detail: err.Error()}
+}
+
 // newCallers returns the server for callers.
 func (ho *Host) newCallers() *caller.Server {
 	return caller.New(ho.currentDirectory, ho, caller.WithObserver(ho.observe),
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -64,6 +64,12 @@
 	return func(ho *Host) { ho.recorder = recorder }
 }
 
+// WithIncarnation sets the number that tells this life of the host from others; it must be higher than that of any
+// earlier life (default: the start time in milliseconds).
+func WithIncarnation(incarnation chestnutroad.Incarnation) Option {
+	return func(ho *Host) { ho.incarnation = incarnation }
+}
+
 // New returns a host that is not started yet.
 func New(
 	set *settings.Host, source chestnutroad.Log, hostList chestnutroad.HostList, logger *log.Logger, opts ...Option,
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -73,7 +73,7 @@
 	if !known {
 		return
 	}
-	sh := newShard(id, ow.host.now, ow.host.orders, poolOptions(di.effective, service)...)
+	sh := newShard(id, ow.host.now, ow.host.orders, ow.host.record, poolOptions(di.effective, service)...)
 	sh.attach(ow.host.running)
 	sh.setTargets(ow.host.targets.ofShard(id))
 	ow.host.peers.ObserveEpoch(id, decision.Epoch)
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -37,13 +37,35 @@
 		return err
 	}
 	ho.peers = link
-	server, err := peer.NewServer(&peerHandler{host: ho}, ho.settings.ClusterKey, sender, peer.WithMetrics(ho.metrics))
+	server, err := peer.NewServer(&peerHandler{host: ho}, ho.settings.ClusterKey, sender, ho.peerOptions()...)
 	if err != nil {
 		return err
 	}
 	return ho.serve(ctx, link, server)
 }
 
+// peerOptions returns the options of calls between hosts; the time line's clock goes along with them.
+func (ho *Host) peerOptions() []peer.Option {
+	opts := []peer.Option{peer.WithMetrics(ho.metrics)}
+	if ho.recorder != nil {
+		opts = append(opts, peer.WithStamps(stamps{ho.recorder.Clock()}))
+	}
+	return opts
+}
+
+// stamps sends the time line's clock along with calls to other hosts.
+type stamps struct{ clock *timeline.Clock }
+
+// Stamp returns the next stamp as one number.
+func (st stamps) Stamp() uint64 { return st.clock.Now().Pack() }
+
+// Observe takes in a stamp of another host; one that is too far ahead is ignored and counted by the clock.
+func (st stamps) Observe(stamp uint64) {
+	if stamp != 0 {
+		st.clock.Observe(timeline.Unpack(stamp))
+	}
+}
+
 // connect opens the link to the other hosts.
 func (ho *Host) connect(sender *peer.Sender) (*siteLink, error) {
 	self := member.Host{
@@ -58,7 +80,7 @@
 			seeds = append(seeds, member.Host{ID: seed.ID, PeerAddress: seed.Address.String()})
 		}
 	}
-	client, err := peer.NewClient(self.ID, ho.settings.ClusterKey, sender, peer.WithMetrics(ho.metrics))
+	client, err := peer.NewClient(self.ID, ho.settings.ClusterKey, sender, ho.peerOptions()...)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/shard.go
+++ b/internal/host/shard.go
@@ -11,6 +11,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/pool"
 	"github.com/chestnutroad/chestnutroad/internal/target"
+	"github.com/chestnutroad/chestnutroad/internal/timeline"
 )
 
 // redirect says that the owner of another shard takes the request.
@@ -30,6 +31,7 @@
 	id     chestnutroad.ShardID
 	now    func() time.Time
 	orders orderRunner
+	record func(event timeline.Event)
 
 	ctx  context.Context
 	stop context.CancelFunc
@@ -46,8 +48,11 @@
 	handedOver atomic.Bool
 }
 
-func newShard(id chestnutroad.ShardID, now func() time.Time, orders orderRunner, opts ...pool.Option) *shard {
+func newShard(
+	id chestnutroad.ShardID, now func() time.Time, orders orderRunner, record func(timeline.Event), opts ...pool.Option,
+) *shard {
 	return &shard{
+		record: record,
 		id:     id,
 		now:    now,
 		orders: orders,
@@ -178,6 +183,7 @@
 	if !known {
 		return sh.fail(request.ID, pool.FailureNotRun), nil
 	}
+	sh.record(timeline.Event{Type: placementEvent(call, pg), Request: request.ID, Target: id, Shard: sh.id.String()})
 	inner, cancel := mailbox.attemptContext(ctx)
 	defer cancel(nil)
 	err := sh.send(inner, client, request, call, pg)
@@ -199,6 +205,14 @@
 	}
 }
 
+// placementEvent tells a first attempt from one that goes on with a part of the answer.
+func placementEvent(call *chestnutroad.Call, pg *progress) timeline.Type {
+	if call.ResumeAt > 0 || pg.headSent {
+		return timeline.Resumed
+	}
+	return timeline.Placed
+}
+
 // send runs the call on the target, through the order log when it may run at most once.
 func (sh *shard) send(
 	ctx context.Context, client chestnutroad.Target, request *chestnutroad.Request, call *chestnutroad.Call, pg *progress,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -139,6 +139,7 @@
 		return fc.broken(ctx, err)
 	}
 	fc.client.counters.streams.Inc()
+	head.Stamp = fc.client.settings.stamps.Stamp()
 	fc.silence = newSilence(&fc.client.settings, func() { _ = fc.conn.transport.Close() })
 	pulse := startPulse(&fc.client.settings, func() error {
 		fc.client.sender.CountKeepAlive()
@@ -163,6 +164,7 @@
 	}
 	// The peer may answer, with a refusal for instance, before it has read the whole body.
 	go fc.finish(stream, sent, cancel)
+	fc.client.settings.stamps.Observe(last.GetStamp())
 	return true, resultOf(last)
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -49,8 +49,26 @@
 	maxState     int
 	metrics      *metrics.Set
 	noKeepAlives bool
+	stamps       Stamps
 }
 
+// Stamps is a hybrid logical clock that goes along with calls between hosts.
+type Stamps interface {
+	// Stamp returns the next stamp.
+	Stamp() uint64
+	// Observe takes in a stamp of another host.
+	Observe(stamp uint64)
+}
+
+// noStamps is used where no clock is set.
+type noStamps struct{}
+
+func (noStamps) Stamp() uint64  { return 0 }
+func (noStamps) Observe(uint64) {}
+
+// WithStamps sets the clock that goes along with calls.
+func WithStamps(stamps Stamps) Option { return func(st *settings) { st.stamps = stamps } }
+
 // Option changes a default of a Server, Client or Peer.
 type Option func(*settings)
 
@@ -86,6 +104,7 @@
 		connections: defaultConnections,
 		maxBody:     defaultMaxBody,
 		maxState:    defaultMaxState,
+		stamps:      noStamps{},
 	}
 	for _, opt := range opts {
 		opt(&st)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -181,11 +181,14 @@
 		defer close(ended)
 		cancel(sr.receiveRest(stream, silence))
 	}()
+	sr.server.settings.stamps.Observe(head.GetStamp())
 	answer := &streamAnswer{stream: stream, pulse: pulse, streamed: head.GetStreamed()}
 	if err == nil {
 		err = sr.server.handler.Forward(ctx, head, body, answer)
 	}
-	if err := answer.finish(downOf(err)); err != nil {
+	last := downOf(err)
+	last.Stamp = sr.server.settings.stamps.Stamp()
+	if err := answer.finish(last); err != nil {
 		sr.server.counters.broken.Inc()
 		return err
 	}
@@ -328,6 +331,7 @@
 func (an *streamAnswer) finish(last *peerpb.ForwardDown) error {
 	if an.held != nil && last.GetEnd() {
 		an.held.End = true
+		an.held.Stamp = last.GetStamp()
 		return an.flush()
 	}
 	if err := an.flush(); err != nil {
--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/cli"
 	"github.com/chestnutroad/chestnutroad/internal/host"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
@@ -22,13 +23,14 @@
 	if err != nil {
 		return cli.Exit(cli.CodeFinding, err)
 	}
+	incarnation := member.IncarnationAt(time.Now())
 	logger, err := logging.New(env.Err, set.LogLevel, logging.Fields{
-		Host: set.ID, Site: set.Site, DataCentre: set.DataCentre,
+		Host: set.ID, Site: set.Site, DataCentre: set.DataCentre, Incarnation: incarnation,
 	})
 	if err != nil {
 		return err
 	}
-	opts, finish, err := recorder(set)
+	opts, finish, err := recorder(set, incarnation)
 	if err != nil {
 		return err
 	}
@@ -40,18 +42,21 @@
 	return errors.CombineErrors(running.Run(ctx), finish())
 }
 
-// recorder opens the time line file where the settings name one.
-func recorder(set *settings.Host) (opts []host.Option, finish func() error, err error) {
+// recorder returns the host's options and opens the time line file where the settings name one.
+func recorder(
+	set *settings.Host, incarnation chestnutroad.Incarnation,
+) (opts []host.Option, finish func() error, err error) {
+	opts = []host.Option{host.WithIncarnation(incarnation)}
 	if set.TimelineFile == "" {
-		return nil, func() error { return nil }, nil
+		return opts, func() error { return nil }, nil
 	}
 	file, err := os.Create(set.TimelineFile)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "open the time line file")
 	}
-	events := timeline.NewRecorder(file, set.ID, member.IncarnationAt(time.Now()))
+	events := timeline.NewRecorder(file, set.ID, incarnation)
 	finish = func() error { return errors.CombineErrors(events.Close(), file.Close()) }
-	return []host.Option{host.WithRecorder(events)}, finish, nil
+	return append(opts, host.WithRecorder(events)), finish, nil
 }
 
 // useFiles puts settings files in force until a published configuration is read.
