--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -70,13 +70,11 @@
 // measureDeaths stops more and more hosts of the network and measures the time until all others hold them dead.
 func measureDeaths(nw *network) (Slope, error) {
 	sl := Slope{Quantity: "until all of 340 hosts hold the dead for dead", Unit: "s", Against: "hosts that stop at once"}
-	stopped := 0
-	for _, count := range []int{1, 12, 48} {
-		took, agreed := nw.timeOfDeaths(stopped, count)
+	for centre, count := range []int{1, 12, 48} {
+		took, agreed := nw.timeOfDeaths(centre, count)
 		if !agreed {
 			return sl, errors.Wrapf(errMembership, "%d deaths", count)
 		}
-		stopped += count
 		sl.Points = append(sl.Points, Point{count, took.Seconds()})
 	}
 	return sl, nil
@@ -254,10 +252,10 @@
 	return nw.measure(quietTime).bytes
 }
 
-// timeOfDeaths stops hosts of all data centres at once.
-func (nw *network) timeOfDeaths(first, count int) (time.Duration, bool) {
+// timeOfDeaths stops hosts of one data centre at once.
+func (nw *network) timeOfDeaths(centre, count int) (time.Duration, bool) {
 	for index := range count {
-		nw.nodes[first+index].down = true
+		nw.nodes[centre+index*targetCentres].down = true
 	}
 	began := nw.now
 	for nw.now.Sub(began) < deathLimit {
--- a/internal/capacity/pool.go
+++ b/internal/capacity/pool.go
@@ -30,7 +30,7 @@
 			return timeOfRequest(seed, 100, size)
 		}),
 		slope("load report", "us/report", "targets of the shard", targets, timeOfReport),
-		slope("ranking of a pool at the entry host", "us/request", "targets of the pool", targets, timeOfRanking),
+		slope("ranking of a pool at the entry host", "us/request", "targets of the pool", []int{17, 100, 600}, timeOfRanking),
 	}, nil
 }
 
@@ -59,11 +59,16 @@
 func fillTable(ow *pool.Owner, chats int) {
 	for number := range chats {
 		ow.CacheEvent(start, chestnutroad.CacheEvent{
-			Target: targetID(0), Incarnation: 1, Sequence: uint64(number + 1), Chat: chestnutroad.ChatID(number + 1), Cached: 1,
+			Target: targetID(0), Incarnation: 1, Sequence: uint64(number + 1), Chat: chatID(number), Cached: 1,
 		})
 	}
 }
 
+// chatID spreads the ids over all 64 bits as hashes are; small ids would make a hand-over look small.
+func chatID(number int) chestnutroad.ChatID {
+	return chestnutroad.ChatID(uint64(number+1) * 0x9e3779b97f4a7c15)
+}
+
 func bytesOfHandOver(chats int) float64 {
 	ow := newOwner(1, pool.TableLimit(chats))
 	fillTable(ow, chats)
