Take a shard at once when its former owner has given it up

Change: a host that waits for a hand-over asks the former owner whether it still owns the shard, and takes it when it does not. Handed-over state is kept also by a host that owns the shard itself.

--- a/internal/host/forwarded.go
+++ b/internal/host/forwarded.go
@@ -43,6 +43,9 @@
 	_ context.Context, request *peerpb.FetchStateRequest,
 ) (*peerpb.FetchStateAnswer, error) {
 	state, err := ph.state(request)
+	if errors.Is(err, errNotOwner) {
+		return &peerpb.FetchStateAnswer{NotOwner: true}, nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -55,11 +58,14 @@
 		return ph.host.configuration.export()
 	case stateOrders:
 		return ph.host.orders.export()
-	case stateShard:
+	case stateShard, stateOwner:
 		sh := ph.host.ownership.local(ph.shardOf(request.GetService(), request.GetDataCentre()))
 		if sh == nil {
 			return nil, errNotOwner
 		}
+		if stateKind(request.GetKind()) == stateOwner {
+			return nil, nil
+		}
 		return sh.export(), nil
 	default:
 		return nil, errors.Newf("there is no state of the kind %q", request.GetKind())
@@ -70,7 +76,8 @@
 func (ph *peerHandler) HandOver(_ context.Context, request *peerpb.HandOverRequest) (*peerpb.HandOverAnswer, error) {
 	id := ph.shardOf(request.GetService(), request.GetDataCentre())
 	epoch := chestnutroad.Epoch{Millis: request.GetEpochMillis(), Host: chestnutroad.HostID(request.GetEpochHost())}
-	return &peerpb.HandOverAnswer{Taken: ph.host.ownership.take(id, epoch, request.GetState())}, nil
+	ph.host.ownership.take(id, epoch, request.GetState())
+	return &peerpb.HandOverAnswer{Taken: true}, nil
 }
 
 func (ph *peerHandler) shardOf(service, dataCentre string) chestnutroad.ShardID {
--- a/internal/host/link.go
+++ b/internal/host/link.go
@@ -47,4 +47,6 @@
 	stateConfiguration stateKind = "Configuration"
 	stateOrders        stateKind = "Orders"
 	stateShard         stateKind = "Shard"
+	// stateOwner only asks whether the host owns the shard.
+	stateOwner stateKind = "Owner"
 )
--- a/internal/host/ownedshard.go
+++ b/internal/host/ownedshard.go
@@ -138,6 +138,21 @@
 	return opts
 }
 
+// importStates takes the states of former owners, and reports whether it could read one. Where two of them place a chat,
+// the first one holds.
+func (sh *shard) importStates(states [][]byte) bool {
+	imported := false
+	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
+		for _, state := range states {
+			if owner.Import(now, state) == nil {
+				imported = true
+			}
+		}
+		return nil
+	})
+	return imported
+}
+
 // export returns the shard's state for its next owner.
 func (sh *shard) export() []byte {
 	sh.mu.Lock()
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/member"
 	"github.com/chestnutroad/chestnutroad/internal/pool"
@@ -15,6 +17,8 @@
 const (
 	ownershipInterval = 100 * time.Millisecond
 	stateTimeout      = 2 * time.Second
+	// askInterval spaces the questions to owners for whose hand-over this host waits.
+	askInterval = 300 * time.Millisecond
 )
 
 // ownership controls which shards this host owns.
@@ -26,9 +30,12 @@
 	shards map[chestnutroad.ShardID]*shard
 	// released holds shards that this host gave up and whose running requests have not ended.
 	released []*shard
-	// received holds state that a former owner handed over before this host took the shard.
-	received map[chestnutroad.ShardID][]byte
-	kept     map[chestnutroad.ShardID]*exceptionStore
+	// received holds the states of a shard from before this host takes it: that of the former owner, and this host's own
+	// when it owned the shard at the same time as the former owner.
+	received map[chestnutroad.ShardID][][]byte
+	// asked is when owners were asked last; only the ownership controller uses it.
+	asked time.Time
+	kept  map[chestnutroad.ShardID]*exceptionStore
 }
 
 func newOwnership(host *Host) *ownership {
@@ -36,7 +43,7 @@
 		host:     host,
 		books:    member.NewOwnership(host.settings.ID),
 		shards:   map[chestnutroad.ShardID]*shard{},
-		received: map[chestnutroad.ShardID][]byte{},
+		received: map[chestnutroad.ShardID][][]byte{},
 		kept:     map[chestnutroad.ShardID]*exceptionStore{},
 	}
 }
@@ -54,7 +61,9 @@
 		ow.books.Observe(id, ow.host.peers.Epoch(id))
 	}
 	decisions := ow.books.Decide(ow.host.now(), known, hosts)
+	waits := ow.books.Waiting()
 	ow.mu.Unlock()
+	ow.askFormerOwners(ctx, waits, hosts)
 	for _, decision := range decisions {
 		switch decision.Type {
 		case member.TakeOver:
@@ -66,6 +75,32 @@
 	}
 }
 
+// askFormerOwners asks the owners for whose hand-over this host waits whether they still own the shard.
+func (ow *ownership) askFormerOwners(ctx context.Context, waits []member.Wait, hosts []member.HostView) {
+	if now := ow.host.now(); len(waits) > 0 && now.Sub(ow.asked) >= askInterval {
+		ow.asked = now
+		go func() {
+			for _, wait := range waits {
+				ow.askFormerOwner(ctx, wait, hosts)
+			}
+		}()
+	}
+}
+
+func (ow *ownership) askFormerOwner(ctx context.Context, wait member.Wait, hosts []member.HostView) {
+	former, found := findHost(hosts, wait.Former)
+	if !found {
+		return
+	}
+	inner, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	if _, err := ow.host.peers.FetchState(inner, former, stateOwner, wait.Shard); errors.Is(err, errNotOwner) {
+		ow.mu.Lock()
+		ow.books.GivenUp(wait.Shard, wait.Former)
+		ow.mu.Unlock()
+	}
+}
+
 // takeOver starts a shard on this host, with the former owner's state where it can be had.
 func (ow *ownership) takeOver(ctx context.Context, di *directory, decision member.Decision, hosts []member.HostView) {
 	id := decision.Shard
@@ -97,11 +132,11 @@
 	ctx context.Context, sh *shard, decision member.Decision, hosts []member.HostView,
 ) bool {
 	ow.mu.Lock()
-	state := ow.received[sh.id]
+	states := ow.received[sh.id]
 	delete(ow.received, sh.id)
 	ow.mu.Unlock()
 	former, found := findHost(hosts, decision.Former)
-	if state == nil && decision.FormerReachable && found {
+	if len(states) == 0 && decision.FormerReachable && found {
 		inner, cancel := context.WithTimeout(ctx, stateTimeout)
 		defer cancel()
 		fetched, err := ow.host.peers.FetchState(inner, former, stateShard, sh.id)
@@ -109,18 +144,12 @@
 			ow.host.logger.Warn("the former owner's state can't be fetched", "Shard", sh.id.String(), "Error", err)
 			return false
 		}
-		state = fetched
+		states = append(states, fetched)
 	}
-	if state == nil {
+	if len(states) == 0 {
 		return decision.Former == ""
 	}
-	imported := false
-	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
-		err := owner.Import(now, state)
-		imported = err == nil
-		return nil
-	})
-	return imported
+	return sh.importStates(states)
 }
 
 // stepDown gives a shard up and hands its state to the next owner.
@@ -131,6 +160,9 @@
 	if sh != nil {
 		ow.released = append(ow.released, sh)
 	}
+	if handed := ow.received[decision.Shard]; sh != nil && len(handed) > 0 {
+		ow.received[decision.Shard] = append([][]byte{sh.export()}, handed...)
+	}
 	ow.mu.Unlock()
 	if sh == nil {
 		return
@@ -156,17 +188,15 @@
 	}
 }
 
-// take stores state that a former owner hands over.
-func (ow *ownership) take(id chestnutroad.ShardID, epoch chestnutroad.Epoch, state []byte) bool {
+// take stores state that a former owner hands over. A host that owns the shard too, as both sides of a partition do,
+// gives its ownership up for the higher epoch and takes the shard again at once; if it refused the state, the shard would
+// have no owner until the wait for a hand-over is over.
+func (ow *ownership) take(id chestnutroad.ShardID, epoch chestnutroad.Epoch, state []byte) {
 	ow.mu.Lock()
 	defer ow.mu.Unlock()
-	if ow.shards[id] != nil {
-		return false
-	}
 	ow.books.Observe(id, epoch)
 	ow.books.HandedOver(id)
-	ow.received[id] = state
-	return true
+	ow.received[id] = append(ow.received[id], state)
 }
 
 // releasing reports whether a shard that this host gave up still runs requests or is being handed over.
--- a/internal/host/sitelink.go
+++ b/internal/host/sitelink.go
@@ -99,6 +99,9 @@
 		Service:    string(shard.Pool.Service),
 		DataCentre: string(shard.DataCentre),
 	})
+	if err == nil && answer.GetNotOwner() {
+		return nil, errNotOwner
+	}
 	return answer.GetState(), err
 }
 
--- a/internal/replay/control.go
+++ b/internal/replay/control.go
@@ -83,6 +83,13 @@
 	}})
 }
 
+// askBytes is the size of the question whether a host still owns a shard.
+func askBytes(shard chestnutroad.ShardID) int {
+	return member.TCPOverhead + proto.Size(&peerpb.FetchStateRequest{
+		Kind: "Owner", Service: string(shard.Pool.Service), DataCentre: string(shard.DataCentre),
+	})
+}
+
 // stateBytes is the size of a shard's state in TCP segments.
 func stateBytes(state []byte) int {
 	segments := (len(state) + segmentBytes - 1) / segmentBytes
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -29,7 +29,7 @@
 	owned map[chestnutroad.ShardID]*instance
 	// former holds the instances of shards that the host gave up, which end what they still run.
 	former   []*instance
-	received map[chestnutroad.ShardID][]byte
+	received map[chestnutroad.ShardID][][]byte
 	// kept holds what the owners of shards tell the next in line about chats away from their first target.
 	kept     map[chestnutroad.ShardID][]pool.Exception
 	deciding bool
@@ -52,7 +52,7 @@
 		instances: map[chestnutroad.ServiceID]*instance{},
 		books:     member.NewOwnership(description.ID),
 		owned:     map[chestnutroad.ShardID]*instance{},
-		received:  map[chestnutroad.ShardID][]byte{},
+		received:  map[chestnutroad.ShardID][][]byte{},
 		kept:      map[chestnutroad.ShardID][]pool.Exception{},
 		orders:    map[chestnutroad.RequestID]*route{},
 		machine: order.New(description.ID, member.IncarnationAt(si.time()),
--- a/internal/replay/ownership.go
+++ b/internal/replay/ownership.go
@@ -107,6 +107,24 @@
 		case member.Keep:
 		}
 	}
+	ho.askFormerOwners()
+}
+
+// askFormerOwners asks the owners for whose hand-over this host waits whether they still own the shard.
+func (ho *host) askFormerOwners() {
+	for _, wait := range ho.books.Waiting() {
+		former := ho.si.hosts[wait.Former]
+		if former == nil || !former.alive || !ho.si.net.reaches(ho.DataCentre, former.DataCentre) {
+			continue
+		}
+		ho.control.add(ho.si.queue.now, askBytes(wait.Shard))
+		ho.si.send(former.DataCentre, ho.DataCentre, func() {
+			if ho.alive && former.owned[wait.Shard] == nil {
+				ho.books.GivenUp(wait.Shard, wait.Former)
+				ho.wakeBooks()
+			}
+		})
+	}
 }
 
 func (ho *host) takeOver(decision member.Decision) {
@@ -135,16 +153,22 @@
 
 // importState gives the new owner the state of the former one and reports whether it misses none.
 func (ho *host) importState(in *instance, decision member.Decision) bool {
-	state := ho.received[in.shard]
+	states := ho.received[in.shard]
 	delete(ho.received, in.shard)
 	former := ho.si.hosts[decision.Former]
-	if state == nil && decision.FormerReachable && former != nil {
-		state = ho.fetchState(former, in.shard)
+	if len(states) == 0 && decision.FormerReachable && former != nil {
+		if state := ho.fetchState(former, in.shard); state != nil {
+			states = append(states, state)
+		}
 	}
-	if state == nil {
+	if len(states) == 0 {
 		return decision.Former == ""
 	}
-	return in.owner != nil && in.owner.Import(ho.si.time(), state) == nil
+	imported := false
+	for _, state := range states {
+		imported = in.owner != nil && in.owner.Import(ho.si.time(), state) == nil || imported
+	}
+	return imported
 }
 
 func (ho *host) fetchState(former *host, shard chestnutroad.ShardID) []byte {
@@ -176,14 +200,17 @@
 		return
 	}
 	state := in.owner.Export()
+	if handed := ho.received[decision.Shard]; len(handed) > 0 {
+		ho.received[decision.Shard] = append([][]byte{state}, handed...)
+	}
 	si.send(ho.DataCentre, successor.DataCentre, func() {
 		ho.control.add(si.queue.now, stateBytes(state))
 		si.measure.stateBytes += int64(stateBytes(state))
-		if !successor.alive || successor.owned[decision.Shard] != nil {
-			return // internal/host refuses state for a shard that it owns
+		if !successor.alive {
+			return
 		}
 		successor.books.Observe(decision.Shard, decision.Epoch)
-		successor.received[decision.Shard] = state
+		successor.received[decision.Shard] = append(successor.received[decision.Shard], state)
 		successor.books.HandedOver(decision.Shard)
 		successor.wakeBooks()
 	})
--- a/test/process/timeline_test.go
+++ b/test/process/timeline_test.go
@@ -20,7 +20,8 @@
 	if summary := load.Run(t.Context(), fl.plan(2*time.Second)).Summary(); summary.ChatsAnswered == 0 {
 		t.Fatal("no chat was answered")
 	}
-	arguments := []string{"timeline", "--json"}
+	arguments := make([]string, 0, 2+len(fl.routers))
+	arguments = append(arguments, "timeline", "--json")
 	for index := range fl.routers {
 		arguments = append(arguments, filepath.Join(filepath.Dir(fl.routers[0].settings), "router-"+string(rune('1'+index))+".jsonl"))
 	}
