Resume streams of a dead owner beyond the retry budget, and tell the orders of dead hosts

Each request now has one free resume, a shard that can't run a request costs no budget, and the search for an owner counts from its first failure. The order machine was never told of dead hosts, so a repeat of their orders waited for its deadline. Old placement exceptions are dropped when the former owner's state was fetched. Routers of the process tests have loopback addresses of their own, since another process had taken a router's port.

--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
@@ -163,11 +164,17 @@
 	}, nil
 }
 
+// processAddress returns a loopback address of this process alone, on which no other one takes a port.
+func processAddress() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:0", 1+pid>>8&0x7f, pid&0xff)
+}
+
 // freePorts asks the system for ports that are free now. All are held until the last one is known, so that they differ.
 func freePorts(count int) ([]netip.AddrPort, error) {
 	ports := make([]netip.AddrPort, 0, count)
 	for range count {
-		listener, err := net.Listen("tcp", loopback) //nolint:noctx // the listener is closed at once
+		listener, err := net.Listen("tcp", processAddress()) //nolint:noctx // the listener is closed at once
 		if err != nil {
 			return nil, err
 		}
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -66,7 +66,7 @@
 ) error {
 	en.budget.request(en.now())
 	chatHeader(request, call)
-	route := &routing{entry: en, request: request, started: en.now(), tried: map[chestnutroad.ShardID]bool{}}
+	route := &routing{entry: en, request: request, tried: map[chestnutroad.ShardID]bool{}}
 	pg := &progress{answer: answer, onTokens: func(chestnutroad.Tokens) {}}
 	for {
 		shard, known := route.next()
@@ -87,9 +87,11 @@
 type routing struct {
 	entry     *entry
 	request   *chestnutroad.Request
-	started   time.Time
 	redirects int
 	attempt   int
+	resumes   int
+	// searching is since when the shard's owner can't be found; a process that was frozen must not count that time.
+	searching time.Time
 	// directed is the shard that an owner named, or zero.
 	directed chestnutroad.ShardID
 	tried    map[chestnutroad.ShardID]bool
@@ -126,14 +128,22 @@
 	switch {
 	case refusal.NotRun && triesElsewhere(refusal.Kind):
 		rt.tried[shard] = true
-		return rt.entry.budget.retry(rt.entry.now())
+		return refusal.Kind != chestnutroad.TargetRefused || rt.entry.budget.retry(rt.entry.now())
 	case refusal.Kind == chestnutroad.StreamBroken && pg.repeatable(rt.request):
-		return rt.entry.budget.retry(rt.entry.now()) && rt.waitForOwner(ctx)
+		return rt.mayResume() && rt.waitForOwner(ctx)
 	default:
 		return false
 	}
 }
 
+// mayResume allows one resume of each request for free: when a host dies, all its streams break at once, and a budget
+// would cut most of them off. Further ones are charged.
+func (rt *routing) mayResume() bool {
+	rt.resumes++
+	rt.searching = time.Time{}
+	return rt.resumes == 1 || rt.entry.budget.retry(rt.entry.now())
+}
+
 // follow goes to the shard that an owner named, up to the limit.
 func (rt *routing) follow(shard chestnutroad.ShardID) bool {
 	rt.redirects++
@@ -149,8 +159,11 @@
 // when the request's deadline has passed.
 func (rt *routing) waitForOwner(ctx context.Context) bool {
 	now := rt.entry.now()
+	if rt.searching.IsZero() {
+		rt.searching = now
+	}
 	deadline := rt.request.Deadline
-	if now.Sub(rt.started) > ownerSearchLimit || (!deadline.IsZero() && now.After(deadline)) {
+	if now.Sub(rt.searching) > ownerSearchLimit || (!deadline.IsZero() && now.After(deadline) && rt.resumes == 0) {
 		rt.last = rt.ownerRefusal()
 		return false
 	}
--- a/internal/host/exceptions.go
+++ b/internal/host/exceptions.go
@@ -87,13 +87,14 @@
 	store.add(exceptions)
 }
 
-// applyExceptions gives a shard that was taken over without its former owner's state what is known of its chats.
-func (ow *ownership) applyExceptions(sh *shard) {
+// applyExceptions gives a shard that was taken over what is known of its chats. The former owner's state, where it could
+// be fetched, is newer, so that the exceptions are only dropped.
+func (ow *ownership) applyExceptions(sh *shard, fetched bool) {
 	ow.mu.Lock()
 	store := ow.kept[sh.id]
 	delete(ow.kept, sh.id)
 	ow.mu.Unlock()
-	if store == nil {
+	if store == nil || fetched {
 		return
 	}
 	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -44,6 +44,7 @@
 	orders        *orders
 	ownership     *ownership
 	entry         *entry
+	lives         lives
 	counters      counters
 	metrics       *metrics.Set
 	// draining is true from the start of a planned stop, refusing once new requests are refused too.
@@ -136,7 +137,12 @@
 		ho.readHostList(ctx)
 		every(ctx, hostListInterval, func() { ho.readHostList(ctx) })
 	})
-	ho.control(func(ctx context.Context) { every(ctx, ownershipInterval, func() { ho.ownership.step(ctx) }) })
+	ho.control(func(ctx context.Context) {
+		every(ctx, ownershipInterval, func() {
+			ho.ownership.step(ctx)
+			ho.watchLives()
+		})
+	})
 	ho.control(func(ctx context.Context) { every(ctx, summaryInterval, ho.shareSummaries) })
 	ho.control(func(ctx context.Context) { every(ctx, exceptionInterval, ho.shareExceptions) })
 	ho.control(func(ctx context.Context) { every(ctx, snapshotInterval, func() { ho.writeSnapshots(ctx) }) })
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -113,9 +113,7 @@
 	sh.setTargets(ow.host.targets.ofShard(id))
 	ow.host.peers.ObserveEpoch(id, decision.Epoch)
 	fetched := ow.importState(ctx, sh, decision, hosts)
-	if !fetched {
-		ow.applyExceptions(sh)
-	}
+	ow.applyExceptions(sh, fetched)
 	sh.decide(func(now time.Time, owner *pool.Owner) []pool.Action {
 		return owner.TakeOver(now, decision.Epoch, fetched)
 	})
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -180,7 +180,7 @@
 // newRouter writes the process settings of a router; each joins by the first one.
 func (fl *fleet) newRouter(t *testing.T, directory string, index int) *router {
 	t.Helper()
-	ports := freePorts(t, 3)
+	ports := freePorts(t, index, 3)
 	rt := &router{
 		id: fmt.Sprintf("router-%d", index+1), caller: ports[0], peer: ports[1], operator: ports[2],
 		settings: filepath.Join(directory, fmt.Sprintf("router-%d.toml", index+1)),
@@ -215,12 +215,14 @@
 	go rt.wait()
 }
 
-// freePorts asks the system for free addresses and holds all of them until the last one is known.
-func freePorts(t *testing.T, count int) []string {
+// freePorts asks the system for free ports and holds all of them until the last one is known. The address belongs to this
+// test process and the router alone: on a shared one, other processes' connections may take a port before the router does.
+func freePorts(t *testing.T, index, count int) []string {
 	t.Helper()
+	pid := os.Getpid()
 	addresses := make([]string, 0, count)
 	for range count {
-		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8&0x7f, pid&0xff, 1+index))
 		if err != nil {
 			t.Fatal(err)
 		}
