--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -32,7 +32,7 @@
 
 // TestMembershipIsSeeded guards against figures that can't be repeated.
 func TestMembershipIsSeeded(t *testing.T) {
-	one, other := newNetwork(3, 21, 3).measure(quietTime), newNetwork(3, 21, 3).measure(quietTime)
+	one, other := newNetwork(3, 21, 3).measure(), newNetwork(3, 21, 3).measure()
 	if one.bytes != other.bytes || one.messages != other.messages {
 		t.Errorf("two runs with one seed differ: %+v and %+v", one, other)
 	}
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -36,11 +36,11 @@
 func measureMembership(seed uint64) ([]Slope, error) {
 	quiet := quietSlopes()
 	for _, size := range []int{21, 100} {
-		addQuiet(quiet, size, newNetwork(seed, size, targetCentres).measure(quietTime))
+		addQuiet(quiet, size, newNetwork(seed, size, targetCentres).measure())
 	}
 	// One network of the target size serves all that follows, since its start takes most of the time.
 	nw := newNetwork(seed, targetHosts, targetCentres)
-	addQuiet(quiet, targetHosts, nw.measure(quietTime))
+	addQuiet(quiet, targetHosts, nw.measure())
 	epochs := slope("membership traffic, 340 hosts", "bytes/s/host", "shards with an epoch", []int{35, 105, targetShards}, nw.bytesWithEpochs)
 	deaths, err := measureDeaths(nw)
 	return append(quiet, epochs, deaths,
@@ -228,12 +228,13 @@
 // quietRun is what membership costs each host while nothing happens.
 type quietRun struct{ bytes, messages, microseconds float64 }
 
-func (nw *network) measure(period time.Duration) quietRun {
+// measure runs the network for quietTime.
+func (nw *network) measure() quietRun {
 	nw.bytes, nw.messages = 0, 0
 	began := time.Now()
-	nw.run(period)
+	nw.run(quietTime)
 	spent := time.Since(began)
-	each := period.Seconds() * float64(len(nw.nodes))
+	each := quietTime.Seconds() * float64(len(nw.nodes))
 	return quietRun{
 		bytes:        float64(nw.bytes) / each,
 		messages:     float64(nw.messages) / each,
@@ -249,7 +250,7 @@
 		owner.ObserveEpoch(shardOf(index, targetCentres), epoch)
 	}
 	nw.run(spreadTime)
-	return nw.measure(quietTime).bytes
+	return nw.measure().bytes
 }
 
 // timeOfDeaths stops hosts of one data centre at once.
--- /dev/null
+++ b/test/operating/drain_test.go
@@ -0,0 +1,55 @@
+package operating
+
+import (
+	"os"
+	"strings"
+	"testing"
+)
+
+// removeService takes the service search back while host-2 owns its shard, and drains host-2.
+const removeService = `
+cp host-2.pid drained.pid
+chestnutroad config publish --log $LOG --parent 3 base.toml before.toml
+until chestnutroad status $OPERATOR_2 | awk '$5 == 4 { found = 1 } END { exit !found }'; do sleep 0.2; done
+while chestnutroad status --shards $OPERATOR_2 | grep 'target search-1'; do sleep 0.2; done
+kill -TERM $(cat drained.pid)
+for try in 1 2 3 4 5 6 7 8 9 10; do
+  kill -0 $(cat drained.pid) 2> gone.out || exit 0
+  sleep 1
+done
+curl -s http://$OPERATOR_2/metrics | grep '^chestnutroad_shards_owned'
+exit 1
+`
+
+// TestDrainAfterServiceIsRemoved guards against a host that never ends its drain because it keeps a shard whose service
+// is no longer in the configuration.
+func TestDrainAfterServiceIsRemoved(t *testing.T) {
+	skipKnownRed(t)
+	page, err := os.ReadFile(pagePath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory, environment := t.TempDir(), prepare(t)
+	t.Cleanup(func() { endProcesses(t, directory) })
+	for _, block := range shellBlocks(string(page)) {
+		runBlock(t, directory, environment, block)
+		if strings.Contains(block, "[Services.search]") {
+			break
+		}
+	}
+	runBlock(t, directory, environment, removeService)
+}
+
+// skipKnownRed passes over a test that KNOWN-RED.txt lists, and prints its entry.
+func skipKnownRed(t *testing.T) {
+	t.Helper()
+	data, err := os.ReadFile("../../KNOWN-RED.txt")
+	if err != nil && !os.IsNotExist(err) {
+		t.Fatal(err)
+	}
+	for _, entry := range strings.Split(string(data), "\n\n") {
+		if first, _, _ := strings.Cut(entry, "\n"); first == "test/operating "+t.Name() {
+			t.Skipf("KNOWN-RED.txt: %s", entry)
+		}
+	}
+}
--- a/test/operating/page_test.go
+++ b/test/operating/page_test.go
@@ -53,7 +53,7 @@
 		t.Fatalf("the page has %d shell blocks, the test knows %d", len(blocks), len(wanted))
 	}
 	directory := t.TempDir()
-	environment := prepare(t, directory)
+	environment := prepare(t)
 	t.Cleanup(func() { endProcesses(t, directory) })
 	for index, block := range blocks {
 		output := runBlock(t, directory, environment, block)
@@ -68,15 +68,16 @@
 
 // shellBlocks returns the fenced shell blocks of a page.
 func shellBlocks(page string) []string {
-	var blocks []string
-	for _, match := range regexp.MustCompile("(?s)```sh\n(.*?)```").FindAllStringSubmatch(page, -1) {
+	matches := regexp.MustCompile("(?s)```sh\n(.*?)```").FindAllStringSubmatch(page, -1)
+	blocks := make([]string, 0, len(matches))
+	for _, match := range matches {
 		blocks = append(blocks, match[1])
 	}
 	return blocks
 }
 
-// prepare builds the commands into the directory and returns the environment of the page.
-func prepare(t *testing.T, directory string) []string {
+// prepare builds the commands and returns the environment of the page.
+func prepare(t *testing.T) []string {
 	t.Helper()
 	binaries := t.TempDir()
 	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binaries, "../../cmd/...").CombinedOutput()
@@ -168,8 +169,9 @@
 	}
 	name := regexp.MustCompile(`(?m)^chestnutroad_[a-z_]*`)
 	listed := regexp.MustCompile("(?m)^\\| `(chestnutroad_[a-z_]*)`")
-	var onPage []string
-	for _, match := range listed.FindAllStringSubmatch(page, -1) {
+	matches := listed.FindAllStringSubmatch(page, -1)
+	onPage := make([]string, 0, len(matches))
+	for _, match := range matches {
 		onPage = append(onPage, match[1])
 	}
 	if served := sorted(name.FindAllString(string(data), -1)); !slices.Equal(served, sorted(onPage)) {
