--- a/internal/cli/verbs.go
+++ b/internal/cli/verbs.go
@@ -82,7 +82,7 @@
 	},
 	{
 		"capacity", "measure what a host's parts cost as their load grows",
-		"chestnutroad capacity --seed 1 pool order",
+		"chestnutroad capacity --seed 1 configuration",
 		func() Command { return &Capacity{} },
 	},
 }
