Give up shards whose service is gone, and show the control traffic in status

Cause: ownership was decided for listed shards only, so a host kept a shard whose service a new version had taken back, and a drain waited for it until DrainTimeout.

--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -54,9 +54,9 @@
 	if di == nil {
 		return
 	}
-	known := ow.host.targets.shards()
 	hosts := ow.host.peers.Hosts()
 	ow.mu.Lock()
+	known := ow.decidable()
 	for _, id := range known {
 		ow.books.Observe(id, ow.host.peers.Epoch(id))
 	}
@@ -75,6 +75,18 @@
 	}
 }
 
+// decidable returns the listed shards and those that this host owns although their service or targets are gone, which it
+// must still be able to give up. The caller holds the lock.
+func (ow *ownership) decidable() []chestnutroad.ShardID {
+	known := ow.host.targets.shards()
+	for id := range ow.shards {
+		if !slices.Contains(known, id) {
+			known = append(known, id)
+		}
+	}
+	return known
+}
+
 // askFormerOwners asks the owners for whose hand-over this host waits whether they still own the shard.
 func (ow *ownership) askFormerOwners(ctx context.Context, waits []member.Wait, hosts []member.HostView) {
 	if now := ow.host.now(); len(waits) > 0 && now.Sub(ow.asked) >= askInterval {
--- a/internal/host/status.go
+++ b/internal/host/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/member"
 	"github.com/chestnutroad/chestnutroad/internal/operator"
 )
 
@@ -57,12 +58,29 @@
 		Log:     operator.LogStatus{Available: available, LastRead: lastRead, OrdersBase: ho.orders.ready()},
 		Members: ho.memberStatus(),
 		Shards:  ho.shardStatus(),
+		Control: ho.controlStatus(),
 		Requests: operator.Requests{
 			Open: ho.counters.open.Load(), Completed: ho.counters.completed.Load(), Refused: ho.counters.refused.Load(),
 		},
 	}
 }
 
+// controlStatus sums up the control traffic that the sender has counted.
+func (ho *Host) controlStatus() operator.Control {
+	bytes := ho.metrics.GetOrCreateCounter(`chestnutroad_control_bytes_total{priority="KeepAlive"}`).Get()
+	dropped := uint64(0)
+	for index := range member.PriorityCount {
+		label := `{priority="` + member.Priority(index).String() + `"}`
+		bytes += ho.metrics.GetOrCreateCounter("chestnutroad_control_bytes_total" + label).Get()
+		dropped += ho.metrics.GetOrCreateCounter("chestnutroad_control_dropped_total" + label).Get()
+	}
+	return operator.Control{
+		BytesPerSecond: float64(bytes) / ho.now().Sub(ho.started).Seconds(),
+		Budget:         member.DefaultBudgetRate,
+		Dropped:        dropped,
+	}
+}
+
 func (ho *Host) memberStatus() []operator.Member {
 	hosts := ho.peers.Hosts()
 	members := make([]operator.Member, 0, len(hosts))
