--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -46,7 +46,7 @@
 func recorder(
 	set *settings.Host, incarnation chestnutroad.Incarnation,
 ) (opts []host.Option, finish func() error, err error) {
-	opts = []host.Option{host.WithIncarnation(incarnation)}
+	opts = append(make([]host.Option, 0, 2), host.WithIncarnation(incarnation))
 	if set.TimelineFile == "" {
 		return opts, func() error { return nil }, nil
 	}
