--- a/internal/replay/call.go
+++ b/internal/replay/call.go
@@ -30,6 +30,7 @@
 	entry     *host
 	number    int
 	redirects int
+	resumes   int
 	directed  chestnutroad.ShardID
 	tried     map[chestnutroad.ShardID]bool
 	searching time.Duration
@@ -215,19 +216,26 @@
 	switch {
 	case refusal.Kind == chestnutroad.NotReady && refusal.NotRun && strings.Contains(refusal.Message, "new owner"):
 		ca.waitForOwner()
-	case refusal.NotRun && triesElsewhere(refusal.Kind) && ca.entry.budget.retry(now):
+	case refusal.NotRun && triesElsewhere(refusal.Kind) &&
+		(refusal.Kind != chestnutroad.TargetRefused || ca.entry.budget.retry(now)):
 		if ca.tried == nil {
 			ca.tried = map[chestnutroad.ShardID]bool{}
 		}
 		ca.tried[shard] = true
 		ca.next()
-	case ca.resumable(refusal) && ca.entry.budget.retry(now):
+	case ca.resumable(refusal) && ca.mayResume(now):
 		ca.waitForOwner()
 	default:
 		ca.finish(refusal.Kind)
 	}
 }
 
+// mayResume allows one resume of each request for free, as internal/host does.
+func (ca *call) mayResume(now time.Time) bool {
+	ca.resumes++
+	return ca.resumes == 1 || ca.entry.budget.retry(now)
+}
+
 func (ca *call) resumable(refusal *chestnutroad.Refusal) bool {
 	broken := refusal.Kind == chestnutroad.StreamBroken || refusal.Kind == chestnutroad.NotReady
 	return broken && ca.req.Repeat == chestnutroad.RepeatAllowed
