--- /dev/null
+++ b/internal/publish/publisher_test.go
@@ -0,0 +1,76 @@
+package publish
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/cli"
+	"github.com/chestnutroad/chestnutroad/internal/standin"
+	"github.com/chestnutroad/chestnutroad/internal/standin/logservice"
+)
+
+func valid([]byte) error { return nil }
+
+// cutLog loses the answer of an append and can't be read afterwards.
+type cutLog struct {
+	*logservice.Log
+	appended bool
+}
+
+func (cl *cutLog) Append(ctx context.Context, stream chestnutroad.Stream, data []byte) (chestnutroad.Offset, error) {
+	cl.Switches().Set(standin.Faults{LoseAnswers: 1})
+	offset, err := cl.Log.Append(ctx, stream, data)
+	cl.Switches().Set(standin.Faults{Down: true})
+	cl.appended = true
+	return offset, err
+}
+
+// TestVerdicts guards against a publisher that guesses: an answer that is lost after the append took effect, a lost race
+// and a log that can't be read any more each have their own verdict.
+func TestVerdicts(t *testing.T) {
+	stale := chestnutroad.Version(0)
+	tests := []struct {
+		name    string
+		log     func() chestnutroad.Log
+		parent  *chestnutroad.Version
+		verdict cli.Verdict
+		version chestnutroad.Version
+	}{
+		{"accepted", plainLog, nil, cli.VerdictAccepted, 2},
+		{"lost answer", lossyLog, nil, cli.VerdictAccepted, 2},
+		{"lost race", plainLog, &stale, cli.VerdictRefused, 1},
+		{"lost answer and no log", func() chestnutroad.Log { return &cutLog{Log: firstVersion()} }, nil, cli.VerdictUnknown, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			answer, err := New(tt.log(), valid).Publish(ctx, cli.PublishRequest{
+				PublishID: "second", Parent: tt.parent, Body: []byte(`"b"`),
+			})
+			if err != nil || answer.Verdict != tt.verdict || answer.Version != tt.version {
+				t.Errorf("got %+v, %v, want %s and version %d", answer, err, tt.verdict, tt.version)
+			}
+		})
+	}
+}
+
+func plainLog() chestnutroad.Log { return firstVersion() }
+
+func lossyLog() chestnutroad.Log {
+	log := firstVersion()
+	log.Switches().Set(standin.Faults{LoseAnswers: 1})
+	return log
+}
+
+// firstVersion returns a log with one accepted version.
+func firstVersion() *logservice.Log {
+	log := logservice.New()
+	answer, err := New(log, valid).Publish(context.Background(), cli.PublishRequest{PublishID: "first", Body: []byte(`"a"`)})
+	if err != nil || answer.Verdict != cli.VerdictAccepted {
+		panic("the first version was not accepted")
+	}
+	return log
+}
--- /dev/null
+++ b/test/process/tls_test.go
@@ -0,0 +1,88 @@
+package process
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/load"
+)
+
+// TestCallersOverTLS guards against callers' traffic in clear although the settings give a certificate.
+func TestCallersOverTLS(t *testing.T) {
+	fl := startFleet(t, 1)
+	rt := fl.routers[0]
+	pool := addCertificate(t, rt)
+	rt.signal(os.Kill)
+	<-rt.ended
+	rt.start(t)
+	fl.awaitReady(t)
+	plan := fl.plan(time.Second)
+	plan.Entries = []string{"https://" + rt.caller}
+	plan.Client = &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	summary := load.Run(t.Context(), plan).Summary()
+	if summary.ChatsAnswered != summary.ChatsSent || summary.OrdersAnswered != summary.OrdersSent {
+		t.Errorf("over TLS: %+v", summary)
+	}
+	resp, err := http.Get("http://" + rt.caller + "/stock/x") //nolint:noctx // a local answer
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("a request in clear got status %d", resp.StatusCode)
+	}
+}
+
+// addCertificate gives the router a certificate of its own and returns the pool that trusts it.
+func addCertificate(t *testing.T, rt *router) *x509.CertPool {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host, _, _ := strings.Cut(rt.caller, ":")
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.ParseIP(host)}, IsCA: true, BasicConstraintsValid: true,
+		KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+	}
+	certificate, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	directory := filepath.Dir(rt.settings)
+	certificatePEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: certificate})
+	writeFile(t, filepath.Join(directory, "caller.pem"), certificatePEM)
+	writeFile(t, filepath.Join(directory, "caller.key"), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded}))
+	text, err := os.ReadFile(rt.settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, rt.settings, append(text, "CertificateFile = \"caller.pem\"\nKeyFile = \"caller.key\"\n"...))
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(certificatePEM)
+	return pool
+}
+
+func writeFile(t *testing.T, path string, data []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
