--- a/internal/host/lives_test.go
+++ b/internal/host/deadhosts_test.go
@@ -7,9 +7,9 @@
 	"github.com/chestnutroad/chestnutroad/internal/member"
 )
 
-// TestLives guards against a claimant's death that the orders never hear of, and against a host that is held dead for
+// TestDeadHosts guards against a claimant's death that the orders never hear of, and against a host that is held dead for
 // ever after a partition has healed.
-func TestLives(t *testing.T) {
+func TestDeadHosts(t *testing.T) {
 	view := func(state member.State, life chestnutroad.Incarnation) []member.HostView {
 		return []member.HostView{{Host: member.Host{ID: "host-1", Incarnation: life}, State: state}}
 	}
@@ -24,9 +24,9 @@
 		{"alive again", view(member.Alive, 1), 0, 1},
 		{"a later life dies", view(member.Dead, 2), 1, 0},
 	}
-	var li lives
+	var dh deadHosts
 	for _, tt := range tests {
-		gone, back := li.changes(tt.hosts)
+		gone, back := dh.changes(tt.hosts)
 		if len(gone) != tt.gone || len(back) != tt.back {
 			t.Errorf("%s: %d gone and %d back, want %d and %d", tt.name, len(gone), len(back), tt.gone, tt.back)
 		}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -45,7 +45,7 @@
 	orders        *orders
 	ownership     *ownership
 	entry         *entry
-	lives         lives
+	deadHosts     deadHosts
 	counters      counters
 	metrics       *metrics.Set
 	// draining is true from the start of a planned stop, refusing once new requests are refused too.
@@ -141,7 +141,7 @@
 	ho.control(func(ctx context.Context) {
 		every(ctx, ownershipInterval, func() {
 			ho.ownership.step(ctx)
-			ho.watchLives()
+			ho.watchDeadHosts()
 		})
 	})
 	ho.control(func(ctx context.Context) { every(ctx, summaryInterval, ho.shareSummaries) })
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -141,16 +141,16 @@
 	fc.client.counters.streams.Inc()
 	head.Stamp = fc.client.settings.stamps.Stamp()
 	fc.silence = newSilence(&fc.client.settings, func() { _ = fc.conn.transport.Close() })
-	pulse := startPulse(&fc.client.settings, func() error {
+	heartbeat := startHeartbeat(&fc.client.settings, func() error {
 		fc.client.sender.CountKeepAlive()
 		return stream.Send(&peerpb.ForwardUp{KeepAlive: true})
 	})
-	defer pulse.stop()
+	defer heartbeat.stop()
 	sent := make(chan error, 1)
 	if len(body) <= chunkSize {
-		sent <- sendRequest(stream, pulse, head, body)
+		sent <- sendRequest(stream, heartbeat, head, body)
 	} else {
-		go func() { sent <- sendRequest(stream, pulse, head, body) }()
+		go func() { sent <- sendRequest(stream, heartbeat, head, body) }()
 	}
 	last, err := fc.receive(stream)
 	finished := detach()
@@ -170,7 +170,7 @@
 
 // sendRequest sends the head with the first piece of the body, then the rest.
 func sendRequest(
-	stream peerpb.DRPCPeer_ForwardClient, pulse *pulse, head *peerpb.RequestHead, body []byte,
+	stream peerpb.DRPCPeer_ForwardClient, heartbeat *heartbeat, head *peerpb.RequestHead, body []byte,
 ) error {
 	head.BodyLength = int64(len(body))
 	frame := &peerpb.ForwardUp{Head: head}
@@ -181,7 +181,7 @@
 		if err := stream.Send(frame); err != nil {
 			return err
 		}
-		pulse.sent()
+		heartbeat.sent()
 		if len(body) == 0 {
 			return nil
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -164,11 +164,11 @@
 	defer sr.server.active.Add(-1)
 	silence := newSilence(&sr.server.settings, sr.closeConn)
 	defer silence.heard()
-	pulse := startPulse(&sr.server.settings, func() error {
+	heartbeat := startHeartbeat(&sr.server.settings, func() error {
 		sr.server.sender.CountKeepAlive()
 		return stream.Send(&peerpb.ForwardDown{KeepAlive: true})
 	})
-	defer pulse.stop()
+	defer heartbeat.stop()
 	head, body, err := sr.receiveRequest(stream, silence)
 	var refused *chestnutroad.Refusal
 	if err != nil && !errors.As(err, &refused) {
@@ -182,7 +182,7 @@
 		cancel(sr.receiveRest(stream, silence))
 	}()
 	sr.server.settings.stamps.Observe(head.GetStamp())
-	answer := &streamAnswer{stream: stream, pulse: pulse, streamed: head.GetStreamed()}
+	answer := &streamAnswer{stream: stream, heartbeat: heartbeat, streamed: head.GetStreamed()}
 	if err == nil {
 		err = sr.server.handler.Forward(ctx, head, body, answer)
 	}
@@ -192,7 +192,7 @@
 		sr.server.counters.broken.Inc()
 		return err
 	}
-	pulse.stop()
+	heartbeat.stop()
 	if err := stream.CloseSend(); err != nil {
 		return err
 	}
@@ -285,8 +285,8 @@
 
 // streamAnswer writes a handler's answer to the stream. A slow receiver holds back Chunk.
 type streamAnswer struct {
-	stream peerpb.DRPCPeer_ForwardStream
-	pulse  *pulse
+	stream    peerpb.DRPCPeer_ForwardStream
+	heartbeat *heartbeat
 	// streamed is true for an answer of server-sent events, which must arrive whole: when the stream breaks inside an
 	// event, the caller would otherwise get its beginning twice.
 	streamed bool
@@ -361,8 +361,8 @@
 }
 
 func (an *streamAnswer) send(down *peerpb.ForwardDown) error {
-	an.pulse.sent()
+	an.heartbeat.sent()
 	err := an.stream.Send(down)
-	an.pulse.sent()
+	an.heartbeat.sent()
 	return err
 }
--- a/internal/peer/watch.go
+++ b/internal/peer/watch.go
@@ -63,8 +63,8 @@
 	}
 }
 
-// pulse sends a keep-alive frame whenever a stream has sent nothing for an interval.
-type pulse struct {
+// heartbeat sends a keep-alive frame whenever a stream has sent nothing for an interval.
+type heartbeat struct {
 	interval time.Duration
 	start    time.Time
 	last     atomic.Int64
@@ -73,8 +73,8 @@
 	send     func() error
 }
 
-func startPulse(st *settings, send func() error) *pulse {
-	pl := &pulse{interval: st.keepAlive, start: time.Now(), send: send}
+func startHeartbeat(st *settings, send func() error) *heartbeat {
+	pl := &heartbeat{interval: st.keepAlive, start: time.Now(), send: send}
 	pl.sent()
 	if st.noKeepAlives {
 		return pl
@@ -89,9 +89,9 @@
 }
 
 // sent notes that the stream carried a frame.
-func (pl *pulse) sent() { pl.last.Store(int64(time.Since(pl.start))) }
+func (pl *heartbeat) sent() { pl.last.Store(int64(time.Since(pl.start))) }
 
-func (pl *pulse) beat() {
+func (pl *heartbeat) beat() {
 	if pl.stopped.Load() {
 		return
 	}
@@ -106,7 +106,7 @@
 	pl.timer.Reset(pl.interval - idle)
 }
 
-func (pl *pulse) stop() {
+func (pl *heartbeat) stop() {
 	pl.stopped.Store(true)
 	if pl.timer != nil {
 		pl.timer.Stop()
--- a/internal/policy/options.go
+++ b/internal/policy/options.go
@@ -18,7 +18,7 @@
 		pool.QueueLimit(service.QueueLimit),
 		pool.SlowStart(service.SlowStart),
 		pool.Headroom(service.Headroom),
-		pool.Patience(service.Patience),
+		pool.AffinityWait(service.AffinityWait),
 		pool.Slots(service.Slots),
 		pool.SummaryMaxAge(fleet.SummaryMaxAge),
 		pool.TakeoverDelay(fleet.TakeoverDelay),
--- a/internal/pool/patience_test.go
+++ b/internal/pool/affinity_test.go
@@ -8,36 +8,36 @@
 	"github.com/chestnutroad/chestnutroad/internal/pool"
 )
 
-// Guards against a returning chat that loses its context to a short wait, and against one that waits for ever. Without
-// patience, the baseline, the chat starts elsewhere at once.
+// Guards against a returning chat that loses its context to a short wait, and against one that waits for ever. Without a
+// wait, the baseline, the chat starts elsewhere at once.
 func TestReturningChatWaitsForItsTarget(t *testing.T) {
-	const patience = 500 * time.Millisecond
+	const wait = 500 * time.Millisecond
 	cases := []struct {
-		name     string
-		patience time.Duration
-		// freed is true when the chat's target becomes free before the patience ends.
+		name string
+		wait time.Duration
+		// freed is true when the chat's target becomes free before the wait ends.
 		freed bool
 		stays bool
 	}{
-		{"the target is freed in time", patience, true, true},
-		{"the target stays busy", patience, false, false},
-		{"no patience", 0, true, false},
+		{"the target is freed in time", wait, true, true},
+		{"the target stays busy", wait, false, false},
+		{"no wait", 0, true, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			dk := newDesk(3, pool.LoadFloor(150), pool.SlowStart(0), pool.Moves(false), pool.Patience(tc.patience))
+			dk := newDesk(3, pool.LoadFloor(150), pool.SlowStart(0), pool.Moves(false), pool.AffinityWait(tc.wait))
 			home := dk.turn(1).Target
 			blocker := dk.fill(home)
 			started := dk.hold(1)
-			waits := tc.patience > 0
+			waits := tc.wait > 0
 			if waits != (started.Request == "") {
 				t.Fatalf("got %+v at once, want a wait: %v", started, waits)
 			}
-			dk.now = dk.now.Add(patience / 2)
+			dk.now = dk.now.Add(wait / 2)
 			if tc.freed && waits {
 				started = startOf(dk.Finish(dk.now, blocker))
 			}
-			dk.now = dk.now.Add(patience)
+			dk.now = dk.now.Add(wait)
 			if late := startOf(dk.Tick(dk.now)); late.Request != "" {
 				started = late
 			}
--- a/internal/pool/option.go
+++ b/internal/pool/option.go
@@ -15,7 +15,7 @@
 	defaultTableLimit    = 200_000
 	defaultReservedShare = 0.2
 	defaultHeadroom      = 0.8
-	defaultPatience      = time.Second
+	defaultAffinityWait  = time.Second
 	defaultEjectLimit    = 0.3
 	defaultSlots         = 128
 	defaultTeamWeight    = 1.0
@@ -32,7 +32,7 @@
 	tableLimit    int
 	reservedShare float64
 	headroom      float64
-	patience      time.Duration
+	affinityWait  time.Duration
 	ejectLimit    float64
 	slots         int
 	reports       bool
@@ -50,7 +50,7 @@
 		tableLimit:    defaultTableLimit,
 		reservedShare: defaultReservedShare,
 		headroom:      defaultHeadroom,
-		patience:      defaultPatience,
+		affinityWait:  defaultAffinityWait,
 		ejectLimit:    defaultEjectLimit,
 		slots:         defaultSlots,
 		reports:       true,
@@ -111,9 +111,9 @@
 	return func(st *settings) { st.headroom = min(1, max(0, share)) }
 }
 
-// Patience sets how long a returning chat waits for the target that has its context (default 1 s).
-func Patience(wait time.Duration) Option {
-	return func(st *settings) { st.patience = max(0, wait) }
+// AffinityWait sets how long a returning chat waits for the target that has its context (default 1 s).
+func AffinityWait(wait time.Duration) Option {
+	return func(st *settings) { st.affinityWait = max(0, wait) }
 }
 
 // EjectLimit sets the largest share of the shard's targets that failures may eject at one time (default 0.3).
--- a/internal/pool/place.go
+++ b/internal/pool/place.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		passed := skip < len(pq.front) && len(rq.failed) > 0
-		if !passed && !ow.patient(now, rq) {
+		if !passed && !ow.awaitsPlace(now, rq) {
 			return actions, true
 		}
 		skip++
@@ -57,7 +57,7 @@
 		if ow.admissible(now, tg, rq, work, pl) {
 			return tg, work, cached
 		}
-		if ow.patient(now, rq) {
+		if ow.awaitsPlace(now, rq) {
 			return nil, 0, 0
 		}
 	}
@@ -65,10 +65,10 @@
 	return ow.firstInOrder(now, rq, work, pl), work, 0
 }
 
-// patient says whether the request still waits for the target that has its context. Another target would have to build
+// awaitsPlace says whether the request still waits for the target that has its context. Another target would have to build
 // the context again, which delays the answer too and loads the pool with work that a short wait saves.
-func (ow *Owner) patient(now time.Time, rq *request) bool {
-	if !now.Before(rq.patientUntil) {
+func (ow *Owner) awaitsPlace(now time.Time, rq *request) bool {
+	if !now.Before(rq.affinityUntil) {
 		return false
 	}
 	tg, _ := ow.knownPlace(rq)
--- a/internal/pool/queue_test.go
+++ b/internal/pool/queue_test.go
@@ -42,11 +42,11 @@
 	}
 }
 
-func (sp *shop) submit(team chestnutroad.TeamID, priority chestnutroad.Priority, output chestnutroad.Tokens, patience time.Duration) {
+func (sp *shop) submit(team chestnutroad.TeamID, priority chestnutroad.Priority, output chestnutroad.Tokens, timeout time.Duration) {
 	sp.number++
 	req := chestnutroad.Request{
 		ID: chestnutroad.RequestID(fmt.Sprint(sp.number)), Team: team, Priority: priority, MaxOutput: output,
-		Repeat: chestnutroad.RepeatAllowed, Deadline: sp.now.Add(patience),
+		Repeat: chestnutroad.RepeatAllowed, Deadline: sp.now.Add(timeout),
 	}
 	sp.teams[req.ID] = team
 	sp.apply(sp.Submit(sp.now, req))
--- a/internal/pool/request.go
+++ b/internal/pool/request.go
@@ -18,11 +18,11 @@
 	resume bool
 	// ran is true when it is not certain that no target started the request.
 	ran bool
-	// patientUntil is until when a returning chat waits for the target that has its context.
-	patientUntil time.Time
-	redirects    int
-	attempts     int
-	moves        int
+	// affinityUntil is until when a returning chat waits for the target that has its context.
+	affinityUntil time.Time
+	redirects     int
+	attempts      int
+	moves         int
 	// failed lists targets on which the request broke.
 	failed  []chestnutroad.TargetID
 	target  *target
--- a/internal/pool/submit.go
+++ b/internal/pool/submit.go
@@ -28,13 +28,13 @@
 	}
 	ow.requests[rq.ID] = rq
 	rq.work = rq.workWith(ow.cachedAnywhere(rq))
-	rq.patientUntil = now.Add(ow.settings.patience)
+	rq.affinityUntil = now.Add(ow.settings.affinityWait)
 	ow.queue.add(rq, ow.settings.teamWeight(rq.Team))
 	actions := ow.settle(now, nil)
 	if !ow.queued(rq) {
 		return actions
 	}
-	if shard, found := ow.redirectFor(now, rq); found && !ow.patient(now, rq) {
+	if shard, found := ow.redirectFor(now, rq); found && !ow.awaitsPlace(now, rq) {
 		return append(actions, ow.redirect(now, rq, shard))
 	}
 	return ow.limitQueue(now, rq, actions)
--- a/internal/settings/service.go
+++ b/internal/settings/service.go
@@ -34,8 +34,8 @@
 	Multiple float64
 	// Headroom is the part of the way from the mean to Multiple that admissions use.
 	Headroom float64
-	// Patience is how long a returning chat waits for the target that has its context.
-	Patience time.Duration
+	// AffinityWait is how long a returning chat waits for the target that has its context.
+	AffinityWait time.Duration
 	// LoadFloor is the load below which a target is never called overloaded.
 	LoadFloor chestnutroad.WorkUnits
 	// QueueLimit is the number of requests that wait in one shard.
@@ -89,7 +89,7 @@
 		Deadline:        rd.duration("Deadline", defaultDeadline(kind), 10*time.Millisecond, 24*time.Hour),
 		Multiple:        rd.ratio("Multiple", defaultMultiple, 1.01, 10),
 		Headroom:        rd.ratio("Headroom", defaultHeadroom, 0.1, 1),
-		Patience:        rd.duration("Patience", time.Second, 0, time.Minute),
+		AffinityWait:    rd.duration("AffinityWait", time.Second, 0, time.Minute),
 		QueueLimit:      int(rd.count("QueueLimit", 1000, 0, 1_000_000)),
 		Slots:           int(rd.count("Slots", 32, 1, 100_000)),
 		SlowStart:       rd.duration("SlowStart", 30*time.Second, 0, time.Hour),
