Keep only the latest handed-over state, and end a benchmark whose calls fail

A host that is named as successor by mistake kept every state that it was handed. BenchmarkOpenStream hung with 20,000 streams, since calls that failed with 'too many open files' never released it; it now fails with that error.

--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -95,7 +95,10 @@
 	for range b.N {
 		open.Add(1)
 		done.Go(func() {
-			answer := &counter{onHead: open.Done}
+			// A call that fails before its head must not keep the benchmark waiting.
+			opened := sync.OnceFunc(open.Done)
+			defer opened()
+			answer := &counter{onHead: opened}
 			call := &chestnutroad.Call{Method: http.MethodPost, Path: "/", Body: []byte("{}")}
 			if err := client.Do(b.Context(), call, answer); err != nil {
 				b.Error(err)
--- a/internal/host/ownership.go
+++ b/internal/host/ownership.go
@@ -207,7 +207,8 @@
 	defer ow.mu.Unlock()
 	ow.books.Observe(id, epoch)
 	ow.books.HandedOver(id)
-	ow.received[id] = append(ow.received[id], state)
+	// Only the latest state is kept: a host that is named as successor by mistake never takes the shard.
+	ow.received[id] = [][]byte{state}
 }
 
 // releasing reports whether a shard that this host gave up still runs requests or is being handed over.
--- a/internal/replay/ownership.go
+++ b/internal/replay/ownership.go
@@ -211,7 +211,7 @@
 			return
 		}
 		successor.books.Observe(decision.Shard, decision.Epoch)
-		successor.received[decision.Shard] = append(successor.received[decision.Shard], state)
+		successor.received[decision.Shard] = [][]byte{state}
 		successor.books.HandedOver(decision.Shard)
 		successor.wakeBooks()
 	})
