--- a/internal/verb/demo.go
+++ b/internal/verb/demo.go
@@ -70,12 +70,21 @@
 wrong or cut-off answers  %d
 first token, 95 in 100    %.0f ms; between tokens %.0f ms; orders %.0f ms
 cache reuse               %.1f%% of the tokens that earlier turns had sent
-highest skew              %.2f of the mean (counted while the mean is over %d work units); highest work %d
+highest skew              %s
 control traffic           %.0f bytes a second and host
 `,
 		sent.ChatsAnswered, sent.ChatsSent, sent.OrdersAnswered, sent.OrdersSent, result.OrdersRunTwice,
 		sent.Wrong+sent.Broken["stream"], sent.FirstTokenMs.P95, sent.BetweenMs.P95, sent.OrderMs.P95,
-		100*result.Measures.CacheReuse, result.Measures.HighestSkew, result.Measures.LoadFloor,
-		result.Measures.HighestWork, result.Measures.ControlBytesPerHost)
+		100*result.Measures.CacheReuse, describeSkew(result.Measures), result.Measures.ControlBytesPerHost)
 	return err
 }
+
+// describeSkew says how far one engine was above the mean, or that the load was too low for the bound to count.
+func describeSkew(measures demo.Measures) string {
+	if measures.HighestSkew == 0 {
+		return fmt.Sprintf("not counted: the mean stayed below LoadFloor (%d work units); the highest load was %d",
+			measures.LoadFloor, measures.HighestWork)
+	}
+	return fmt.Sprintf("%.2f times the mean, counted while the mean was over %d work units",
+		measures.HighestSkew, measures.LoadFloor)
+}
