--- a/internal/host/fleet.go
+++ b/internal/host/fleet.go
@@ -47,7 +47,7 @@
 	return ho.peers.Forward(ctx, owner, id, request, call, answer, redirects)
 }
 
-// Serve runs a request that another host forwards to this one as the owner of the shard.
+// serveForwarded runs a request that another host forwards to this one as the owner of the shard.
 func (ho *Host) serveForwarded(
 	ctx context.Context, id chestnutroad.ShardID, request *chestnutroad.Request, call *chestnutroad.Call,
 	answer chestnutroad.Answer, redirects int,
--- a/internal/host/forwarded.go
+++ b/internal/host/forwarded.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,16 +108,12 @@
 		Attempt:         int32(call.Attempt),
 		DataCentre:      string(id.DataCentre),
 		Redirects:       int32(redirects),
+		Headers:         peer.ProtoHeader(call.Header),
 		Streamed:        isChat(request),
 	}
 	if !request.Deadline.IsZero() {
 		head.TimeoutNanos = int64(time.Until(request.Deadline))
 	}
-	for name, values := range call.Header {
-		for _, value := range values {
-			head.Headers = append(head.Headers, &peerpb.Header{Name: name, Value: value})
-		}
-	}
 	return head
 }
 
@@ -148,7 +143,7 @@
 		Attempt:  int(head.GetAttempt()),
 		Method:   head.GetMethod(),
 		Path:     head.GetPath(),
-		Header:   headerOf(head.GetHeaders()),
+		Header:   peer.HTTPHeader(head.GetHeaders()),
 		Body:     body,
 		Repeat:   chestnutroad.Repeat(head.GetRepeat()),
 		ResumeAt: chestnutroad.Tokens(head.GetResumeAt()),
@@ -179,11 +174,3 @@
 	}
 	return nil
 }
-
-func headerOf(pairs []*peerpb.Header) http.Header {
-	header := make(http.Header, len(pairs))
-	for _, pair := range pairs {
-		header.Add(pair.GetName(), pair.GetValue())
-	}
-	return header
-}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -206,7 +206,7 @@
 			continue
 		}
 		if down.GetHead() != nil {
-			err = fc.answer.Head(int(down.GetHead().GetStatus()), httpHeader(down.GetHead().GetHeaders()))
+			err = fc.answer.Head(int(down.GetHead().GetStatus()), HTTPHeader(down.GetHead().GetHeaders()))
 		}
 		if err == nil {
 			err = fc.receiveChunk(down)
@@ -340,7 +340,8 @@
 	return nil
 }
 
-func httpHeader(headers []*peerpb.Header) http.Header {
+// HTTPHeader returns the header of a message between hosts.
+func HTTPHeader(headers []*peerpb.Header) http.Header {
 	header := make(http.Header, len(headers))
 	for _, pair := range headers {
 		header.Add(pair.GetName(), pair.GetValue())
@@ -348,7 +349,8 @@
 	return header
 }
 
-func protoHeader(header http.Header) []*peerpb.Header {
+// ProtoHeader returns the header for a message between hosts.
+func ProtoHeader(header http.Header) []*peerpb.Header {
 	headers := make([]*peerpb.Header, 0, len(header))
 	for name, values := range header {
 		for _, value := range values {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -299,7 +299,7 @@
 // Head sends the status and the header. For an answer that is not streamed they wait for the body, which saves a frame
 // and with it a write.
 func (an *streamAnswer) Head(status int, header http.Header) error {
-	down := &peerpb.ForwardDown{Head: &peerpb.AnswerHead{Status: int32(status), Headers: protoHeader(header)}}
+	down := &peerpb.ForwardDown{Head: &peerpb.AnswerHead{Status: int32(status), Headers: ProtoHeader(header)}}
 	if an.streamed {
 		return an.send(down)
 	}
