Pass the settings of the log on to the orders and the configuration reader

Cause, found by reading: hosts never gave LogRetention, AppendInterval, AppendBudget, RepeatWindow or the number of appending owners to the order machine, nor LogRetention to the configuration reader. Before: TestSettingsReachTheReaders, without the calls, sees 168h0m0s where the settings say 48h.

--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -30,6 +30,16 @@
 	return rd
 }
 
+// Configure applies options to a running reader.
+func (rd *Reader) Configure(opts ...Option) {
+	for _, opt := range opts {
+		opt(&rd.set)
+	}
+}
+
+// Retention returns the time for which the log is taken to keep records.
+func (rd *Reader) Retention() time.Duration { return rd.set.retention }
+
 // From returns the offset from which the next batch of the configuration stream is to be read.
 func (rd *Reader) From() chestnutroad.Offset { return rd.reader.From() }
 
--- a/internal/host/configuration.go
+++ b/internal/host/configuration.go
@@ -111,6 +111,7 @@
 		return
 	}
 	cf.inForce = accepted.Version
+	cf.reader.Configure(config.WithRetention(effective.Fleet.LogRetention))
 	cf.apply(accepted.Version, cf.reader.From()-1, effective)
 }
 
@@ -151,6 +152,13 @@
 	return nil
 }
 
+// configure applies the constants of settings that were not published.
+func (cf *configuration) configure(fleet settings.Fleet) {
+	cf.mu.Lock()
+	defer cf.mu.Unlock()
+	cf.reader.Configure(config.WithRetention(fleet.LogRetention))
+}
+
 // version returns the version in force; zero means that none was read.
 func (cf *configuration) version() chestnutroad.Version {
 	cf.mu.Lock()
--- /dev/null
+++ b/internal/host/configure_test.go
@@ -0,0 +1,33 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/examples"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+// TestSettingsReachTheReaders guards against snapshots that are written for another retention than the log's: records
+// would expire before the first one, and a new host would find no base.
+func TestSettingsReachTheReaders(t *testing.T) {
+	site := startSoloSite(t)
+	files := examples.Warta()
+	files[1].Text += "\n[Fleet]\nLogRetention = \"48h\"\n"
+	parsed, err := settings.Parse(files...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	effective, _ := parsed.Effective(chestnutroad.SiteID("wielkopolska"))
+	site.host.Use(effective)
+	if got := site.host.orders.machine.Retention(); got != 48*time.Hour {
+		t.Errorf("the orders' snapshots are written for a retention of %v, want 48h", got)
+	}
+	if got := site.host.configuration.reader.Retention(); got != 48*time.Hour {
+		t.Errorf("the configuration's snapshots are written for a retention of %v, want 48h", got)
+	}
+	if owners := site.host.orderOwners(); owners != 1 {
+		t.Errorf("%d hosts share the append budget, want 1", owners)
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -103,6 +103,7 @@
 // Use puts settings from files in force until a published configuration is read.
 func (ho *Host) Use(effective *settings.Effective) {
 	ho.directory.Store(newDirectory(0, effective))
+	ho.configuration.configure(effective.Fleet)
 	ho.reconfigure(effective)
 }
 
@@ -118,6 +119,7 @@
 // reconfigure passes changed settings on to what runs already.
 func (ho *Host) reconfigure(effective *settings.Effective) {
 	ho.entry.configure(effective.Fleet)
+	ho.orders.configure(effective.Fleet)
 	for _, sh := range ho.ownership.owned() {
 		service, known := effective.Service(sh.id.Pool.Service)
 		if !known {
@@ -142,6 +144,7 @@
 		every(ctx, ownershipInterval, func() {
 			ho.ownership.step(ctx)
 			ho.watchDeadHosts()
+			ho.orders.shareBudget(ho.orderOwners())
 		})
 	})
 	ho.control(func(ctx context.Context) { every(ctx, summaryInterval, ho.shareSummaries) })
@@ -246,6 +249,22 @@
 	}
 }
 
+// orderOwners returns the number of hosts that own a shard whose calls may run at most once.
+func (ho *Host) orderOwners() int {
+	di := ho.directory.Load()
+	if di == nil {
+		return 0
+	}
+	hosts := ho.peers.Hosts()
+	owners := map[chestnutroad.HostID]bool{}
+	for _, id := range ho.targets.shards() {
+		if owner, found := ho.ownership.ownerOf(id, hosts); found && di.hasOrders(id.Pool.Service) {
+			owners[owner.ID] = true
+		}
+	}
+	return len(owners)
+}
+
 // orderShards returns the number of shards that this host owns and whose calls may run at most once.
 func (ho *Host) orderShards() int {
 	di := ho.directory.Load()
--- a/internal/host/orders.go
+++ b/internal/host/orders.go
@@ -14,6 +14,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/order"
 	"github.com/chestnutroad/chestnutroad/internal/platform"
 	"github.com/chestnutroad/chestnutroad/internal/record"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
 )
 
 const (
@@ -233,6 +234,25 @@
 	appendParts(ctx, or.log, chestnutroad.StreamOrders, parts)
 }
 
+// configure applies the constants of the configuration in force.
+func (or *orders) configure(fleet settings.Fleet) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.machine.Configure(
+		order.WithAppendInterval(fleet.AppendInterval),
+		order.WithAppendBudget(fleet.AppendBudget),
+		order.WithRepeatWindow(fleet.RepeatWindow),
+		order.WithRetention(fleet.LogRetention),
+	)
+}
+
+// shareBudget tells how many hosts share the append budget.
+func (or *orders) shareBudget(owners int) {
+	or.mu.Lock()
+	defer or.mu.Unlock()
+	or.machine.SetOwners(owners)
+}
+
 // ready reports whether the host knows which orders have run.
 func (or *orders) ready() bool {
 	or.mu.Lock()
--- a/internal/order/machine.go
+++ b/internal/order/machine.go
@@ -77,6 +77,16 @@
 	return len(mc.flights) > 0 || mc.batch != nil || anyUnstored(mc.outcomes) || anyUnstored(mc.releases)
 }
 
+// Configure applies options to a running machine; records keep the times with which they were written.
+func (mc *Machine) Configure(opts ...Option) {
+	for _, opt := range opts {
+		opt(&mc.set)
+	}
+}
+
+// Retention returns the time for which the log is taken to keep records.
+func (mc *Machine) Retention() time.Duration { return mc.set.retention }
+
 // SetOwners tells how many hosts own order shards and share the append budget.
 func (mc *Machine) SetOwners(owners int) { mc.owners = owners }
 
