--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -4,7 +4,7 @@
 
 // Serve holds the arguments of serve.
 type Serve struct {
-	Host    string   `arg:"--host,required" placeholder:"FILE" help:"process settings of the host"`
+	Host    string   `arg:"--host" placeholder:"FILE" help:"process settings of the host; without it, those that the platform names"`
 	Base    string   `arg:"--base" placeholder:"FILE" help:"base settings for a start without a published configuration"`
 	Overlay []string `arg:"--overlay" placeholder:"FILE" help:"overlays of the base settings"`
 }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,251 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/logging"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/internal/targetconn"
+)
+
+// Decoder reads the records that operators and targets keep in the platform's store.
+type Decoder interface {
+	Configuration(data []byte) (*chestnutroad.Configuration, error)
+	Target(id string, data []byte) (chestnutroad.TargetEntry, error)
+	// ConfigurationKey is the key of the configuration in its stream.
+	ConfigurationKey() string
+}
+
+// Entry is one entry host.
+type Entry struct {
+	settings *settings.Entry
+	store    chestnutroad.KeyedStore
+	wire     chestnutroad.Wire
+	decoder  Decoder
+	logger   *log.Logger
+	state    *state
+	targets  *targetconn.Pool
+	counters *counters
+	idle     *idleConns
+	now      func() time.Time
+	stopping atomic.Bool
+	handler  filter
+}
+
+// New returns an entry host.
+func New(
+	set *settings.Entry, store chestnutroad.KeyedStore, wire chestnutroad.Wire, decoder Decoder, logger *log.Logger,
+) *Entry {
+	en := &Entry{
+		settings: set,
+		store:    store,
+		wire:     wire,
+		decoder:  decoder,
+		logger:   logging.For(logger, "entry"),
+		state:    newState(set),
+		targets:  targetconn.NewPool(),
+		counters: newCounters(),
+		idle:     newIdleConns(),
+		now:      time.Now,
+	}
+	en.handler = en.chain()
+	return en
+}
+
+const (
+	// headerTimeout and maxHeaderBytes protect the host from slow or endless headers.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	// sweepInterval is the pause between two looks at idle connections.
+	sweepInterval = time.Second
+)
+
+// Run serves until ctx ends, then drains.
+func (en *Entry) Run(ctx context.Context) error {
+	listeners, err := en.listen(ctx)
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	callers := en.callerServer()
+	operators := &http.Server{Handler: en.operatorHandler(), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, len(listeners))
+	for _, listener := range listeners {
+		server := operators
+		if listener == listeners[0] {
+			server = callers
+		}
+		go func() { failed <- server.Serve(listener) }()
+	}
+	go en.follow(work)
+	go en.sweep(work)
+	en.logger.Info("started", "Callers", en.settings.CallerAddress, "Ready", en.settings.ReadyAddress)
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	}
+	en.drain(callers)
+	_ = operators.Close()
+	en.logger.Info("stopped")
+	return nil
+}
+
+func (en *Entry) listen(ctx context.Context) ([]net.Listener, error) {
+	addresses := []netip.AddrPort{en.settings.CallerAddress, en.settings.ReadyAddress}
+	if en.settings.LastPort > 0 {
+		addresses = append(addresses, netip.AddrPortFrom(en.settings.CallerAddress.Addr(), uint16(en.settings.LastPort)))
+	}
+	var config net.ListenConfig
+	listeners := make([]net.Listener, 0, len(addresses))
+	for _, address := range addresses {
+		listener, err := config.Listen(ctx, "tcp", address.String())
+		if err != nil {
+			return nil, errors.Wrap(err, "listen")
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+const (
+	// unreadyTime is how long the balancer takes to send no new connections to a host that is not ready: it asks once a
+	// second and believes the second miss.
+	unreadyTime = 2500 * time.Millisecond
+	// stopReserve is the part of the grace that is left for the end of the process.
+	stopReserve = 700 * time.Millisecond
+)
+
+// drain stops the host without cutting a request off: it says first that it is not ready, then closes idle connections
+// and waits for the requests that run.
+func (en *Entry) drain(callers *http.Server) {
+	started := en.now()
+	en.stopping.Store(true)
+	en.logger.Info("draining", "Open", en.counters.open.Load())
+	time.Sleep(min(unreadyTime, en.settings.Grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(en.settings.Grace-stopReserve))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		en.logger.Warn("requests were cut off at the end of the grace", "Open", en.counters.open.Load(), "Error", err)
+		_ = callers.Close()
+	}
+}
+
+func (en *Entry) sweep(ctx context.Context) {
+	for sleep(ctx, sweepInterval) {
+		en.targets.Sweep()
+		if tb := en.state.table.Load(); tb != nil {
+			en.idle.closeOlder(en.now(), tb.Limits().IdleTimeout)
+		}
+	}
+}
+
+func (en *Entry) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
+		if en.stopping.Load() || !en.state.ready() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /metrics", func(writer http.ResponseWriter, _ *http.Request) {
+		en.counters.set.WritePrometheus(writer)
+	})
+	return mux
+}
+
+func (en *Entry) follow(ctx context.Context) {
+	configuration := &follower{
+		store: en.store, stream: chestnutroad.KeyedConfiguration, wait: readWait, logger: en.logger,
+		reset: en.applyConfiguration, apply: en.applyConfiguration, reached: func(bool) {},
+	}
+	targets := &follower{
+		store: en.store, stream: chestnutroad.KeyedTargets, interval: targetInterval, logger: en.logger,
+		reset: en.resetTargets, apply: en.applyTargets, reached: func(bool) {},
+	}
+	go configuration.run(ctx)
+	targets.run(ctx)
+}
+
+func (en *Entry) applyConfiguration(records []chestnutroad.KeyedRecord) {
+	for _, record := range records {
+		if record.Key != en.decoder.ConfigurationKey() || len(record.Value) == 0 {
+			continue
+		}
+		cf, err := en.decoder.Configuration(record.Value)
+		if err != nil {
+			en.logger.Error("configuration can't be read", "Offset", record.Offset, "Error", err)
+			continue
+		}
+		if en.state.offer(cf) {
+			en.logger.Info("configuration in force", "Version", cf.Version, "Offset", record.Offset,
+				"Rules", len(cf.Rules), "Teams", len(cf.Teams))
+		}
+	}
+}
+
+// resetTargets takes in the newest record of each target; a target without one is gone.
+func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord) {
+	en.state.mu.Lock()
+	listed := make(map[chestnutroad.TargetID]bool, len(records))
+	for _, record := range records {
+		listed[chestnutroad.TargetID(record.Key)] = true
+	}
+	var gone []chestnutroad.KeyedRecord
+	for _, entry := range en.state.pool.Entries() {
+		if !listed[entry.ID] {
+			gone = append(gone, chestnutroad.KeyedRecord{Key: string(entry.ID)})
+		}
+	}
+	en.state.mu.Unlock()
+	en.applyTargets(append(records, gone...))
+	en.state.listed.Store(true)
+}
+
+func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord) {
+	for _, record := range records {
+		en.applyTarget(&record)
+	}
+}
+
+func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) {
+	id := chestnutroad.TargetID(record.Key)
+	if len(record.Value) == 0 {
+		en.removeTarget(id, "removed")
+		return
+	}
+	entry, err := en.decoder.Target(record.Key, record.Value)
+	if err != nil {
+		en.logger.Warn("target entry can't be used", "Target", id, "Offset", record.Offset, "Error", err)
+		en.removeTarget(id, "unreadable")
+		return
+	}
+	en.state.mu.Lock()
+	before, known := en.state.pool.Entry(id)
+	en.state.pool.Set(&entry)
+	en.state.mu.Unlock()
+	if !known || !before.SameLife(&entry) || before.Leaving != entry.Leaving {
+		en.logger.Info("target changed", "Target", id, "Service", entry.Service, "Address", entry.Address,
+			"Leaving", entry.Leaving, "Started", entry.Started, "Offset", record.Offset)
+	}
+}
+
+func (en *Entry) removeTarget(id chestnutroad.TargetID, reason string) {
+	en.state.mu.Lock()
+	before, known := en.state.pool.Entry(id)
+	en.state.pool.Remove(id)
+	en.state.mu.Unlock()
+	if known {
+		en.targets.Forget(before.Address)
+		en.logger.Info("target gone", "Target", id, "Address", before.Address, "Reason", reason)
+	}
+}
--- /dev/null
+++ b/internal/entry/exchange.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
+	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/routing"
+)
+
+// exchange is one caller's request on its way.
+type exchange struct {
+	writer  http.ResponseWriter
+	request *http.Request
+	started time.Time
+	took    time.Duration
+	// firstByte is the time from the start to the first bytes of the answer.
+	firstByte time.Duration
+
+	table    *routing.Table
+	facts    chestnutroad.CallFacts
+	rule     *chestnutroad.RoutingRule
+	team     *chestnutroad.TeamSpec
+	service  chestnutroad.ServiceID
+	body     []byte
+	deadline time.Time
+
+	progress attempt.State
+	ask      placement.Ask
+	choice   placement.Choice
+	// trail lists each send with its target and end, for the log.
+	trail  []string
+	status int
+	stream streamState
+}
+
+func (ex *exchange) left(now time.Time) time.Duration { return ex.deadline.Sub(now) }
+
+// delivered reports whether a part of the answer was sent.
+func (ex *exchange) delivered() bool { return ex.status != 0 }
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
+	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/routing"
+	"github.com/chestnutroad/chestnutroad/internal/target"
+	"github.com/chestnutroad/chestnutroad/internal/targetconn"
+)
+
+// result is how one send to a target ended.
+type result struct {
+	end attempt.End
+	// done is true when the caller has the whole answer.
+	done bool
+	// failure is the target's own failure, kept in case that nothing better follows.
+	failure *whole
+	err     error
+	outcome placement.Outcome
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// forward sends the request to targets until one has answered or nothing more may be tried.
+func (en *Entry) forward(ex *exchange) error {
+	en.state.countRequest(ex.started, ex.service)
+	ex.progress.Budget = func() bool { return en.state.takeRetry(en.now(), ex.service) }
+	for {
+		choice, found := en.state.choose(en.now(), &ex.ask)
+		if !found {
+			return en.noTarget(ex)
+		}
+		ex.choice = choice
+		sent := en.now()
+		res := en.send(ex, &choice.Entry)
+		en.state.finish(en.now(), choice.Entry.ID, res.outcome)
+		ex.trail = append(ex.trail, trailStep(&choice, &res, en.now().Sub(sent)))
+		if res.done {
+			return nil
+		}
+		if ex.request.Context().Err() != nil {
+			return errors.Mark(res.err, errCallerGone)
+		}
+		step := en.next(ex, &choice, &res)
+		if step == attempt.Retry {
+			continue
+		}
+		return en.conclude(ex, step, &res)
+	}
+}
+
+func trailStep(choice *placement.Choice, res *result, took time.Duration) string {
+	text := string(choice.Entry.ID) + " " + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
+	if res.err != nil {
+		text += " " + res.err.Error()
+	}
+	return text
+}
+
+// next takes the result into the exchange's progress and returns what follows.
+func (en *Entry) next(ex *exchange, choice *placement.Choice, res *result) attempt.Step {
+	ex.ask.Excluded = append(ex.ask.Excluded, choice.Entry.ID)
+	pr := &ex.progress
+	if res.end == attempt.NotSent {
+		pr.Dials++
+	} else {
+		pr.Sent++
+	}
+	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
+	pr.Left = ex.left(en.now())
+	pr.Targets = true
+	return attempt.Next(res.end, pr)
+}
+
+const (
+	// overloadReturn is when a caller should come back that no target had room for; half of a plain call's patience.
+	overloadReturn = 150 * time.Millisecond
+	// noTargetReturn is when a caller should come back to a service without targets.
+	noTargetReturn = 500 * time.Millisecond
+)
+
+// noTarget concludes an exchange for which no target is left.
+func (en *Entry) noTarget(ex *exchange) error {
+	if ex.progress.MayHaveRun || ex.delivered() {
+		return en.failed(ex, "no further target is left")
+	}
+	return chestnutroad.Refuse(chestnutroad.NoTarget, "no target is left").After(noTargetReturn)
+}
+
+func (en *Entry) failed(ex *exchange, message string) error {
+	if ex.rule.Streaming {
+		return chestnutroad.Refuse(chestnutroad.StreamBroken, message)
+	}
+	if ex.left(en.now()) <= 0 {
+		return chestnutroad.Refuse(chestnutroad.DeadlineExceeded, message)
+	}
+	return chestnutroad.Refuse(chestnutroad.BadAnswer, message)
+}
+
+func (en *Entry) conclude(ex *exchange, step attempt.Step, res *result) error {
+	if step == attempt.Deliver && !ex.delivered() {
+		return en.deliver(ex, res.failure)
+	}
+	if step == attempt.Refuse {
+		refusal := chestnutroad.Refuse(chestnutroad.TargetRefused, res.err.Error())
+		return refusal.After(overloadReturn)
+	}
+	return en.failed(ex, res.err.Error())
+}
+
+// deliver passes a whole answer on.
+func (en *Entry) deliver(ex *exchange, an *whole) error {
+	copyHeader(ex.writer.Header(), an.header)
+	ex.writer.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
+	ex.status = an.status
+	ex.firstByte = en.now().Sub(ex.started)
+	ex.writer.WriteHeader(an.status)
+	if ex.request.Method == http.MethodHead {
+		return nil
+	}
+	if _, err := ex.writer.Write(an.body); err != nil {
+		return errors.Mark(err, errCallerGone)
+	}
+	return nil
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range target.Forwardable(from) {
+		to[name] = values
+	}
+}
+
+// send sends the request to one target and passes the answer on.
+func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) result {
+	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
+	defer cancel()
+	patience := newPatience(cancel, firstWait(ex, en.now()))
+	defer patience.stop()
+	an, err := en.targets.Exchange(ctx, en.targetRequest(ex, entry))
+	if err != nil {
+		return failedSend(err)
+	}
+	defer an.Close()
+	facts := en.wire.ReadAnswer(an.Status, an.Header)
+	en.state.reported(en.now(), entry.ID, &facts)
+	if ex.rule.Streaming && an.Status == http.StatusOK && facts.Receipt && an.Header.Get("Content-Encoding") == "" {
+		return en.passStream(ex, an, patience)
+	}
+	return en.passWhole(ex, an, &facts)
+}
+
+func failedSend(err error) result {
+	var notSent *targetconn.NotSentError
+	if errors.As(err, &notSent) {
+		return result{end: attempt.NotSent, err: err, outcome: placement.Unreachable}
+	}
+	return result{end: attempt.Broken, err: err, outcome: placement.Failed}
+}
+
+func (en *Entry) targetRequest(ex *exchange, entry *chestnutroad.TargetEntry) *targetconn.Request {
+	orders := chestnutroad.CallOrders{
+		Target: entry.ID, Remaining: ex.left(en.now()), ResumeAfter: ex.stream.lastID,
+	}
+	if ex.team != nil {
+		orders.Team = ex.team.Name
+	}
+	if spec := ex.table.Service(ex.service); spec != nil && spec.Engine != nil {
+		orders.Rank, orders.HasRank = routing.Rank(ex.rule, ex.team), true
+	}
+	header := target.Forwardable(ex.request.Header)
+	en.wire.WriteCall(header, &orders)
+	return &targetconn.Request{
+		Address: entry.Address,
+		Method:  ex.request.Method,
+		URI:     ex.request.RequestURI,
+		Host:    ex.request.Host,
+		Header:  header,
+		Body:    ex.body,
+		HasBody: ex.request.ContentLength != 0,
+		Belongs: func(status int, header http.Header) bool {
+			return en.wire.ReadAnswer(status, header).ID == ex.facts.ID
+		},
+	}
+}
+
+// maxWhole bounds the memory of an answer that is passed on whole.
+const maxWhole = 8 << 20
+
+var (
+	errRefusedByTarget = errors.New("the target did not run the request")
+	errWrongTarget     = errors.New("another target has the address")
+	errTargetFailed    = errors.New("the target failed the request")
+	errNoReceipt       = errors.New("the answer has no receipt")
+	errEncoded         = errors.New("the answer has an encoding")
+	errCutOff          = errors.New("the answer is not complete")
+)
+
+// passWhole reads an answer to its end before it passes it on, so that a part of one never reaches the caller.
+func (en *Entry) passWhole(ex *exchange, an *targetconn.Answer, facts *chestnutroad.AnswerFacts) result {
+	body, err := io.ReadAll(io.LimitReader(an.Body, maxWhole+1))
+	switch {
+	case facts.WrongTarget:
+		return result{end: attempt.NotRun, err: errWrongTarget, outcome: placement.Unreachable}
+	case facts.NotRun:
+		if err == nil {
+			an.Finish()
+		}
+		return result{end: attempt.NotRun, err: errRefusedByTarget, outcome: placement.Shed}
+	case err != nil || len(body) > maxWhole:
+		return result{end: attempt.Broken, err: errCutOff, outcome: placement.Failed}
+	case an.Header.Get("Content-Encoding") != "":
+		return result{end: attempt.Broken, err: errEncoded, outcome: placement.Failed}
+	case an.Status < http.StatusBadRequest && !facts.Receipt:
+		return result{end: attempt.Broken, err: errNoReceipt, outcome: placement.Failed}
+	case promises(an.Status):
+		// Passed on, the status would promise that the request has not run, which the target did not state.
+		return result{end: attempt.Broken, err: errTargetFailed, outcome: placement.Failed}
+	}
+	answer := &whole{status: an.Status, header: an.Header, body: body}
+	an.Finish()
+	if an.Status >= http.StatusInternalServerError {
+		return result{end: attempt.TargetFailed, failure: answer, err: errTargetFailed, outcome: placement.Failed}
+	}
+	if err := en.deliver(ex, answer); err != nil {
+		return result{end: attempt.Broken, err: err, outcome: placement.Served}
+	}
+	return result{done: true, outcome: placement.Served}
+}
+
+// promises reports whether a status says to callers that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+func (en *Entry) callerServer() *http.Server {
+	return &http.Server{
+		// A mux would redirect paths that it finds unclean, which belong to the targets unchanged.
+		Handler:           en,
+		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         en.idle.changed,
+	}
+}
+
+// ServeHTTP serves one request of a caller.
+func (en *Entry) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
+	en.counters.open.Add(1)
+	defer en.counters.open.Add(-1)
+	ex := &exchange{writer: writer, request: req, started: en.now(), facts: en.wire.ReadCall(req.Header)}
+	if en.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	err := en.handler(ex)
+	ex.took = en.now().Sub(ex.started)
+	outcome := outcomeOf(ex, err)
+	en.counters.finished(ex, outcome)
+	en.logExchange(ex, outcome, err)
+	if err != nil {
+		en.writeRefusal(ex, err)
+	}
+}
+
+func outcomeOf(ex *exchange, err error) string {
+	switch {
+	case err == nil && ex.status < http.StatusBadRequest:
+		return "Served"
+	case err == nil:
+		return "TargetFailed"
+	case errors.Is(err, errCallerGone):
+		return "CallerGone"
+	default:
+		return string(chestnutroad.RefusalOf(err).Kind)
+	}
+}
+
+func (en *Entry) logExchange(ex *exchange, outcome string, err error) {
+	fields := []any{
+		"Request", ex.facts.ID, "Outcome", outcome, "Service", ex.service, "Status", ex.status,
+		"TookMs", ex.took.Milliseconds(), "Trail", ex.trail,
+	}
+	if ex.table != nil {
+		fields = append(fields, "Version", ex.table.Version())
+	}
+	if ex.rule != nil {
+		fields = append(fields, "Rule", ex.rule.Name)
+	}
+	if ex.team != nil {
+		fields = append(fields, "Team", ex.team.Name)
+	}
+	if ex.choice.Entry.ID != "" {
+		fields = append(fields, "Load", ex.choice.Load, "Bound", ex.choice.Bound, "Preference", ex.choice.Preference)
+	}
+	if err != nil {
+		fields = append(fields, "Error", err)
+	}
+	en.logger.Info("request", fields...)
+}
+
+// refusalBody is the JSON document of a refusal.
+type refusalBody struct {
+	Kind    chestnutroad.Kind
+	Message string
+	NotRun  bool
+	Request chestnutroad.RequestID
+}
+
+// writeRefusal answers with the refusal, or breaks the connection off when part of an answer was already sent, so that
+// no caller takes the part for the whole.
+func (en *Entry) writeRefusal(ex *exchange, err error) {
+	if ex.delivered() || errors.Is(err, errCallerGone) {
+		panic(http.ErrAbortHandler)
+	}
+	refusal := chestnutroad.RefusalOf(err)
+	body, err := json.Marshal(refusalBody{
+		Kind: refusal.Kind, Message: refusal.Message, NotRun: refusal.NotRun, Request: ex.facts.ID,
+	})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := ex.writer.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if refusal.RetryAfter > 0 {
+		en.wire.WriteRetryAfter(header, refusal.RetryAfter)
+	}
+	ex.writer.WriteHeader(refusal.Kind.Answer().Status)
+	_, _ = ex.writer.Write(body)
+}
--- /dev/null
+++ b/internal/entry/state.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
+	"github.com/chestnutroad/chestnutroad/internal/routing"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+// state is what the host believes of the configuration, the targets and the retry budgets.
+type state struct {
+	table atomic.Pointer[routing.Table]
+	// listed is true once the targets were read.
+	listed atomic.Bool
+
+	mu      sync.Mutex
+	pool    *placement.Pool
+	budgets map[chestnutroad.ServiceID]*retrybudget.Budget
+	ratio   float64
+	window  time.Duration
+	// slack is the whole installation's retries beyond the ratio, of which this host takes an equal part.
+	slack float64
+	hosts int
+}
+
+// assumedHosts divides the retry slack until the number of hosts is known; installations start with 12 and more.
+const assumedHosts = 24
+
+func newState(set *settings.Entry) *state {
+	return &state{
+		pool:    placement.NewPool(set.DataCentre, placement.WithCapFactor(set.CapFactor)),
+		budgets: map[chestnutroad.ServiceID]*retrybudget.Budget{},
+		ratio:   set.RetryRatio,
+		window:  set.RetryWindow,
+		slack:   set.RetrySlack,
+		hosts:   assumedHosts,
+	}
+}
+
+// offer puts a configuration in force unless a newer one already is, and reports whether it did.
+func (st *state) offer(cf *chestnutroad.Configuration) bool {
+	for {
+		current := st.table.Load()
+		if current != nil && current.Version() >= cf.Version {
+			return false
+		}
+		if st.table.CompareAndSwap(current, routing.NewTable(cf)) {
+			return true
+		}
+	}
+}
+
+func (st *state) ready() bool { return st.table.Load() != nil && st.listed.Load() }
+
+func (st *state) choose(now time.Time, ask *placement.Ask) (placement.Choice, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	choice, found := st.pool.Choose(now, ask)
+	if found {
+		st.pool.Start(choice.Entry.ID)
+	}
+	return choice, found
+}
+
+func (st *state) finish(now time.Time, id chestnutroad.TargetID, outcome placement.Outcome) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.pool.Finish(id)
+	st.pool.Observe(now, id, outcome)
+}
+
+func (st *state) reported(now time.Time, id chestnutroad.TargetID, facts *chestnutroad.AnswerFacts) {
+	if !facts.HasLoad {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.pool.Reported(now, id, facts.Running, facts.Waiting)
+}
+
+func (st *state) budget(service chestnutroad.ServiceID) *retrybudget.Budget {
+	known := st.budgets[service]
+	if known == nil {
+		known = retrybudget.New(st.ratio, st.window)
+		st.budgets[service] = known
+	}
+	return known
+}
+
+func (st *state) countRequest(now time.Time, service chestnutroad.ServiceID) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.budget(service).Request(now)
+}
+
+func (st *state) takeRetry(now time.Time, service chestnutroad.ServiceID) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.budget(service).Retry(now, st.slack/float64(max(1, st.hosts)))
+}
--- /dev/null
+++ b/internal/entry/watch.go
@@ -0,0 +1,94 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+const (
+	// readWait is how long the store holds a read back that has no records yet.
+	readWait = 2500 * time.Millisecond
+	// readSlack is the time beyond the wait after which a read counts as lost.
+	readSlack = 700 * time.Millisecond
+	// targetInterval is the pause between two reads of the targets, each of which takes in all changes since the last;
+	// a target that leaves must get no new requests 2 s after its notice.
+	targetInterval = 700 * time.Millisecond
+	// firstPause and longestPause bound the pause after a failed call.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+)
+
+// follower reads one keyed stream: the newest record of each key first, then all that follow.
+type follower struct {
+	store    chestnutroad.KeyedStore
+	stream   chestnutroad.KeyedStream
+	wait     time.Duration
+	interval time.Duration
+	logger   *log.Logger
+	// reset takes in the newest record of each key, apply the records of a later read.
+	reset func(records []chestnutroad.KeyedRecord)
+	apply func(records []chestnutroad.KeyedRecord)
+	// reached is told whether each call reached the store.
+	reached func(ok bool)
+}
+
+// run follows the stream until ctx ends.
+func (fl *follower) run(ctx context.Context) {
+	next, known := chestnutroad.Offset(0), false
+	pause := time.Duration(0)
+	for sleep(ctx, pause) {
+		batch, err := fl.step(ctx, next, known)
+		if ctx.Err() != nil {
+			return
+		}
+		gone := errors.Is(err, chestnutroad.ErrRecordsGone)
+		fl.reached(err == nil || gone)
+		if err != nil {
+			fl.logger.Warn("read of the store failed", "Stream", fl.stream, "Offset", next, "Error", err)
+			known = known && !gone
+			pause = min(longestPause, max(firstPause, 2*pause))
+			continue
+		}
+		if known {
+			fl.apply(batch.Records)
+		} else {
+			fl.reset(batch.Records)
+		}
+		if batch.Unreadable > 0 {
+			fl.logger.Warn("records without a key were passed over", "Stream", fl.stream, "Count", batch.Unreadable)
+		}
+		next, known = batch.Next, true
+		pause = fl.interval
+	}
+}
+
+func (fl *follower) step(
+	ctx context.Context, next chestnutroad.Offset, known bool,
+) (chestnutroad.KeyedBatch, error) {
+	ctx, cancel := context.WithTimeout(ctx, fl.wait+readSlack)
+	defer cancel()
+	if !known {
+		return fl.store.Newest(ctx, fl.stream)
+	}
+	return fl.store.Read(ctx, fl.stream, next, fl.wait)
+}
+
+// sleep waits and reports whether ctx is still open.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Pool holds the targets of all services of an installation. It is not safe for concurrent use.
+type Pool struct {
+	dataCentre chestnutroad.DataCentreID
+	capFactor  float64
+	targets    map[chestnutroad.TargetID]*target
+	services   map[chestnutroad.ServiceID][]*target
+}
+
+// Option changes a default of a Pool.
+type Option func(*Pool)
+
+// WithCapFactor sets the multiple of the mean load that no target should exceed.
+func WithCapFactor(factor float64) Option { return func(pl *Pool) { pl.capFactor = factor } }
+
+const (
+	// defaultCapFactor applies where the installation's settings state none.
+	defaultCapFactor = 2
+	// boundShare keeps the own bound below the installation's, since the counts of other hosts are late.
+	boundShare = 0.75
+	// boundSlack allows small pools a few requests above the mean.
+	boundSlack = 2
+)
+
+// NewPool returns an empty pool for a host of the data centre.
+func NewPool(dataCentre chestnutroad.DataCentreID, opts ...Option) *Pool {
+	pl := &Pool{
+		dataCentre: dataCentre,
+		capFactor:  defaultCapFactor,
+		targets:    map[chestnutroad.TargetID]*target{},
+		services:   map[chestnutroad.ServiceID][]*target{},
+	}
+	for _, opt := range opts {
+		opt(pl)
+	}
+	return pl
+}
+
+// Set takes in a target's entry and reports whether it is a new life of the target or a new target.
+func (pl *Pool) Set(entry *chestnutroad.TargetEntry) bool {
+	known := pl.targets[entry.ID]
+	if known != nil && known.entry.SameLife(entry) {
+		known.entry = *entry
+		known.lost = false
+		return false
+	}
+	pl.Remove(entry.ID)
+	tg := &target{entry: *entry}
+	pl.targets[entry.ID] = tg
+	pl.services[entry.Service] = append(pl.services[entry.Service], tg)
+	slices.SortFunc(pl.services[entry.Service], func(one, two *target) int {
+		return cmp.Compare(one.entry.ID, two.entry.ID)
+	})
+	return true
+}
+
+// Remove takes out a target whose entry is gone.
+func (pl *Pool) Remove(id chestnutroad.TargetID) {
+	known := pl.targets[id]
+	if known == nil {
+		return
+	}
+	known.lost = true
+	delete(pl.targets, id)
+	service := known.entry.Service
+	pl.services[service] = slices.DeleteFunc(pl.services[service], func(tg *target) bool { return tg == known })
+}
+
+// Entry returns the entry of a target.
+func (pl *Pool) Entry(id chestnutroad.TargetID) (chestnutroad.TargetEntry, bool) {
+	known := pl.targets[id]
+	if known == nil {
+		return chestnutroad.TargetEntry{}, false
+	}
+	return known.entry, true
+}
+
+// Entries returns all entries in order of their ids.
+func (pl *Pool) Entries() []chestnutroad.TargetEntry {
+	entries := make([]chestnutroad.TargetEntry, 0, len(pl.targets))
+	for _, tg := range pl.targets {
+		entries = append(entries, tg.entry)
+	}
+	slices.SortFunc(entries, func(one, two chestnutroad.TargetEntry) int { return cmp.Compare(one.ID, two.ID) })
+	return entries
+}
+
+// Own returns the number of this host's requests at each target that has some.
+func (pl *Pool) Own() map[chestnutroad.TargetID]int {
+	counts := map[chestnutroad.TargetID]int{}
+	for id, tg := range pl.targets {
+		if tg.own > 0 {
+			counts[id] = tg.own
+		}
+	}
+	return counts
+}
+
+// SetOthers takes in the number of requests of all other hosts at a target.
+func (pl *Pool) SetOthers(counts map[chestnutroad.TargetID]int) {
+	for id, tg := range pl.targets {
+		tg.others = counts[id]
+	}
+}
+
+// Start counts a request that is sent to a target.
+func (pl *Pool) Start(id chestnutroad.TargetID) {
+	if tg := pl.targets[id]; tg != nil {
+		tg.own++
+	}
+}
+
+// Finish counts the end of a request at a target.
+func (pl *Pool) Finish(id chestnutroad.TargetID) {
+	if tg := pl.targets[id]; tg != nil && tg.own > 0 {
+		tg.own--
+	}
+}
+
+// Reported takes in a target's own count of its requests.
+func (pl *Pool) Reported(now time.Time, id chestnutroad.TargetID, running, waiting int) {
+	if tg := pl.targets[id]; tg != nil {
+		tg.reported = max(0, running+waiting-tg.own)
+		tg.reportedAt = now
+	}
+}
+
+// Outcome says how a request at a target ended.
+type Outcome int
+
+// The outcomes.
+const (
+	// Served means that the target answered, if only with a failure of the request's own.
+	Served Outcome = iota
+	// Failed means that the target broke off, answered with bytes that are no answer, or failed the request.
+	Failed
+	// Unreachable means that no connection to the target could be opened, or that it went silent.
+	Unreachable
+	// Shed means that the target was full and did not run the request.
+	Shed
+)
+
+// shedPause is how long a target that was full is passed over.
+const shedPause = 100 * time.Millisecond
+
+// Observe takes in how a request at a target ended.
+func (pl *Pool) Observe(now time.Time, id chestnutroad.TargetID, outcome Outcome) {
+	tg := pl.targets[id]
+	if tg == nil {
+		return
+	}
+	tg.fade(now)
+	switch outcome {
+	case Served:
+		tg.good++
+		tg.pause = 0
+	case Failed:
+		tg.bad++
+	case Unreachable:
+		tg.bad++
+		tg.pause = min(longestPause, max(firstPause, 2*tg.pause))
+		tg.pausedUntil = now.Add(tg.pause)
+	case Shed:
+		tg.pausedUntil = now.Add(shedPause)
+	}
+}
--- /dev/null
+++ b/internal/placement/target.go
@@ -0,0 +1,73 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+const (
+	// failureMemory is how long a failed request counts against a target; half of it is a typical restart.
+	failureMemory = 4 * time.Second
+	// firstPause and longestPause bound the time for which a target that can't be reached gets no requests.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 4 * time.Second
+	// ejectAfter is the number of outcomes that an ejection rests on.
+	ejectAfter = 4
+	// ejectShare is the share of failed outcomes from which a target is passed over: runners that fail at random were
+	// seen at 0.4, and an ordinary service fails up to 0.14 of its requests.
+	ejectShare = 0.3
+	// reportAge is how long a target's own count of its requests is believed.
+	reportAge = 500 * time.Millisecond
+)
+
+// target is what a host knows of one target.
+type target struct {
+	entry chestnutroad.TargetEntry
+	// lost is true once the entry was removed; requests that run there go on.
+	lost bool
+	// own is the number of this host's requests at the target.
+	own int
+	// others is the number of requests that other hosts reported there.
+	others int
+	// reported is the target's own count of running and waiting requests, with the own requests subtracted.
+	reported   int
+	reportedAt time.Time
+	// pausedUntil and pause describe a target that could not be reached.
+	pausedUntil time.Time
+	pause       time.Duration
+	good        float64
+	bad         float64
+	countedAt   time.Time
+}
+
+// load estimates the number of requests at the target.
+func (tg *target) load(now time.Time) int {
+	foreign := tg.others
+	if !tg.reportedAt.IsZero() && now.Sub(tg.reportedAt) < reportAge {
+		foreign = max(foreign, tg.reported)
+	}
+	return tg.own + foreign
+}
+
+func (tg *target) fade(now time.Time) {
+	elapsed := now.Sub(tg.countedAt)
+	tg.countedAt = now
+	if elapsed <= 0 {
+		return
+	}
+	keep := max(0, 1-elapsed.Seconds()/failureMemory.Seconds())
+	tg.good *= keep
+	tg.bad *= keep
+}
+
+// suspect reports whether requests go elsewhere while there is another target.
+func (tg *target) suspect(now time.Time) bool {
+	if now.Before(tg.pausedUntil) {
+		return true
+	}
+	tg.fade(now)
+	return tg.bad >= 2 && tg.good+tg.bad >= ejectAfter && tg.bad/(tg.good+tg.bad) >= ejectShare
+}
+
+func (tg *target) usable() bool { return !tg.lost && !tg.entry.Leaving }
--- /dev/null
+++ b/internal/settings/entry.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Entry holds the process settings of an entry host on an installation's platform.
+type Entry struct {
+	ID         chestnutroad.HostID
+	DataCentre chestnutroad.DataCentreID
+
+	// CallerAddress is where callers connect, ReadyAddress where the balancer asks for readiness.
+	CallerAddress netip.AddrPort
+	ReadyAddress  netip.AddrPort
+	// FirstPort and LastPort bound the ports for traffic between hosts; the metrics are served on the last one.
+	FirstPort int
+	LastPort  int
+	// StoreAddress is the platform's store.
+	StoreAddress netip.AddrPort
+
+	// Memory is the memory that the process may use.
+	Memory chestnutroad.Bytes
+	// Drain is the time after which a leaving target gets no new requests.
+	Drain time.Duration
+	// Grace is the time between the request to stop and the end of the process.
+	Grace time.Duration
+	// ApplyWithin is the time in which a configuration is in force.
+	ApplyWithin time.Duration
+	// CapFactor is the multiple of the mean load that no target should exceed.
+	CapFactor float64
+	// RetryRatio, RetrySlack and RetryWindow are the retry budget that all hosts share for each service.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	LogLevel    string
+}
+
+// The limits of the settings of an entry host; a value outside of them is a mistake rather than a choice.
+const (
+	leastMemory = 32 << 20
+	mostMemory  = 1 << 40
+	mostSpan    = 10 * time.Minute
+	mostFactor  = 1000
+	mostSlack   = 1e6
+	mostPort    = 65535
+)
+
+// LoadEntry reads the process settings of an entry host.
+func LoadEntry(path string) (*Entry, error) {
+	files, err := readFiles([]string{path})
+	if err != nil {
+		return nil, err
+	}
+	return ParseEntry(files[0])
+}
+
+// ParseEntry checks the process settings of an entry host; faults come back as Errors. Unknown keys are ignored, since
+// the platform may add some.
+func ParseEntry(fl File) (*Entry, error) {
+	rp := newReport([]File{fl})
+	tb, readable := parseFile(fl, rp)
+	root := newReader(rp, tb, !readable)
+	if root.tb.entries["Entry"] == nil {
+		root.missing("Entry")
+	}
+	var en *Entry
+	if rd := root.table("Entry"); rd != nil {
+		en = readEntry(rd)
+	}
+	if err := rp.err(); err != nil {
+		return nil, err
+	}
+	return en, nil
+}
+
+func readEntry(rd *reader) *Entry {
+	return &Entry{
+		ID:            chestnutroad.HostID(rd.hostID("ID")),
+		DataCentre:    chestnutroad.DataCentreID(rd.hostID("DataCentre")),
+		CallerAddress: rd.needAddress("CallerAddress", false),
+		ReadyAddress:  rd.needAddress("ReadyAddress", false),
+		StoreAddress:  rd.needAddress("StoreAddress", true),
+		FirstPort:     int(rd.count("FirstPort", 0, 1, mostPort)),
+		LastPort:      int(rd.count("LastPort", 0, 1, mostPort)),
+		Memory:        rd.size("Memory", 206<<20, leastMemory, mostMemory),
+		Drain:         rd.duration("Drain", 2*time.Second, 0, mostSpan),
+		Grace:         rd.duration("Grace", 8*time.Second, 0, mostSpan),
+		ApplyWithin:   rd.duration("ApplyWithin", 2*time.Second, 0, mostSpan),
+		CapFactor:     rd.ratio("CapFactor", 2, 1, mostFactor),
+		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
+		RetrySlack:    rd.ratio("RetrySlack", 100, 0, mostSlack),
+		RetryWindow:   rd.duration("RetryWindow", 10*time.Second, time.Second, mostSpan),
+		LogLevel:      rd.choice("LogLevel", "info", "debug", "info", "warn", "error"),
+	}
+}
--- a/internal/target/header.go
+++ b/internal/target/header.go
@@ -34,7 +34,7 @@
 
 // requestHeader returns the call's header as it is sent to the target.
 func requestHeader(call *chestnutroad.Call) http.Header {
-	header := forwardable(call.Header)
+	header := Forwardable(call.Header)
 	header.Set(HeaderRequest, string(call.Request))
 	header.Set(HeaderAttempt, strconv.Itoa(call.Attempt))
 	header.Del(HeaderResumeAt)
@@ -49,14 +49,15 @@
 
 // ResponseHeader removes the headers that concern only the connection to the target.
 func ResponseHeader(resp *http.Response) http.Header {
-	header := forwardable(resp.Header)
+	header := Forwardable(resp.Header)
 	if resp.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	return header
 }
 
-func forwardable(from http.Header) http.Header {
+// Forwardable returns a copy of the header without what concerns one connection only.
+func Forwardable(from http.Header) http.Header {
 	header := from.Clone()
 	if header == nil {
 		header = make(http.Header)
--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -19,6 +19,9 @@
 
 // serve runs one host until the context ends.
 func serve(ctx context.Context, env *cli.Environment, arguments *cli.Serve) error {
+	if arguments.Host == "" {
+		return serveEntry(ctx, env)
+	}
 	set, err := settings.LoadHost(arguments.Host)
 	if err != nil {
 		return cli.Exit(cli.CodeFinding, err)
--- /dev/null
+++ b/keyed.go
@@ -0,0 +1,46 @@
+package chestnutroad
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// KeyedStream names a stream of the platform's store that keeps the newest record of each key.
+type KeyedStream string
+
+// The keyed streams that the system uses.
+const (
+	KeyedConfiguration KeyedStream = "Configuration"
+	KeyedTargets       KeyedStream = "Targets"
+	KeyedHosts         KeyedStream = "Hosts"
+)
+
+// ErrRecordsGone says that records after the asked offset were deleted, so that the newest of each key must be read.
+var ErrRecordsGone = errors.New("the records were deleted")
+
+// KeyedRecord is a record of a keyed stream; an empty value drops the key.
+type KeyedRecord struct {
+	Offset Offset
+	Key    string
+	Value  []byte
+}
+
+// KeyedBatch is the answer to a read of a keyed stream.
+type KeyedBatch struct {
+	Records []KeyedRecord
+	// Next is the offset to read on from.
+	Next Offset
+	// Unreadable is the number of records that were passed over because they have no key.
+	Unreadable int
+}
+
+// KeyedStore is the platform's store of keyed streams.
+type KeyedStore interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, stream KeyedStream) (KeyedBatch, error)
+	// Read returns the records from the offset on, or ErrRecordsGone; it waits up to wait for the first record.
+	Read(ctx context.Context, stream KeyedStream, from Offset, wait time.Duration) (KeyedBatch, error)
+	// Put writes the newest value of a key; after an error the write may still take effect.
+	Put(ctx context.Context, stream KeyedStream, key string, value []byte) error
+}
