--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
+	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
@@ -38,6 +39,8 @@
 	idle     *idleConns
 	now      func() time.Time
 	stopping atomic.Bool
+	// grace is the time.Duration between the request to stop and the end of the process.
+	grace atomic.Int64
 	handler  filter
 }
 
@@ -57,10 +60,23 @@
 		idle:     newIdleConns(),
 		now:      time.Now,
 	}
+	en.grace.Store(int64(set.Grace))
 	en.handler = en.chain()
 	return en
 }
 
+// Apply puts changed settings in force: limits and budgets at once, while addresses stay until the next start.
+func (en *Entry) Apply(set *settings.Entry) {
+	en.grace.Store(int64(set.Grace))
+	en.state.mu.Lock()
+	defer en.state.mu.Unlock()
+	en.state.ratio, en.state.slack, en.state.window = set.RetryRatio, set.RetrySlack, set.RetryWindow
+	for _, budget := range en.state.budgets {
+		budget.Configure(set.RetryRatio, set.RetryWindow)
+	}
+	en.state.pool.Configure(placement.WithCapFactor(set.CapFactor))
+}
+
 const (
 	// headerTimeout and maxHeaderBytes protect the host from slow or endless headers.
 	headerTimeout  = 10 * time.Second
@@ -129,11 +145,11 @@
 // drain stops the host without cutting a request off: it says first that it is not ready, then closes idle connections
 // and waits for the requests that run.
 func (en *Entry) drain(callers *http.Server) {
-	started := en.now()
+	started, grace := en.now(), time.Duration(en.grace.Load())
 	en.stopping.Store(true)
 	en.logger.Info("draining", "Open", en.counters.open.Load())
-	time.Sleep(min(unreadyTime, en.settings.Grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(en.settings.Grace-stopReserve))
+	time.Sleep(min(unreadyTime, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-stopReserve))
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		en.logger.Warn("requests were cut off at the end of the grace", "Open", en.counters.open.Load(), "Error", err)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -45,6 +45,13 @@
 	return pl
 }
 
+// Configure changes settings of the pool.
+func (pl *Pool) Configure(opts ...Option) {
+	for _, opt := range opts {
+		opt(pl)
+	}
+}
+
 // Set takes in a target's entry and reports whether it is a new life of the target or a new target.
 func (pl *Pool) Set(entry *chestnutroad.TargetEntry) bool {
 	known := pl.targets[entry.ID]
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -23,6 +23,14 @@
 	return &Budget{ratio: ratio, window: window}
 }
 
+// Configure changes the limits and keeps the counts of an unchanged window.
+func (bd *Budget) Configure(ratio float64, window time.Duration) {
+	if bd.window != window {
+		bd.slots = [buckets]slot{}
+	}
+	bd.ratio, bd.window = ratio, window
+}
+
 func (bd *Budget) slot(now time.Time) *slot {
 	index := now.UnixNano() / (int64(bd.window) / buckets)
 	sl := &bd.slots[index%buckets]
--- a/internal/verb/serve_entry.go
+++ b/internal/verb/serve_entry.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"path/filepath"
 	"runtime/debug"
+	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad/internal/cli"
@@ -35,6 +39,8 @@
 	if err != nil {
 		return cli.Exit(cli.CodeFinding, err)
 	}
+	// Without a handler, a SIGHUP that arrives before the reloading has started would end the process.
+	signal.Ignore(syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory)))
 	logger, err := logging.New(env.Out, set.LogLevel, logging.Fields{
@@ -44,5 +50,51 @@
 		return errors.Wrap(err, "log")
 	}
 	store := platform.NewStore(set.StoreAddress.String(), storeDialTimeout)
-	return entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger).Run(ctx)
+	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger)
+	go reloadSettings(ctx, path, running, logging.For(logger, "settings"))
+	return running.Run(ctx)
+}
+
+// reloadInterval is the pause between two looks at the settings file, which may change without a signal.
+const reloadInterval = 2 * time.Second
+
+// reloadSettings applies the settings file again when it has changed; a file that can't be used changes nothing.
+func reloadSettings(ctx context.Context, path string, running *entry.Entry, logger *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	applied, failed := readText(path), ""
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			logger.Info("asked to read the settings again")
+		case <-ticker.C:
+		}
+		text := readText(path)
+		if text == applied || text == failed {
+			continue
+		}
+		set, err := settings.ParseEntry(settings.File{Name: path, Text: text})
+		if err != nil {
+			logger.Error("the changed settings can't be used", "Error", err)
+			failed = text
+			continue
+		}
+		running.Apply(set)
+		applied, failed = text, ""
+		logger.Info("the changed settings are applied")
+	}
+}
+
+// readText returns the file's text, or nothing while the file can't be read, as when it is being replaced.
+func readText(path string) string {
+	text, err := os.ReadFile(filepath.Clean(path))
+	if err != nil {
+		return ""
+	}
+	return string(text)
 }
