--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,8 +40,8 @@
 	now      func() time.Time
 	stopping atomic.Bool
 	// grace is the time.Duration between the request to stop and the end of the process.
-	grace atomic.Int64
-	handler  filter
+	grace   atomic.Int64
+	handler filter
 }
 
 // New returns an entry host.
