--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// readWait is how long the store holds a read back that has no records yet.
-	readWait = 2500 * time.Millisecond
+	// readWait is how long the store holds a read back that has no records yet. A read that arrives while a record is
+	// being appended was seen to wait to its end without it (warta trouble-3, seed 794556303936), and a configuration
+	// has to be in force after 2 s.
+	readWait = 1200 * time.Millisecond
 	// readSlack is the time beyond the wait after which a read counts as lost.
 	readSlack = 700 * time.Millisecond
 	// targetInterval is the pause between two reads of the targets, each of which takes in all changes since the last;
