--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -11,10 +11,13 @@
 type counters struct {
 	set  *metrics.Set
 	open atomic.Int64
+	// controlBytes counts the bytes of datagrams to other hosts.
+	controlBytes *metrics.Counter
 }
 
 func newCounters() *counters {
 	cn := &counters{set: metrics.NewSet()}
+	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
 	cn.set.NewGauge("chestnutroad_requests_open", func() float64 { return float64(cn.open.Load()) })
 	return cn
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -37,6 +38,9 @@
 	targets  *targetconn.Pool
 	counters *counters
 	idle     *idleConns
+	link     *link
+	// lastRead is the Unix time in nanoseconds of the last read of the targets that succeeded.
+	lastRead atomic.Int64
 	now      func() time.Time
 	stopping atomic.Bool
 	// grace is the time.Duration between the request to stop and the end of the process.
@@ -61,6 +65,7 @@
 		now:      time.Now,
 	}
 	en.grace.Store(int64(set.Grace))
+	en.link = newLink(en)
 	en.handler = en.chain()
 	return en
 }
@@ -103,6 +108,11 @@
 		}
 		go func() { failed <- server.Serve(listener) }()
 	}
+	go func() {
+		if err := en.link.run(work); err != nil && work.Err() == nil {
+			en.logger.Error("other hosts can't be served", "Error", err)
+		}
+	}()
 	go en.follow(work)
 	go en.sweep(work)
 	en.logger.Info("started", "Callers", en.settings.CallerAddress, "Ready", en.settings.ReadyAddress)
@@ -182,55 +192,91 @@
 func (en *Entry) follow(ctx context.Context) {
 	configuration := &follower{
 		store: en.store, stream: chestnutroad.KeyedConfiguration, wait: readWait, logger: en.logger,
-		reset: en.applyConfiguration, apply: en.applyConfiguration, reached: func(bool) {},
+		needed: en.readsStore,
+		reset: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Offset) {
+			en.applyConfiguration(records, "store")
+		},
+		apply: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Offset) {
+			en.applyConfiguration(records, "store")
+		},
+		reached: func(bool) {},
 	}
 	targets := &follower{
 		store: en.store, stream: chestnutroad.KeyedTargets, interval: targetInterval, logger: en.logger,
-		reset: en.resetTargets, apply: en.applyTargets, reached: func(bool) {},
+		needed: en.readsStore, reset: en.resetTargets, apply: en.applyTargets,
+		reached: func(ok bool) {
+			if ok {
+				en.lastRead.Store(en.now().UnixNano())
+			}
+		},
 	}
 	go configuration.run(ctx)
 	targets.run(ctx)
 }
 
-func (en *Entry) applyConfiguration(records []chestnutroad.KeyedRecord) {
+// readsStore reports whether this host has to read the store itself, and how long it should pause after a failed read.
+func (en *Entry) readsStore() (needed bool, pause time.Duration) {
+	fresh, found := en.link.following()
+	if !en.state.ready() {
+		return true, longestPause
+	}
+	if found && !fresh {
+		// The relay can't reach the store either: most likely the store is down for all, and each call is priced.
+		return true, outagePause
+	}
+	return !fresh, longestPause
+}
+
+func (en *Entry) applyConfiguration(records []chestnutroad.KeyedRecord, source string) {
 	for _, record := range records {
 		if record.Key != en.decoder.ConfigurationKey() || len(record.Value) == 0 {
 			continue
 		}
 		cf, err := en.decoder.Configuration(record.Value)
 		if err != nil {
-			en.logger.Error("configuration can't be read", "Offset", record.Offset, "Error", err)
+			en.logger.Error("configuration can't be read", "Offset", record.Offset, "Source", source, "Error", err)
 			continue
 		}
-		if en.state.offer(cf) {
-			en.logger.Info("configuration in force", "Version", cf.Version, "Offset", record.Offset,
+		if en.state.offer(cf, record.Value) {
+			en.logger.Info("configuration in force", "Version", cf.Version, "Source", source,
 				"Rules", len(cf.Rules), "Teams", len(cf.Teams))
 		}
 	}
 }
 
-// resetTargets takes in the newest record of each target; a target without one is gone.
-func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord) {
-	en.state.mu.Lock()
-	listed := make(map[chestnutroad.TargetID]bool, len(records))
+// resetTargets takes in the newest record of each target up to next; a target without one is gone.
+func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+	listed := make(map[string]bool, len(records))
 	for _, record := range records {
-		listed[chestnutroad.TargetID(record.Key)] = true
+		listed[record.Key] = true
 	}
-	var gone []chestnutroad.KeyedRecord
-	for _, entry := range en.state.pool.Entries() {
-		if !listed[entry.ID] {
-			gone = append(gone, chestnutroad.KeyedRecord{Key: string(entry.ID)})
+	all := slices.Clone(records)
+	en.state.mu.Lock()
+	for key := range en.state.records {
+		if !listed[key] {
+			all = append(all, chestnutroad.KeyedRecord{Key: key})
 		}
 	}
 	en.state.mu.Unlock()
-	en.applyTargets(append(records, gone...))
+	en.applyTargets(all, next)
 	en.state.listed.Store(true)
 }
 
-func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord) {
+// applyTargets takes in records of targets up to next.
+func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
 	for _, record := range records {
 		en.applyTarget(&record)
 	}
+	en.state.mu.Lock()
+	defer en.state.mu.Unlock()
+	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(en.state.records, record.Key)
+			continue
+		}
+		en.state.records[record.Key] = record.Value
+	}
+	en.state.offset = max(en.state.offset, next)
 }
 
 func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) {
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -103,7 +103,9 @@
 		}
 		ex.deadline = ex.started.Add(budget)
 		ex.progress = attempt.State{Repeat: ex.rule.Repeat, MaxSends: ex.rule.MaxAttempts}
-		ex.ask = placement.Ask{Service: ex.service, Model: ex.facts.Model, Affinity: sharedPart(ex.facts.Parts)}
+		ex.ask = placement.Ask{
+			Service: ex.service, Model: ex.facts.Model, Request: ex.facts.ID, Affinity: sharedPart(ex.facts.Parts),
+		}
 		return next(ex)
 	}
 }
--- /dev/null
+++ b/internal/entry/link.go
@@ -0,0 +1,298 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/relay"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
+)
+
+// link connects the host with the other entry hosts.
+type link struct {
+	entry   *Entry
+	self    relay.Host
+	seeds   []string
+	socket  *siblings.Socket
+	unknown chan string
+
+	mu    sync.Mutex
+	node  *relay.Node
+	hosts []relay.Host
+}
+
+// fetchInterval is the least time between two state calls of a host.
+const fetchInterval = 100 * time.Millisecond
+
+func newLink(en *Entry) *link {
+	port := uint16(en.settings.FirstPort)
+	address := netip.AddrPortFrom(en.settings.CallerAddress.Addr(), port).String()
+	ln := &link{
+		entry:   en,
+		unknown: make(chan string, 1),
+		self: relay.Host{
+			ID: en.settings.ID, DataCentre: en.settings.DataCentre, Address: address, Processors: en.settings.Processors,
+		},
+	}
+	for _, seed := range en.settings.Seeds {
+		if at := netip.AddrPortFrom(seed.Addr(), port).String(); at != address {
+			ln.seeds = append(ln.seeds, at)
+		}
+	}
+	ln.node = relay.New(ln.self, en.now())
+	return ln
+}
+
+// run serves other hosts and trades messages with them until ctx ends.
+func (ln *link) run(ctx context.Context) error {
+	address, err := netip.ParseAddrPort(ln.self.Address)
+	if err != nil {
+		return errors.Wrap(err, "address for other hosts")
+	}
+	ln.socket, err = siblings.ListenDatagrams(address)
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, func() { _ = ln.socket.Close() })
+	go ln.receive()
+	go ln.register(ctx)
+	go ln.fetch(ctx)
+	go ln.tick(ctx)
+	return siblings.Serve(ctx, ln.self.Address, ln)
+}
+
+func (ln *link) receive() {
+	buffer := siblings.NewBuffer()
+	for {
+		message, from, err := ln.socket.Receive(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// An ICMP error for an earlier datagram to a stopped host shows up here and concerns no other host.
+			continue
+		}
+		ln.mu.Lock()
+		known := ln.node.Receive(ln.entry.now(), message)
+		others := ln.node.Others(ln.entry.now(), message.Offset)
+		ln.mu.Unlock()
+		if !known {
+			ln.askUnknown(from.String())
+			continue
+		}
+		if message.Kind == relay.Beacon && others != nil {
+			ln.entry.state.setOthers(message.Offset, others)
+		}
+	}
+}
+
+// askUnknown has the state of a host fetched that is not in the list, which names it.
+func (ln *link) askUnknown(address string) {
+	select {
+	case ln.unknown <- address:
+	default:
+	}
+}
+
+func (ln *link) tick(ctx context.Context) {
+	wasRelaying := false
+	for sleep(ctx, relay.Interval) {
+		now := ln.entry.now()
+		held := ln.entry.held()
+		ln.mu.Lock()
+		sends := ln.node.Tick(now, &held)
+		relaying := ln.node.Relaying()
+		others := ln.node.Others(now, held.Offset)
+		ln.mu.Unlock()
+		if relaying && others != nil {
+			ln.entry.state.setOthers(held.Offset, others)
+		}
+		if relaying != wasRelaying {
+			ln.entry.logger.Info("relaying changed", "Relaying", relaying, "Version", held.Version, "Fresh", held.Fresh)
+			wasRelaying = relaying
+		}
+		count, err := ln.socket.Send(sends)
+		ln.entry.counters.controlBytes.Add(count)
+		if err != nil {
+			ln.entry.logger.Debug("a message to another host was not sent", "Error", err)
+		}
+	}
+}
+
+// following reports whether another host reads the store for this one.
+func (ln *link) following() (fresh, found bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.node.Relaying() {
+		return false, false
+	}
+	_, fresh, found = ln.node.Relay(ln.entry.now())
+	return fresh, found
+}
+
+// State returns what this host holds beyond the request.
+func (ln *link) State(request *siblings.StateRequest) *siblings.State {
+	answer := ln.entry.state.beyond(request)
+	ln.mu.Lock()
+	answer.Hosts = append(slices.Clone(ln.hosts), ln.self)
+	ln.mu.Unlock()
+	return answer
+}
+
+// fetch gets what other hosts hold beyond this one: from any seed at the start, later from hosts that say so.
+func (ln *link) fetch(ctx context.Context) {
+	for _, seed := range ln.seeds {
+		go ln.fetchFrom(ctx, seed)
+	}
+	for sleep(ctx, fetchInterval) {
+		address := ""
+		select {
+		case address = <-ln.unknown:
+		default:
+			held := ln.entry.held()
+			ln.mu.Lock()
+			newer := ln.node.Newer(ln.entry.now(), &held)
+			ln.mu.Unlock()
+			if len(newer) > 0 {
+				address = newer[0].Address
+			}
+		}
+		if address != "" {
+			ln.fetchFrom(ctx, address)
+		}
+	}
+}
+
+func (ln *link) fetchFrom(ctx context.Context, address string) {
+	held := ln.entry.held()
+	answer, err := siblings.Fetch(ctx, address, &siblings.StateRequest{Version: held.Version, Offset: held.Offset})
+	if err != nil {
+		ln.entry.logger.Warn("state of another host was not fetched", "Address", address, "Error", err)
+		return
+	}
+	ln.addHosts(answer.Hosts)
+	ln.entry.adopt(answer, address)
+}
+
+// addHosts takes in hosts; their list only grows, since a dead host costs a datagram now and then.
+func (ln *link) addHosts(hosts []relay.Host) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	byID := make(map[chestnutroad.HostID]relay.Host, len(hosts)+len(ln.hosts))
+	for _, hs := range append(slices.Clone(ln.hosts), hosts...) {
+		if hs.ID != ln.self.ID && hs.ID != "" {
+			byID[hs.ID] = hs
+		}
+	}
+	ln.hosts = make([]relay.Host, 0, len(byID))
+	for _, hs := range byID {
+		ln.hosts = append(ln.hosts, hs)
+	}
+	slices.SortFunc(ln.hosts, func(one, two relay.Host) int { return cmp.Compare(one.ID, two.ID) })
+	ln.node.SetHosts(ln.hosts)
+	ln.entry.state.setHosts(len(ln.hosts) + 1)
+}
+
+const (
+	// registerPause lets the hosts that start at the same moment register before the list is read.
+	registerPause = 700 * time.Millisecond
+	// registerTimeout bounds one call of the registration.
+	registerTimeout = 2 * time.Second
+	// registerRetry is the pause after a failed call.
+	registerRetry = time.Second
+)
+
+// register reads the list of hosts, adds this one where it is missing, and reads the list once more.
+func (ln *link) register(ctx context.Context) {
+	if !ln.readHosts(ctx) {
+		for sleep(ctx, 0) && !ln.putSelf(ctx) {
+			if !sleep(ctx, registerRetry) {
+				return
+			}
+		}
+	}
+	if sleep(ctx, registerPause) {
+		ln.readHosts(ctx)
+	}
+}
+
+func (ln *link) putSelf(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	value, err := json.Marshal(ln.self)
+	if err == nil {
+		err = ln.entry.store.Put(ctx, chestnutroad.KeyedHosts, string(ln.self.ID), value)
+	}
+	if err != nil {
+		ln.entry.logger.Warn("the host was not registered", "Error", err)
+	}
+	return err == nil
+}
+
+// readHosts takes in the list of hosts and reports whether it holds this one as it is.
+func (ln *link) readHosts(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	batch, err := ln.entry.store.Newest(ctx, chestnutroad.KeyedHosts)
+	if err != nil {
+		ln.entry.logger.Warn("the list of hosts was not read", "Error", err)
+		return false
+	}
+	var hosts []relay.Host
+	listed := false
+	for _, record := range batch.Records {
+		var hs relay.Host
+		if err := json.Unmarshal(record.Value, &hs); err != nil {
+			ln.entry.logger.Warn("an entry of the list of hosts can't be used", "Key", record.Key, "Error", err)
+			continue
+		}
+		hosts = append(hosts, hs)
+		listed = listed || hs == ln.self
+	}
+	ln.addHosts(hosts)
+	return listed
+}
+
+// held returns what the host holds, for other hosts.
+func (en *Entry) held() relay.Held {
+	held := en.state.held()
+	held.Fresh = en.now().UnixNano()-en.lastRead.Load() < int64(freshFor) && en.lastRead.Load() > 0
+	held.Leaving = en.stopping.Load()
+	return held
+}
+
+// freshFor is the time after a read of the targets for which the host counts as reading the store.
+const freshFor = targetInterval + readSlack + 300*time.Millisecond
+
+// adopt takes in what another host holds beyond this one.
+func (en *Entry) adopt(answer *siblings.State, from string) {
+	if len(answer.Configuration) > 0 {
+		en.applyConfiguration([]chestnutroad.KeyedRecord{{
+			Key: en.decoder.ConfigurationKey(), Value: answer.Configuration,
+		}}, "host "+from)
+	}
+	if answer.Offset > en.state.held().Offset && answer.Targets != nil {
+		en.resetTargets(answer.Targets, answer.Offset)
+	}
+}
+
+// counts returns the requests at each target in order of the targets' ids.
+func countsOf(pool *placement.Pool) []byte {
+	own := pool.Own()
+	entries := pool.Entries()
+	counts := make([]byte, len(entries))
+	for index := range entries {
+		counts[index] = byte(min(255, own[entries[index].ID]))
+	}
+	return counts
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -1,15 +1,19 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/relay"
 	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
 )
 
 // state is what the host believes of the configuration, the targets and the retry budgets.
@@ -18,7 +22,12 @@
 	// listed is true once the targets were read.
 	listed atomic.Bool
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// configuration is the text of the configuration in force, for other hosts.
+	configuration []byte
+	// records are the targets' records that result from all up to offset.
+	records map[string][]byte
+	offset  chestnutroad.Offset
 	pool    *placement.Pool
 	budgets map[chestnutroad.ServiceID]*retrybudget.Budget
 	ratio   float64
@@ -33,6 +42,7 @@
 
 func newState(set *settings.Entry) *state {
 	return &state{
+		records: map[string][]byte{},
 		pool:    placement.NewPool(set.DataCentre, placement.WithCapFactor(set.CapFactor)),
 		budgets: map[chestnutroad.ServiceID]*retrybudget.Budget{},
 		ratio:   set.RetryRatio,
@@ -43,16 +53,16 @@
 }
 
 // offer puts a configuration in force unless a newer one already is, and reports whether it did.
-func (st *state) offer(cf *chestnutroad.Configuration) bool {
-	for {
-		current := st.table.Load()
-		if current != nil && current.Version() >= cf.Version {
-			return false
-		}
-		if st.table.CompareAndSwap(current, routing.NewTable(cf)) {
-			return true
-		}
+func (st *state) offer(cf *chestnutroad.Configuration, text []byte) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	current := st.table.Load()
+	if current != nil && current.Version() >= cf.Version {
+		return false
 	}
+	st.table.Store(routing.NewTable(cf))
+	st.configuration = text
+	return true
 }
 
 func (st *state) ready() bool { return st.table.Load() != nil && st.listed.Load() }
@@ -103,3 +113,57 @@
 	defer st.mu.Unlock()
 	return st.budget(service).Retry(now, st.slack/float64(max(1, st.hosts)))
 }
+
+// setHosts takes in the number of hosts, among which the retry slack is divided.
+func (st *state) setHosts(count int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.hosts = count
+}
+
+// setOthers takes in the requests of other hosts at each target, in the order of the ids that were listed at offset.
+func (st *state) setOthers(offset chestnutroad.Offset, counts []byte) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if offset != st.offset {
+		return
+	}
+	entries := st.pool.Entries()
+	if len(entries) != len(counts) {
+		return
+	}
+	others := make(map[chestnutroad.TargetID]int, len(counts))
+	for index := range entries {
+		others[entries[index].ID] = int(counts[index])
+	}
+	st.pool.SetOthers(others)
+}
+
+// held returns what the host holds.
+func (st *state) held() relay.Held {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	held := relay.Held{Offset: st.offset, Own: countsOf(st.pool)}
+	if tb := st.table.Load(); tb != nil {
+		held.Version = tb.Version()
+	}
+	return held
+}
+
+// beyond returns what the host holds beyond what another one does.
+func (st *state) beyond(request *siblings.StateRequest) *siblings.State {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	answer := &siblings.State{Offset: st.offset}
+	if tb := st.table.Load(); tb != nil && tb.Version() > request.Version {
+		answer.Version = tb.Version()
+		answer.Configuration = st.configuration
+	}
+	if st.listed.Load() && st.offset > request.Offset {
+		answer.Targets = make([]chestnutroad.KeyedRecord, 0, len(st.records))
+		for _, key := range slices.Sorted(maps.Keys(st.records)) {
+			answer.Targets = append(answer.Targets, chestnutroad.KeyedRecord{Key: key, Value: st.records[key]})
+		}
+	}
+	return answer
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -23,6 +23,10 @@
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// outagePause is the longest pause while no host of the data centre reaches the store.
+	outagePause = time.Second
+	// neededInterval is the pause between two looks at whether this host has to read the store.
+	neededInterval = 100 * time.Millisecond
 )
 
 // follower reads one keyed stream: the newest record of each key first, then all that follow.
@@ -32,9 +36,11 @@
 	wait     time.Duration
 	interval time.Duration
 	logger   *log.Logger
-	// reset takes in the newest record of each key, apply the records of a later read.
-	reset func(records []chestnutroad.KeyedRecord)
-	apply func(records []chestnutroad.KeyedRecord)
+	// needed reports whether this host has to read the store itself, and how long it pauses at most after failures.
+	needed func() (bool, time.Duration)
+	// reset takes in the newest record of each key, apply the records of a later read; next is the offset after them.
+	reset func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset)
+	apply func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset)
 	// reached is told whether each call reached the store.
 	reached func(ok bool)
 }
@@ -44,6 +50,13 @@
 	next, known := chestnutroad.Offset(0), false
 	pause := time.Duration(0)
 	for sleep(ctx, pause) {
+		needed, most := fl.needed()
+		if !needed {
+			// What another host read meanwhile is not known here, so that reading begins anew.
+			known = false
+			pause = neededInterval
+			continue
+		}
 		batch, err := fl.step(ctx, next, known)
 		if ctx.Err() != nil {
 			return
@@ -53,13 +66,13 @@
 		if err != nil {
 			fl.logger.Warn("read of the store failed", "Stream", fl.stream, "Offset", next, "Error", err)
 			known = known && !gone
-			pause = min(longestPause, max(firstPause, 2*pause))
+			pause = min(most, max(firstPause, 2*pause))
 			continue
 		}
 		if known {
-			fl.apply(batch.Records)
+			fl.apply(batch.Records, batch.Next)
 		} else {
-			fl.reset(batch.Records)
+			fl.reset(batch.Records, batch.Next)
 		}
 		if batch.Unreadable > 0 {
 			fl.logger.Warn("records without a key were passed over", "Stream", fl.stream, "Count", batch.Unreadable)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -14,6 +14,8 @@
 	// Affinity is the id of the prompt part that the request shares with others; empty when there is none.
 	Affinity string
 	Model    string
+	// Request spreads requests that are alike in all else.
+	Request chestnutroad.RequestID
 	// Excluded are targets that the request was already sent to.
 	Excluded []chestnutroad.TargetID
 }
@@ -50,9 +52,9 @@
 	}
 	bound := pl.bound(now, all)
 	if ask.Affinity != "" {
-		return preferCached(now, sound, ask.Affinity, bound, suspect), true
+		return preferCached(now, sound, ask, bound, suspect), true
 	}
-	return pl.preferNear(now, sound, bound, suspect), true
+	return pl.preferNear(now, sound, ask, bound, suspect), true
 }
 
 func hasModel(entry *chestnutroad.TargetEntry, model string) bool {
@@ -75,17 +77,30 @@
 	return int(mean*pl.capFactor*boundShare) + boundSlack
 }
 
-// preferCached takes the first target below the bound in the order of the part's hash, so that all hosts send requests
-// with one part to the same few targets; with none below the bound it takes the least loaded.
-func preferCached(now time.Time, targets []*target, affinity string, bound int, suspect bool) Choice {
+// softShare is the part of the bound from which requests begin to pass a target over.
+const softShare = 0.75
+
+// preferCached takes the first target with room in the order of the part's hash, so that all hosts send requests with
+// one part to the same few targets; with room at none it takes the least loaded.
+//
+// The counts of other hosts are some hundred ms old. If all hosts passed a target over at the same count, they would
+// flood the next one until the counts show it, so a growing share of requests passes over a target that fills up.
+func preferCached(now time.Time, targets []*target, ask *Ask, bound int, suspect bool) Choice {
 	ranked := slices.Clone(targets)
 	slices.SortFunc(ranked, func(one, two *target) int {
-		return cmp.Compare(weight(two, affinity), weight(one, affinity))
+		return cmp.Compare(weight(two, ask.Affinity), weight(one, ask.Affinity))
 	})
+	soft := softShare * float64(bound)
 	for index, tg := range ranked {
-		if load := tg.load(now); load < bound && load < tg.entry.Slots {
-			return Choice{Entry: tg.entry, Load: load, Bound: bound, Preference: index, Suspect: suspect}
+		load := tg.load(now)
+		if load >= bound || load >= tg.entry.Slots {
+			continue
+		}
+		pass := (float64(load) - soft) / (float64(bound) - soft)
+		if pass > 0 && draw(ask.Request, tg.entry.ID) < pass {
+			continue
 		}
+		return Choice{Entry: tg.entry, Load: load, Bound: bound, Preference: index, Suspect: suspect}
 	}
 	least := slices.MinFunc(ranked, func(one, two *target) int { return cmp.Compare(one.load(now), two.load(now)) })
 	return Choice{
@@ -94,17 +109,22 @@
 	}
 }
 
+// draw returns a number from 0 to 1 for a request at a target.
+func draw(request chestnutroad.RequestID, id chestnutroad.TargetID) float64 {
+	return float64(chestnutroad.HashID(string(request)+"/"+string(id))>>11) / (1 << 53)
+}
+
 // weight is the rendezvous hash of a target and a prompt part.
 func weight(tg *target, affinity string) uint64 {
 	return chestnutroad.HashID(string(tg.entry.ID) + "/" + affinity)
 }
 
 // preferNear takes the least loaded target of the own data centre while it is within the bound, else the least loaded.
-func (pl *Pool) preferNear(now time.Time, targets []*target, bound int, suspect bool) Choice {
+func (pl *Pool) preferNear(now time.Time, targets []*target, ask *Ask, bound int, suspect bool) Choice {
 	best := slices.MinFunc(targets, func(one, two *target) int {
 		return cmp.Or(
 			cmp.Compare(pl.cost(now, one, bound), pl.cost(now, two, bound)),
-			cmp.Compare(one.entry.ID, two.entry.ID),
+			cmp.Compare(draw(ask.Request, one.entry.ID), draw(ask.Request, two.entry.ID)),
 		)
 	})
 	return Choice{Entry: best.entry, Load: best.load(now), Bound: bound, Suspect: suspect}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -26,9 +26,9 @@
 	// defaultCapFactor applies where the installation's settings state none.
 	defaultCapFactor = 2
 	// boundShare keeps the own bound below the installation's, since the counts of other hosts are late.
-	boundShare = 0.75
+	boundShare = 0.85
 	// boundSlack allows small pools a few requests above the mean.
-	boundSlack = 2
+	boundSlack = 3
 )
 
 // NewPool returns an empty pool for a host of the data centre.
--- /dev/null
+++ b/internal/relay/node.go
@@ -0,0 +1,361 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Host is another host as the store's list names it.
+type Host struct {
+	ID         chestnutroad.HostID
+	DataCentre chestnutroad.DataCentreID
+	Address    string
+	// Processors is the share of a core that the host has; the largest hosts relay.
+	Processors float64
+}
+
+// Kind says what a message is for.
+type Kind string
+
+// The kinds of messages.
+const (
+	// Report carries a host's own counts to its relay.
+	Report Kind = "Report"
+	// Beacon carries a relay's versions and the sums of all data centres to its hosts.
+	Beacon Kind = "Beacon"
+	// Exchange carries the sums of one data centre to the relays of the others.
+	Exchange Kind = "Exchange"
+)
+
+// Message is a datagram between hosts.
+type Message struct {
+	Kind       Kind
+	From       chestnutroad.HostID
+	DataCentre chestnutroad.DataCentreID
+	// Version and Offset are the configuration and the end of the targets' records that the sender holds.
+	Version chestnutroad.Version
+	Offset  chestnutroad.Offset
+	// Fresh is true while the sender reads the store itself.
+	Fresh bool
+	// Leaving is true once the sender was asked to stop.
+	Leaving bool `json:",omitempty"`
+	// Counts are the requests at each target, in the order of the ids that were listed at Offset; at most 255 each.
+	Counts []byte
+}
+
+// Send is a message on its way to a host.
+type Send struct {
+	Address string
+	Message Message
+}
+
+// Held is what the node's own host holds.
+type Held struct {
+	Version chestnutroad.Version
+	Offset  chestnutroad.Offset
+	// Fresh is true while the host's own reads of the store succeed.
+	Fresh bool
+	// Leaving is true once the host was asked to stop.
+	Leaving bool
+	// Own are the host's own requests at each target in order of their ids.
+	Own []byte
+}
+
+const (
+	// Interval is the time between two ticks. A load is at most two intervals old at its relay and four at a host of
+	// another data centre, in which time a target of the grown sites gets five requests.
+	Interval = 250 * time.Millisecond
+	// silence is the time without a beacon after which the next host in the order relays; two may get lost in a row.
+	silence = 800 * time.Millisecond
+	// rankDelay keeps the hosts further down from relaying at the same moment.
+	rankDelay = 250 * time.Millisecond
+	// countsAge is how long counts are believed.
+	countsAge = time.Second
+	// maxCount is the most requests that a byte tells.
+	maxCount = 255
+)
+
+type peer struct {
+	Host
+	last   Message
+	heard  time.Time
+	beacon time.Time
+}
+
+// Node is one host's part. It is not safe for concurrent use.
+type Node struct {
+	self  Host
+	since time.Time
+	peers map[chestnutroad.HostID]*peer
+	// local are the hosts of the own data centre in the order in which they relay, the own one included.
+	local []Host
+	// reported are the own counts in the last message to a relay.
+	reported       []byte
+	reportedOffset chestnutroad.Offset
+	total          []byte
+	totalOffset    chestnutroad.Offset
+	totalAt        time.Time
+	relaying       bool
+	// turn counts through the hosts of data centres whose relay is not known.
+	turn int
+}
+
+// New returns the node of a host that starts now.
+func New(self Host, now time.Time) *Node {
+	nd := &Node{self: self, since: now, peers: map[chestnutroad.HostID]*peer{}}
+	nd.SetHosts(nil)
+	return nd
+}
+
+// SetHosts takes in the list of hosts.
+func (nd *Node) SetHosts(hosts []Host) {
+	listed := map[chestnutroad.HostID]bool{nd.self.ID: true}
+	local := []Host{nd.self}
+	for _, hs := range hosts {
+		if listed[hs.ID] {
+			continue
+		}
+		listed[hs.ID] = true
+		if known := nd.peers[hs.ID]; known != nil {
+			known.Host = hs
+		} else {
+			nd.peers[hs.ID] = &peer{Host: hs}
+		}
+		if hs.DataCentre == nd.self.DataCentre {
+			local = append(local, hs)
+		}
+	}
+	for id := range nd.peers {
+		if !listed[id] {
+			delete(nd.peers, id)
+		}
+	}
+	slices.SortFunc(local, func(one, two Host) int {
+		return cmp.Or(
+			cmp.Compare(two.Processors, one.Processors),
+			cmp.Compare(chestnutroad.HashID(string(one.ID)), chestnutroad.HashID(string(two.ID))),
+		)
+	})
+	nd.local = local
+}
+
+// Hosts returns the number of hosts, the own one included.
+func (nd *Node) Hosts() int { return len(nd.peers) + 1 }
+
+// Relaying reports whether this host relays.
+func (nd *Node) Relaying() bool { return nd.relaying }
+
+// Relay returns the host whose beacons this host follows and whether it reads the store; a host that hears no relay, or
+// one that can't read the store, has to read it itself.
+func (nd *Node) Relay(now time.Time) (relay Host, fresh, found bool) {
+	for _, hs := range nd.local {
+		pr := nd.peers[hs.ID]
+		if pr == nil || !pr.beaconing(now) {
+			continue
+		}
+		if pr.last.Fresh {
+			return hs, true, true
+		}
+		if !found {
+			relay, found = hs, true
+		}
+	}
+	return relay, false, found
+}
+
+func (pr *peer) beaconing(now time.Time) bool {
+	return !pr.beacon.IsZero() && now.Sub(pr.beacon) < silence && !pr.last.Leaving && pr.last.Kind == Beacon
+}
+
+// Newer returns hosts that hold a newer configuration or later records of the targets than this host.
+func (nd *Node) Newer(now time.Time, held *Held) []Host {
+	var hosts []Host
+	for _, pr := range nd.peers {
+		if now.Sub(pr.heard) < countsAge && (pr.last.Version > held.Version || pr.last.Offset > held.Offset) {
+			hosts = append(hosts, pr.Host)
+		}
+	}
+	slices.SortFunc(hosts, func(one, two Host) int {
+		return cmp.Or(
+			cmp.Compare(nd.distance(&one), nd.distance(&two)),
+			cmp.Compare(one.ID, two.ID),
+		)
+	})
+	return hosts
+}
+
+func (nd *Node) distance(hs *Host) int {
+	if hs.DataCentre == nd.self.DataCentre {
+		return 0
+	}
+	return 1
+}
+
+// Receive takes in a message of another host.
+//
+// It returns false for a host that is not in the list.
+func (nd *Node) Receive(now time.Time, message *Message) bool {
+	pr := nd.peers[message.From]
+	if pr == nil {
+		return false
+	}
+	pr.last = *message
+	pr.heard = now
+	if message.Kind != Beacon {
+		return true
+	}
+	pr.beacon = now
+	if relay, _, found := nd.Relay(now); found && relay.ID == message.From {
+		nd.total, nd.totalOffset, nd.totalAt = message.Counts, message.Offset, now
+	}
+	return true
+}
+
+// Tick returns the messages that are due; it is due every Interval.
+func (nd *Node) Tick(now time.Time, held *Held) []Send {
+	nd.relaying = nd.shouldRelay(now, held)
+	if !nd.relaying {
+		return nd.report(now, held)
+	}
+	return nd.relay(now, held)
+}
+
+// shouldRelay reports whether no better host of the data centre relays: one that reads the store goes before one that
+// can't, then the order decides.
+func (nd *Node) shouldRelay(now time.Time, held *Held) bool {
+	if held.Leaving {
+		return false
+	}
+	rank := slices.IndexFunc(nd.local, func(hs Host) bool { return hs.ID == nd.self.ID })
+	relay, fresh, found := nd.Relay(now)
+	if found && fresh != held.Fresh {
+		return held.Fresh
+	}
+	if found && slices.IndexFunc(nd.local, func(hs Host) bool { return hs.ID == relay.ID }) < rank {
+		return false
+	}
+	return rank == 0 || nd.relaying || now.Sub(nd.lastBeacon()) >= silence+time.Duration(rank)*rankDelay
+}
+
+// lastBeacon returns when another host of the data centre last sent a beacon.
+func (nd *Node) lastBeacon() time.Time {
+	last := nd.since
+	for _, hs := range nd.local {
+		if pr := nd.peers[hs.ID]; pr != nil && pr.beacon.After(last) {
+			last = pr.beacon
+		}
+	}
+	return last
+}
+
+func (nd *Node) message(kind Kind, held *Held, counts []byte) Message {
+	return Message{
+		Kind: kind, From: nd.self.ID, DataCentre: nd.self.DataCentre,
+		Version: held.Version, Offset: held.Offset, Fresh: held.Fresh, Leaving: held.Leaving, Counts: counts,
+	}
+}
+
+func (nd *Node) report(now time.Time, held *Held) []Send {
+	relay, _, found := nd.Relay(now)
+	if !found {
+		return nil
+	}
+	nd.reported, nd.reportedOffset = held.Own, held.Offset
+	return []Send{{Address: relay.Address, Message: nd.message(Report, held, held.Own)}}
+}
+
+func (nd *Node) relay(now time.Time, held *Held) []Send {
+	nd.reported, nd.reportedOffset = held.Own, held.Offset
+	sum := slices.Clone(held.Own)
+	total := slices.Clone(held.Own)
+	for _, pr := range nd.peers {
+		if now.Sub(pr.heard) >= countsAge || pr.last.Offset != held.Offset {
+			continue
+		}
+		if pr.DataCentre == nd.self.DataCentre && pr.last.Kind == Report {
+			addCounts(sum, pr.last.Counts)
+			addCounts(total, pr.last.Counts)
+		}
+		if pr.DataCentre != nd.self.DataCentre && pr.last.Kind == Exchange {
+			addCounts(total, pr.last.Counts)
+		}
+	}
+	nd.total, nd.totalOffset, nd.totalAt = total, held.Offset, now
+	nd.turn += remoteCandidates
+	sends := make([]Send, 0, len(nd.peers))
+	beacon, exchange := nd.message(Beacon, held, total), nd.message(Exchange, held, sum)
+	for _, hs := range nd.local {
+		if hs.ID != nd.self.ID {
+			sends = append(sends, Send{Address: hs.Address, Message: beacon})
+		}
+	}
+	for _, hs := range nd.remoteRelays(now) {
+		sends = append(sends, Send{Address: hs.Address, Message: exchange})
+	}
+	return sends
+}
+
+// remoteCandidates is the number of hosts of another data centre that get sums while its relay is not known.
+const remoteCandidates = 2
+
+// remoteRelays returns the hosts of the other data centres that relay, or the first ones in their order.
+func (nd *Node) remoteRelays(now time.Time) []Host {
+	groups := map[chestnutroad.DataCentreID][]*peer{}
+	for _, pr := range nd.peers {
+		if pr.DataCentre != nd.self.DataCentre {
+			groups[pr.DataCentre] = append(groups[pr.DataCentre], pr)
+		}
+	}
+	var hosts []Host
+	for _, group := range groups {
+		relays := slices.DeleteFunc(slices.Clone(group), func(pr *peer) bool {
+			return now.Sub(pr.heard) >= countsAge || pr.last.Kind != Exchange
+		})
+		if len(relays) == 0 {
+			slices.SortFunc(group, func(one, two *peer) int {
+				return cmp.Or(
+					cmp.Compare(two.Processors, one.Processors),
+					cmp.Compare(chestnutroad.HashID(string(one.ID)), chestnutroad.HashID(string(two.ID))),
+				)
+			})
+			relays = nd.someOf(group)
+		}
+		for _, pr := range relays {
+			hosts = append(hosts, pr.Host)
+		}
+	}
+	slices.SortFunc(hosts, func(one, two Host) int { return cmp.Compare(one.ID, two.ID) })
+	return hosts
+}
+
+// someOf returns other hosts of a group in turn: the first ones of its order may be dead.
+func (nd *Node) someOf(group []*peer) []*peer {
+	var some []*peer
+	for index := range min(remoteCandidates, len(group)) {
+		some = append(some, group[(nd.turn+index)%len(group)])
+	}
+	return some
+}
+
+func addCounts(to, from []byte) {
+	for index := range min(len(to), len(from)) {
+		to[index] = byte(min(maxCount, int(to[index])+int(from[index])))
+	}
+}
+
+// Others returns the requests of all other hosts at each target in order of their ids, or nil when they are not known.
+func (nd *Node) Others(now time.Time, offset chestnutroad.Offset) []byte {
+	if now.Sub(nd.totalAt) >= countsAge || nd.totalOffset != offset {
+		return nil
+	}
+	others := slices.Clone(nd.total)
+	if nd.reportedOffset == offset {
+		for index := range min(len(others), len(nd.reported)) {
+			others[index] -= min(others[index], nd.reported[index])
+		}
+	}
+	return others
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -21,6 +21,10 @@
 	// StoreAddress is the platform's store.
 	StoreAddress netip.AddrPort
 
+	// Seeds are some other hosts, which may be down; only their IP numbers count, since ports are the same everywhere.
+	Seeds []netip.AddrPort
+	// Processors is the share of a core that the host has.
+	Processors float64
 	// Memory is the memory that the process may use.
 	Memory chestnutroad.Bytes
 	// Drain is the time after which a leaving target gets no new requests.
@@ -85,6 +89,8 @@
 		StoreAddress:  rd.needAddress("StoreAddress", true),
 		FirstPort:     int(rd.count("FirstPort", 0, 1, mostPort)),
 		LastPort:      int(rd.count("LastPort", 0, 1, mostPort)),
+		Seeds:         rd.addresses("Seeds"),
+		Processors:    rd.ratio("Processors", 1, 0, mostFactor),
 		Memory:        rd.size("Memory", 206<<20, leastMemory, mostMemory),
 		Drain:         rd.duration("Drain", 2*time.Second, 0, mostSpan),
 		Grace:         rd.duration("Grace", 8*time.Second, 0, mostSpan),
@@ -96,3 +102,18 @@
 		LogLevel:      rd.choice("LogLevel", "info", "debug", "info", "warn", "error"),
 	}
 }
+
+// addresses reads a list of IP numbers and ports of other machines.
+func (rd *reader) addresses(key string) []netip.AddrPort {
+	texts := rd.texts(key, func(text string) string {
+		_, fault := parseAddress(text, true)
+		return fault
+	})
+	addresses := make([]netip.AddrPort, 0, len(texts))
+	for _, text := range texts {
+		if address, fault := parseAddress(text, true); fault == "" {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
