Do not pass a request on that arrives on a connection while it is closed for idleness

Shutdown has the same gap. Closing now marks the connection first, and a marked connection's request is not passed on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,7 +37,7 @@
 	state    *state
 	targets  *targetconn.Pool
 	counters *counters
-	idle     *idleConns
+	callers  *callerConns
 	link     *link
 	// lastRead is the Unix time in nanoseconds of the last read of the targets that succeeded.
 	lastRead atomic.Int64
@@ -61,7 +61,7 @@
 		state:    newState(set),
 		targets:  targetconn.NewPool(),
 		counters: newCounters(),
-		idle:     newIdleConns(),
+		callers:  newCallerConns(),
 		now:      time.Now,
 	}
 	en.grace.Store(int64(set.Grace))
@@ -88,6 +88,9 @@
 	maxHeaderBytes = 64 << 10
 	// sweepInterval is the pause between two looks at idle connections.
 	sweepInterval = time.Second
+	// idleMargin is the time beyond the limit for which an idle connection stays open: callers that have seen an
+	// earlier configuration go by its limit until the new one is in force.
+	idleMargin = 10 * time.Second
 )
 
 // Run serves until ctx ends, then drains.
@@ -121,7 +124,8 @@
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
 	}
-	en.drain(callers)
+	en.drain(listeners[0])
+	_ = callers.Close()
 	_ = operators.Close()
 	en.logger.Info("stopped")
 	return nil
@@ -150,28 +154,37 @@
 	unreadyTime = 2500 * time.Millisecond
 	// stopReserve is the part of the grace that is left for the end of the process.
 	stopReserve = 700 * time.Millisecond
+	// drainIdle is how long a connection may be idle in the drain: callers that send one request after the other keep
+	// theirs until the answer with Connection: close.
+	drainIdle = 300 * time.Millisecond
+	// drainInterval is the pause between two looks at the connections in the drain.
+	drainInterval = 50 * time.Millisecond
 )
 
-// drain stops the host without cutting a request off: it says first that it is not ready, then closes idle connections
-// and waits for the requests that run.
-func (en *Entry) drain(callers *http.Server) {
+// drain stops the host without cutting a request off: it says first that it is not ready, then takes no more
+// connections, closes idle ones and waits for the requests that run.
+func (en *Entry) drain(listener net.Listener) {
 	started, grace := en.now(), time.Duration(en.grace.Load())
 	en.stopping.Store(true)
 	en.logger.Info("draining", "Open", en.counters.open.Load())
 	time.Sleep(min(unreadyTime, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(grace-stopReserve))
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		en.logger.Warn("requests were cut off at the end of the grace", "Open", en.counters.open.Load(), "Error", err)
-		_ = callers.Close()
+	_ = listener.Close()
+	for en.now().Before(started.Add(grace - stopReserve)) {
+		if en.callers.closeIdle(en.now(), drainIdle) == 0 {
+			return
+		}
+		time.Sleep(drainInterval)
 	}
+	en.logger.Warn("requests are cut off at the end of the grace", "Open", en.counters.open.Load())
 }
 
 func (en *Entry) sweep(ctx context.Context) {
 	for sleep(ctx, sweepInterval) {
 		en.targets.Sweep()
 		if tb := en.state.table.Load(); tb != nil {
-			en.idle.closeOlder(en.now(), tb.Limits().IdleTimeout)
+			if limit := tb.Limits().IdleTimeout; limit > 0 {
+				en.callers.closeIdle(en.now(), limit+idleMargin)
+			}
 		}
 	}
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,12 +15,16 @@
 		Handler:           en,
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         en.idle.changed,
+		ConnState:         en.callers.changed,
+		ConnContext:       en.callers.context,
 	}
 }
 
 // ServeHTTP serves one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
+	if en.callers.closing(req.Context()) {
+		panic(http.ErrAbortHandler)
+	}
 	en.counters.open.Add(1)
 	defer en.counters.open.Add(-1)
 	ex := &exchange{writer: writer, request: req, started: en.now(), facts: en.wire.ReadCall(req.Header)}
