--- /dev/null
+++ b/internal/entry/drain_test.go
@@ -0,0 +1,79 @@
+package entry_test
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// TestDrain guards against a stop that cuts a request off, that takes no requests before the balancer knows of it, or
+// that does not end.
+func TestDrain(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	rn := st.runner("i-1", "model")
+	rn.Events, rn.Gap = 20, 150*time.Millisecond
+	st.runner("i-2", "desk")
+	ht := st.start("host-1", true)
+	streamed := make(chan reply, 1)
+	go func() {
+		streamed <- ht.call(t.Context(), standin.Call{
+			Method: http.MethodPost, Path: "/once/x", ID: "r-1", Key: "k-1", Body: "b", Prefix: "a:1,b:2",
+		})
+	}()
+	ht.eventually(time.Second, "the stream runs", func() bool { return len(rn.Runs()) == 1 })
+	idle := silentConn(t, ht.address)
+	started := time.Now()
+	ht.stop()
+	ht.eventually(500*time.Millisecond, "the host says that it is not ready", func() bool { return !ht.isReady() })
+	if got := status(ht, "/stock/x", "k-1"); got != http.StatusOK {
+		t.Errorf("a request in the drain got %d", got)
+	}
+	if got := <-streamed; got.err != nil || got.body != standin.Events(20) {
+		t.Errorf("the stream ended with %q, %v", got.body, got.err)
+	}
+	if err := <-ht.ended; err != nil {
+		t.Error(err)
+	}
+	ht.ended <- nil
+	if took := time.Since(started); took > ht.settings.Grace {
+		t.Errorf("the stop took %s", took)
+	}
+	if _, err := io.ReadAll(idle); err != nil {
+		t.Logf("the idle connection ended with %v", err)
+	}
+}
+
+// TestAnswersInTheDrainClose guards against callers that keep their connection to a host that is going away.
+func TestAnswersInTheDrainClose(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	conn := silentConn(t, ht.address)
+	ht.stop()
+	ht.eventually(500*time.Millisecond, "the host says that it is not ready", func() bool { return !ht.isReady() })
+	req, err := standin.NewRequest(t.Context(), ht.address, &standin.Call{
+		Method: http.MethodGet, Host: "a.example", Path: "/stock/x", ID: "r-1", Key: "k-1",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := req.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("got %d, close %t", resp.StatusCode, resp.Close)
+	}
+}
--- /dev/null
+++ b/internal/entry/serve_test.go
@@ -0,0 +1,190 @@
+package entry_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+const keys = `"k-1","k-2"`
+
+// TestForward guards against requests that reach a target changed, with the caller's key, or without what the target is
+// told; and against answers that are not the target's own.
+func TestForward(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	rn := st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	got := ht.call(t.Context(), standin.Call{
+		Method: http.MethodPost, Path: "/order/a//b/../c?x=%2F&y", ID: "r-1", Key: "k-2", Body: "GET /smuggled HTTP/1.1\r\n\r\n",
+		Budget: 800 * time.Millisecond,
+	})
+	if got.status != http.StatusOK || got.body != "answer of i-1" || got.header.Get("Chestnutroad-Response-Signature") != "3e1b.07" {
+		t.Fatalf("got %+v\n%s", got, ht.log)
+	}
+	runs := rn.Runs()
+	if len(runs) != 1 {
+		t.Fatalf("%d runs", len(runs))
+	}
+	run := runs[0]
+	if run.Method != http.MethodPost || run.URI != "/order/a//b/../c?x=%2F&y" || run.Body != "GET /smuggled HTTP/1.1\r\n\r\n" {
+		t.Errorf("the target got %s %s %q", run.Method, run.URI, run.Body)
+	}
+	header := run.Header
+	if header.Get("Authorization") != "" || header.Get("Chestnutroad-Tenant") != "team-1" ||
+		header.Get("Chestnutroad-Expect-Instance") != "i-1" || header.Get("Chestnutroad-Attempt-Id") != "r-1" {
+		t.Errorf("the target got the header %v", header)
+	}
+}
+
+// TestRefusals guards against wrong verdicts: which requests are proper follows from the configuration, and a refusal of
+// one that may come back says when.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	cases := []struct {
+		name       string
+		call       standin.Call
+		status     int
+		retryAfter bool
+	}{
+		{"no rule", standin.Call{Method: http.MethodGet, Path: "/none/x", Key: "k-1"}, http.StatusNotFound, false},
+		{"unknown key", standin.Call{Method: http.MethodGet, Path: "/stock/x", Key: "k-9"}, http.StatusUnauthorized, false},
+		{"no key", standin.Call{Method: http.MethodGet, Path: "/stock/x"}, http.StatusUnauthorized, false},
+		{"no key needed", standin.Call{Method: http.MethodGet, Path: "/open/x"}, http.StatusOK, false},
+		{"body over the limit", standin.Call{Method: http.MethodPost, Path: "/order/x", Key: "k-1", Body: strings.Repeat("x", 5000)},
+			http.StatusRequestEntityTooLarge, false},
+		{"no target", standin.Call{Method: http.MethodPost, Path: "/chat/x", Key: "k-1"}, http.StatusServiceUnavailable, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tc.call.ID = "r-" + tc.name
+			got := ht.call(t.Context(), tc.call)
+			if got.status != tc.status || (got.header.Get("Retry-After") != "") != tc.retryAfter {
+				t.Errorf("got %d with Retry-After %q", got.status, got.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// TestTargetFaults guards, for each way in which a target can fail a request, against a second run of what may run once,
+// against a refusal that is not true, and against an answer that is not the whole answer to the request.
+func TestTargetFaults(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		fault standin.Behaviour
+		// order and stock are the statuses for a request that may run once and for one that may be repeated.
+		order, stock int
+		// orderRuns is the number of runs of the first at both targets.
+		orderRuns int
+	}{
+		{"refuses", standin.Refuse, http.StatusOK, http.StatusOK, 1},
+		{"fails", standin.FailRun, http.StatusInternalServerError, http.StatusOK, 1},
+		{"cuts its answer", standin.Cut, http.StatusBadGateway, http.StatusOK, 1},
+		{"answers twice", standin.ServeTwice, http.StatusOK, http.StatusOK, 1},
+		{"encodes its answer", standin.Encode, http.StatusBadGateway, http.StatusOK, 1},
+		{"gives no receipt", standin.NoReceipt, http.StatusBadGateway, http.StatusOK, 1},
+		{"ends its answer with the connection", standin.Unframed, http.StatusOK, http.StatusOK, 1},
+		{"is busy without a word on the run", standin.BusyWithoutWord, http.StatusBadGateway, http.StatusOK, 1},
+		{"hangs", standin.Hang, http.StatusGatewayTimeout, http.StatusOK, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.configure(3, 2, keys)
+			bad, good := st.runner("i-1", "desk"), st.runner("i-2", "desk")
+			ht := st.start("host-1", true)
+			for kind, want := range map[string]int{"order": tc.order, "stock": tc.stock} {
+				for index := range 3 {
+					bad.Then(tc.fault)
+					before := len(bad.Runs()) + len(good.Runs())
+					id := kind + "-" + string(rune('a'+index))
+					got := ht.call(t.Context(), standin.Call{
+						Method: http.MethodPost, Path: "/" + kind + "/x", ID: id, Key: "k-1", Body: "b", Budget: 600 * time.Millisecond,
+					})
+					runs := len(bad.Runs()) + len(good.Runs()) - before
+					if kind == "order" && runs > tc.orderRuns {
+						t.Errorf("%s ran %d times", id, runs)
+					}
+					if got.status == http.StatusOK && !strings.HasPrefix(got.body, "answer of i-") {
+						t.Errorf("%s got %q", id, got.body)
+					}
+					if got.status != http.StatusOK && got.status != want {
+						t.Errorf("%s got %d %q, want %d\n%s", id, got.status, got.body, want, ht.log)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestStrayAnswer guards against a late second answer that is taken for the answer to the next request on its connection.
+func TestStrayAnswer(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	rn := st.runner("i-1", "desk")
+	rn.Always(standin.ServeTwice)
+	ht := st.start("host-1", true)
+	for _, id := range []string{"r-1", "r-2", "r-3"} {
+		got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: id, Key: "k-1", Body: "b"})
+		if got.status != http.StatusOK || got.header.Get("Chestnutroad-Attempt-Id") != id {
+			t.Errorf("%s got %d for %s", id, got.status, got.header.Get("Chestnutroad-Attempt-Id"))
+		}
+	}
+}
+
+// TestEarlyAnswer guards against a kept connection on which a target still waits for the rest of a body.
+func TestEarlyAnswer(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	rn := st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	rn.Then(standin.Early)
+	got := ht.call(t.Context(), standin.Call{
+		Method: http.MethodPost, Path: "/order/x", ID: "r-1", Key: "k-1", Body: strings.Repeat("b", 4000),
+	})
+	if got.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("got %d", got.status)
+	}
+	got = ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: "r-2", Key: "k-1", Body: "b"})
+	if got.status != http.StatusOK || len(rn.Runs()) != 1 || rn.Runs()[0].Body != "b" {
+		t.Errorf("got %d, runs %+v", got.status, rn.Runs())
+	}
+}
+
+// TestKeptConnections guards against a new connection for each request, and against one that is kept after the target's
+// close.
+func TestKeptConnections(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	rn := st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	call := standin.Call{Method: http.MethodPost, Path: "/order/x", ID: "r-1", Key: "k-1", Body: "b"}
+	for range 5 {
+		if got := ht.call(t.Context(), call); got.status != http.StatusOK {
+			t.Fatalf("got %d", got.status)
+		}
+	}
+	if opened := rn.Opened(); opened != 1 {
+		t.Errorf("%d connections for five requests", opened)
+	}
+	rn.Then(standin.Unframed)
+	for range 2 {
+		if got := ht.call(t.Context(), call); got.status != http.StatusOK {
+			t.Errorf("got %d after the target closed the connection", got.status)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/site_test.go
@@ -0,0 +1,216 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/entry"
+	"github.com/chestnutroad/chestnutroad/internal/logging"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/platform"
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// site is a store, runners and entry hosts on loopback.
+type site struct {
+	t     *testing.T
+	store *standin.Store
+	seeds []netip.AddrPort
+}
+
+const configuration = `{"version":%d,"routes":[
+{"name":"order","host":"a.example","path_prefix":"/order/","route_kind":"non_idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"desk","max_attempts":%d},
+{"name":"stock","host":"a.example","path_prefix":"/stock/","route_kind":"idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"desk","max_attempts":2},
+{"name":"chat","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":4000,"latency_goal_ms":500,"service":"model","max_attempts":2,"stream_resume":true,"itl_target_ms":200},
+{"name":"once","host":"a.example","path_prefix":"/once/","route_kind":"streaming","timeout_ms":4000,"latency_goal_ms":500,"service":"model","max_attempts":1,"stream_resume":false,"itl_target_ms":200},
+{"name":"open","host":"a.example","path_prefix":"/open/","route_kind":"idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"desk","max_attempts":1,"anonymous":true}],
+"services":[{"name":"desk","max_connections":50},{"name":"model","max_connections":50,"inference_engine":{"slots":8,"kv_capacity_tokens":1000}}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"team-1","api_keys":[%s]}]}`
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	st := &site{t: t, store: standin.NewStore()}
+	t.Cleanup(st.store.Close)
+	return st
+}
+
+func (st *site) configure(version, orderAttempts int, keys string) {
+	st.store.PutConfiguration(fmt.Sprintf(configuration, version, orderAttempts, keys))
+}
+
+// runner starts a runner that is registered for the service.
+func (st *site) runner(id, service string) *standin.Runner {
+	st.t.Helper()
+	rn, err := standin.NewRunner(id)
+	if err != nil {
+		st.t.Fatal(err)
+	}
+	st.t.Cleanup(rn.Close)
+	st.store.PutTarget(id, rn.Entry(service, "dc-a", "ready"))
+	return rn
+}
+
+// host is a running entry host.
+type host struct {
+	t        *testing.T
+	address  string
+	ready    string
+	settings *settings.Entry
+	stop     func()
+	ended    chan error
+	log      *logBuffer
+}
+
+type logBuffer struct {
+	mu   sync.Mutex
+	text []byte
+}
+
+// Write keeps what a host logs.
+func (lb *logBuffer) Write(data []byte) (int, error) {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	lb.text = append(lb.text, data...)
+	return len(data), nil
+}
+
+func (lb *logBuffer) String() string {
+	lb.mu.Lock()
+	defer lb.mu.Unlock()
+	return string(lb.text)
+}
+
+var (
+	portMu   sync.Mutex
+	lastHost byte
+)
+
+// freeHost returns a loopback address that no other host of the test process has, so that all may use the same ports.
+func freeHost() netip.Addr {
+	portMu.Lock()
+	defer portMu.Unlock()
+	lastHost++
+	return netip.AddrFrom4([4]byte{127, 0, 77, lastHost})
+}
+
+const (
+	callerPort = 18227
+	readyPort  = 18220
+	firstPort  = 17340
+	lastPort   = 17355
+)
+
+// start starts an entry host and waits until it is ready, unless wait is false.
+func (st *site) start(id string, wait bool, opts ...func(*settings.Entry)) *host {
+	st.t.Helper()
+	address := freeHost()
+	set := &settings.Entry{
+		ID: chestnutroad.HostID(id), DataCentre: "dc-a",
+		CallerAddress: netip.AddrPortFrom(address, callerPort), ReadyAddress: netip.AddrPortFrom(address, readyPort),
+		FirstPort: firstPort, LastPort: lastPort, StoreAddress: st.store.Address(), Seeds: st.seeds, Processors: 1,
+		Grace: 4 * time.Second, CapFactor: 2, RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
+	}
+	for _, opt := range opts {
+		opt(set)
+	}
+	st.seeds = append(st.seeds, netip.AddrPortFrom(address, callerPort))
+	buffer := &logBuffer{}
+	logger, err := logging.New(buffer, "debug", logging.Fields{Host: set.ID})
+	if err != nil {
+		st.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ht := &host{
+		t: st.t, address: set.CallerAddress.String(), ready: set.ReadyAddress.String(), settings: set, stop: cancel,
+		ended: make(chan error, 1), log: buffer,
+	}
+	store := platform.NewStore(set.StoreAddress.String(), time.Second)
+	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger)
+	go func() { ht.ended <- running.Run(ctx) }()
+	st.t.Cleanup(func() {
+		cancel()
+		<-ht.ended
+		ht.ended <- nil
+	})
+	if wait {
+		ht.eventually(5*time.Second, "the host is ready", ht.isReady)
+	}
+	return ht
+}
+
+func (ht *host) eventually(limit time.Duration, what string, holds func() bool) {
+	ht.t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	ht.t.Fatalf("not within %s: %s\n%s", limit, what, ht.log)
+}
+
+func (ht *host) isReady() bool {
+	req, err := http.NewRequestWithContext(ht.t.Context(), http.MethodGet, "http://"+ht.ready+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// reply is what a caller got; err tells how the answer broke off.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends a call on a connection of its own.
+func (ht *host) call(ctx context.Context, call standin.Call) reply {
+	ht.t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	return ht.callWith(ctx, client, call)
+}
+
+func (ht *host) callWith(ctx context.Context, client *http.Client, call standin.Call) reply {
+	ht.t.Helper()
+	if call.Host == "" {
+		call.Host = "a.example"
+	}
+	req, err := standin.NewRequest(ctx, ht.address, &call)
+	if err != nil {
+		ht.t.Fatal(err)
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(body), err: err}
+}
+
+// silentConn opens a connection to a host that sends nothing.
+func silentConn(t *testing.T, address string) net.Conn {
+	t.Helper()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,7 +80,7 @@
 
 // spreadRoom is the part of the room between the mean and the bound that a popular part is planned to take at each of
 // its targets; the rest takes up what the estimate misses.
-const spreadRoom = 0.8
+const spreadRoom = 0.7
 
 // spread returns the number of targets among which the requests with the part are divided. It answers a part with so
 // many of the requests that its first target would be far over the bound before any count shows it.
--- a/internal/placement/popularity.go
+++ b/internal/placement/popularity.go
@@ -12,7 +12,7 @@
 	// maxParts bounds the parts that are remembered.
 	maxParts = 4096
 	// leastCount is the count from which a part may be popular: most parts appear once or twice by chance.
-	leastCount = 3.5
+	leastCount = 3
 	// doubt is the number of standard deviations by which a count is taken as too high.
 	doubt = 0.5
 )
