--- a/internal/attempt/next_test.go
+++ b/internal/attempt/next_test.go
@@ -33,8 +33,10 @@
 		{"again, broken", with(again, ran), attempt.Broken, true, attempt.Retry},
 		{"again, broken, no budget", with(again, ran), attempt.Broken, false, attempt.Fail},
 		{"again, failed by the target", with(again, ran), attempt.TargetFailed, true, attempt.Retry},
-		{"again, broken, then refused", with(again, func(st *attempt.State) { st.Sent, st.MayHaveRun = 2, true }),
-			attempt.NotRun, true, attempt.Fail},
+		{
+			"again, broken, then refused", with(again, func(st *attempt.State) { st.Sent, st.MayHaveRun = 2, true }),
+			attempt.NotRun, true, attempt.Fail,
+		},
 		{"sends used up", with(again, func(st *attempt.State) { st.Sent = 2 }), attempt.NotRun, true, attempt.Refuse},
 		{"no time left", with(again, func(st *attempt.State) { st.Left = time.Millisecond }), attempt.NotSent, true, attempt.Refuse},
 		{"no other target", with(again, func(st *attempt.State) { st.Targets = false }), attempt.NotSent, true, attempt.Refuse},
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -22,6 +23,46 @@
 	return cn
 }
 
+// droppedLines adds the count of dropped log lines.
+func (cn *counters) droppedLines(count func() uint64) {
+	cn.set.NewGauge("chestnutroad_log_lines_dropped", func() float64 { return float64(count()) })
+}
+
+// watchState adds what the host believes: the configuration, the age of the targets, their number and the hosts.
+func (en *Entry) watchState() {
+	set := en.counters.set
+	set.NewGauge("chestnutroad_configuration_version", func() float64 { return float64(en.state.held().Version) })
+	set.NewGauge("chestnutroad_store_read_age_seconds", func() float64 {
+		return en.now().Sub(time.Unix(0, en.lastRead.Load())).Seconds()
+	})
+	set.NewGauge("chestnutroad_relaying", func() float64 {
+		if en.link.relaying() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
+	for _, state := range []string{"Ready", "Leaving", "Suspect"} {
+		set.NewGauge(fmt.Sprintf("chestnutroad_targets{state=%q}", state), func() float64 {
+			return float64(en.state.targets(en.now())[state])
+		})
+	}
+}
+
+// retried counts a retry, or one that the budget did not allow.
+func (cn *counters) retried(service string, allowed bool) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
+}
+
+// sent counts the end of a send to a target.
+func (cn *counters) sent(service string, reason error) {
+	text := "Answered"
+	if reason != nil {
+		text = sendReason(reason)
+	}
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_sends_total{service=%q,end=%q}", service, text)).Inc()
+}
+
 func (cn *counters) finished(ex *exchange, outcome string) {
 	service := string(ex.service)
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_requests_total{service=%q,outcome=%q}", service, outcome)).Inc()
--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -31,7 +31,7 @@
 	started := time.Now()
 	ht.stop()
 	ht.eventually(500*time.Millisecond, "the host says that it is not ready", func() bool { return !ht.isReady() })
-	if got := status(ht, "/stock/x", "k-1"); got != http.StatusOK {
+	if got := stockStatus(ht, "k-1"); got != http.StatusOK {
 		t.Errorf("a request in the drain got %d", got)
 	}
 	if got := <-streamed; got.err != nil || got.body != standin.Events(20) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,6 +34,8 @@
 	wire     chestnutroad.Wire
 	decoder  Decoder
 	logger   *log.Logger
+	// requests is the log of served requests, whose lines are dropped first.
+	requests *log.Logger
 	state    *state
 	targets  *targetconn.Pool
 	counters *counters
@@ -48,9 +50,23 @@
 	handler filter
 }
 
+// Option changes a default of an Entry.
+type Option func(*Entry)
+
+// WithRequestLog sets the log of served requests, whose lines are worth least when some must be dropped.
+func WithRequestLog(logger *log.Logger) Option {
+	return func(en *Entry) { en.requests = logging.For(logger, "entry") }
+}
+
+// WithDroppedLines sets the count of dropped log lines, for the metrics.
+func WithDroppedLines(count func() uint64) Option {
+	return func(en *Entry) { en.counters.droppedLines(count) }
+}
+
 // New returns an entry host.
 func New(
 	set *settings.Entry, store chestnutroad.KeyedStore, wire chestnutroad.Wire, decoder Decoder, logger *log.Logger,
+	opts ...Option,
 ) *Entry {
 	en := &Entry{
 		settings: set,
@@ -64,7 +80,12 @@
 		callers:  newCallerConns(),
 		now:      time.Now,
 	}
+	en.requests = en.logger
+	for _, opt := range opts {
+		opt(en)
+	}
 	en.grace.Store(int64(set.Grace))
+	en.watchState()
 	en.link = newLink(en)
 	en.handler = en.chain()
 	return en
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -38,7 +38,11 @@
 // forward sends the request to targets until one has answered or nothing more may be tried.
 func (en *Entry) forward(ex *exchange) error {
 	en.state.countRequest(ex.started, ex.service)
-	ex.progress.Budget = func() bool { return en.state.takeRetry(en.now(), ex.service) }
+	ex.progress.Budget = func() bool {
+		allowed := en.state.takeRetry(en.now(), ex.service)
+		en.counters.retried(string(ex.service), allowed)
+		return allowed
+	}
 	for {
 		choice, found := en.state.choose(en.now(), &ex.ask)
 		if !found {
@@ -48,6 +52,7 @@
 		sent := en.now()
 		res := en.send(ex, &choice.Entry)
 		en.state.finish(en.now(), choice.Entry.ID, res.outcome)
+		en.counters.sent(string(ex.service), res.err)
 		ex.trail = append(ex.trail, trailStep(&choice, &res, en.now().Sub(sent)))
 		if res.done {
 			return nil
@@ -209,6 +214,36 @@
 	errCutOff          = errors.New("the answer is not complete")
 )
 
+// sendReasons name the ends of sends in the metrics.
+var sendReasons = []struct {
+	err  error
+	name string
+}{
+	{errRefusedByTarget, "Refused"},
+	{errWrongTarget, "WrongTarget"},
+	{errTargetFailed, "Failed"},
+	{errNoReceipt, "NoReceipt"},
+	{errEncoded, "Encoded"},
+	{errCutOff, "CutOff"},
+	{errEventTooLong, "EventTooLong"},
+	{errCallerGone, "CallerGone"},
+	{targetconn.ErrBadAnswer, "BadAnswer"},
+}
+
+// sendReason returns the name of a send's end, from a closed list, so that the metrics stay few.
+func sendReason(err error) string {
+	var notSent *targetconn.NotSentError
+	if errors.As(err, &notSent) {
+		return "NotSent"
+	}
+	for _, reason := range sendReasons {
+		if errors.Is(err, reason.err) {
+			return reason.name
+		}
+	}
+	return "Broken"
+}
+
 // passWhole reads an answer to its end before it passes it on, so that a part of one never reaches the caller.
 func (en *Entry) passWhole(ex *exchange, an *targetconn.Answer, facts *chestnutroad.AnswerFacts) result {
 	body, err := io.ReadAll(io.LimitReader(an.Body, maxWhole+1))
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -129,6 +129,13 @@
 	}
 }
 
+// relaying reports whether this host relays.
+func (ln *link) relaying() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.node.Relaying()
+}
+
 // following reports whether another host reads the store for this one.
 func (ln *link) following() (fresh, found bool) {
 	ln.mu.Lock()
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -59,8 +59,11 @@
 		{"unknown key", standin.Call{Method: http.MethodGet, Path: "/stock/x", Key: "k-9"}, http.StatusUnauthorized, false},
 		{"no key", standin.Call{Method: http.MethodGet, Path: "/stock/x"}, http.StatusUnauthorized, false},
 		{"no key needed", standin.Call{Method: http.MethodGet, Path: "/open/x"}, http.StatusOK, false},
-		{"body over the limit", standin.Call{Method: http.MethodPost, Path: "/order/x", Key: "k-1", Body: strings.Repeat("x", 5000)},
-			http.StatusRequestEntityTooLarge, false},
+		{
+			"body over the limit",
+			standin.Call{Method: http.MethodPost, Path: "/order/x", Key: "k-1", Body: strings.Repeat("x", 5000)},
+			http.StatusRequestEntityTooLarge, false,
+		},
 		{"no target", standin.Call{Method: http.MethodPost, Path: "/chat/x", Key: "k-1"}, http.StatusServiceUnavailable, true},
 	}
 	for _, tc := range cases {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -41,10 +41,13 @@
 	}
 }
 
+// outcomeServed is the outcome of a request whose caller got the target's answer.
+const outcomeServed = "Served"
+
 func outcomeOf(ex *exchange, err error) string {
 	switch {
 	case err == nil && ex.status < http.StatusBadRequest:
-		return "Served"
+		return outcomeServed
 	case err == nil:
 		return "TargetFailed"
 	case errors.Is(err, errCallerGone):
@@ -74,7 +77,11 @@
 	if err != nil {
 		fields = append(fields, "Error", err)
 	}
-	en.logger.Info("request", fields...)
+	logger := en.requests
+	if outcome != outcomeServed {
+		logger = en.logger
+	}
+	logger.Info("request", fields...)
 }
 
 // refusalBody is the JSON document of a refusal.
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -138,8 +138,7 @@
 	go func() { ht.ended <- running.Run(ctx) }()
 	st.t.Cleanup(func() {
 		cancel()
-		<-ht.ended
-		ht.ended <- nil
+		ht.ended <- <-ht.ended
 	})
 	if wait {
 		ht.eventually(5*time.Second, "the host is ready", ht.isReady)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -139,6 +139,13 @@
 	st.pool.SetOthers(others)
 }
 
+// targets counts the targets by their state.
+func (st *state) targets(now time.Time) map[string]int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.pool.States(now)
+}
+
 // held returns what the host holds.
 func (st *state) held() relay.Held {
 	st.mu.Lock()
--- a/internal/entry/state_test.go
+++ b/internal/entry/state_test.go
@@ -11,8 +11,9 @@
 
 const applyWithin = 2 * time.Second
 
-func status(ht *host, path, key string) int {
-	return ht.call(ht.t.Context(), standin.Call{Method: http.MethodGet, Path: path, ID: "r", Key: key}).status
+// stockStatus returns the status of a stock lookup with the key.
+func stockStatus(ht *host, key string) int {
+	return ht.call(ht.t.Context(), standin.Call{Method: http.MethodGet, Path: "/stock/x", ID: "r", Key: key}).status
 }
 
 // TestConfigurationInForce guards against a configuration that is not in force within 2 s: a key that was taken away
@@ -38,14 +39,14 @@
 			time.Sleep(100 * time.Millisecond)
 			st.configure(8, 1, `"k-2"`)
 			ht.eventually(applyWithin, "the key is refused", func() bool {
-				return status(ht, "/stock/x", "k-1") == http.StatusUnauthorized
+				return stockStatus(ht, "k-1") == http.StatusUnauthorized
 			})
-			if got := status(ht, "/stock/x", "k-2"); got != http.StatusOK {
+			if got := stockStatus(ht, "k-2"); got != http.StatusOK {
 				t.Errorf("the kept key got %d", got)
 			}
 			st.configure(7, 1, keys)
 			time.Sleep(300 * time.Millisecond)
-			if got := status(ht, "/stock/x", "k-1"); got != http.StatusUnauthorized {
+			if got := stockStatus(ht, "k-1"); got != http.StatusUnauthorized {
 				t.Errorf("an earlier version came back in force: %d", got)
 			}
 		})
@@ -66,7 +67,7 @@
 	ht.eventually(applyWithin, "the leaving target gets no requests", func() bool {
 		before := len(one.Runs())
 		for range 6 {
-			if got := status(ht, "/stock/x", "k-1"); got != http.StatusOK {
+			if got := stockStatus(ht, "k-1"); got != http.StatusOK {
 				t.Fatalf("got %d", got)
 			}
 		}
@@ -77,7 +78,7 @@
 	}
 	st.store.PutTarget("i-2", "")
 	ht.eventually(applyWithin, "no target is left", func() bool {
-		return status(ht, "/stock/x", "k-1") == http.StatusServiceUnavailable
+		return stockStatus(ht, "k-1") == http.StatusServiceUnavailable
 	})
 }
 
@@ -111,7 +112,7 @@
 	st.configure(5, 1, `"k-2"`)
 	for _, ht := range []*host{served, cut} {
 		ht.eventually(applyWithin, "the key is refused", func() bool {
-			return status(ht, "/stock/x", "k-1") == http.StatusUnauthorized
+			return stockStatus(ht, "k-1") == http.StatusUnauthorized
 		})
 	}
 }
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -157,6 +157,9 @@
 	share float64
 }
 
+// ticks is the length of a play, of which the first 100 settle it.
+const ticks = 300
+
 // play returns the share of requests that met a target above cap times the mean + 3, and the share of the hot part's
 // requests that its two most used targets got.
 func (hw *hotPartWorld) play(seed uint64) (over, concentrated float64) {
@@ -171,10 +174,10 @@
 	}
 	ends := map[int][]running{}
 	load := map[chestnutroad.TargetID]int{}
-	var history []map[chestnutroad.TargetID]int
+	history := make([]map[chestnutroad.TargetID]int, 0, ticks)
 	hot := map[chestnutroad.TargetID]int{}
 	total, above, hotTotal := 0, 0, 0
-	for tick := range 300 {
+	for tick := range ticks {
 		for _, rn := range ends[tick] {
 			rn.pool.Finish(rn.id)
 			load[rn.id]--
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -103,6 +103,22 @@
 	return entries
 }
 
+// States counts the targets that are ready, that leave, and that are passed over since they failed.
+func (pl *Pool) States(now time.Time) map[string]int {
+	counts := map[string]int{}
+	for _, tg := range pl.targets {
+		switch {
+		case tg.entry.Leaving:
+			counts["Leaving"]++
+		case tg.suspect(now):
+			counts["Suspect"]++
+		default:
+			counts["Ready"]++
+		}
+	}
+	return counts
+}
+
 // Own returns the number of this host's requests at each target that has some.
 func (pl *Pool) Own() map[chestnutroad.TargetID]int {
 	counts := map[chestnutroad.TargetID]int{}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -333,8 +333,9 @@
 
 // someOf returns other hosts of a group in turn: the first ones of its order may be dead.
 func (nd *Node) someOf(group []*peer) []*peer {
-	var some []*peer
-	for index := range min(remoteCandidates, len(group)) {
+	count := min(remoteCandidates, len(group))
+	some := make([]*peer, 0, count)
+	for index := range count {
 		some = append(some, group[(nd.turn+index)%len(group)])
 	}
 	return some
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -137,7 +137,7 @@
 func (an *Answer) readHead(rq *Request) error {
 	asked := &http.Request{Method: rq.Method}
 	for range maxStrayAnswers {
-		resp, err := http.ReadResponse(an.conn.reader, asked)
+		resp, err := http.ReadResponse(an.conn.reader, asked) //nolint:bodyclose // Finish or Close ends the connection.
 		if err != nil {
 			return errors.Wrap(err, "answer head")
 		}
--- a/internal/verb/serve_entry.go
+++ b/internal/verb/serve_entry.go
@@ -1,6 +1,7 @@
 package verb
 
 import (
+	"bytes"
 	"context"
 	"os"
 	"os/signal"
@@ -12,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/cli"
 	"github.com/chestnutroad/chestnutroad/internal/entry"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
@@ -43,18 +45,36 @@
 	signal.Ignore(syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory)))
-	logger, err := logging.New(env.Out, set.LogLevel, logging.Fields{
+	fields := logging.Fields{
 		Host: set.ID, DataCentre: set.DataCentre, Incarnation: member.IncarnationAt(time.Now()),
-	})
+	}
+	lines := logging.NewQueue(env.Out, func(count uint64) []byte { return droppedLine(set.ID, count) })
+	defer lines.Close()
+	logger, err := logging.New(lines, set.LogLevel, fields)
+	if err != nil {
+		return errors.Wrap(err, "log")
+	}
+	requests, err := logging.New(lines.Minor(), set.LogLevel, fields)
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
 	store := platform.NewStore(set.StoreAddress.String(), storeDialTimeout)
-	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger)
+	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger,
+		entry.WithRequestLog(requests), entry.WithDroppedLines(lines.Dropped))
 	go reloadSettings(ctx, path, running, logging.For(logger, "settings"))
 	return running.Run(ctx)
 }
 
+// droppedLine returns the log line that tells how many lines were dropped.
+func droppedLine(host chestnutroad.HostID, count uint64) []byte {
+	var line bytes.Buffer
+	logger, err := logging.New(&line, "warn", logging.Fields{Host: host})
+	if err == nil {
+		logger.Warn("log lines were dropped", "Count", count)
+	}
+	return line.Bytes()
+}
+
 // reloadInterval is the pause between two looks at the settings file, which may change without a signal.
 const reloadInterval = 2 * time.Second
 
