--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -154,8 +154,8 @@
 
 func (en *Entry) listen(ctx context.Context) ([]net.Listener, error) {
 	addresses := []netip.AddrPort{en.settings.CallerAddress, en.settings.ReadyAddress}
-	if en.settings.LastPort > 0 {
-		addresses = append(addresses, netip.AddrPortFrom(en.settings.CallerAddress.Addr(), uint16(en.settings.LastPort)))
+	if en.settings.MetricsPort > 0 {
+		addresses = append(addresses, netip.AddrPortFrom(en.settings.CallerAddress.Addr(), uint16(en.settings.MetricsPort)))
 	}
 	var config net.ListenConfig
 	listeners := make([]net.Listener, 0, len(addresses))
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -35,7 +35,7 @@
 const fetchInterval = 100 * time.Millisecond
 
 func newLink(en *Entry) *link {
-	port := uint16(en.settings.FirstPort)
+	port := uint16(en.settings.PeerPort)
 	address := netip.AddrPortFrom(en.settings.CallerAddress.Addr(), port).String()
 	ln := &link{
 		entry:   en,
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -103,10 +103,10 @@
 }
 
 const (
-	callerPort = 18227
-	readyPort  = 18220
-	firstPort  = 17340
-	lastPort   = 17355
+	callerPort  = 18227
+	readyPort   = 18220
+	peerPort    = 17340
+	metricsPort = 17355
 )
 
 // start starts an entry host and waits until it is ready, unless wait is false.
@@ -116,7 +116,7 @@
 	set := &settings.Entry{
 		ID: chestnutroad.HostID(id), DataCentre: "dc-a",
 		CallerAddress: netip.AddrPortFrom(address, callerPort), ReadyAddress: netip.AddrPortFrom(address, readyPort),
-		FirstPort: firstPort, LastPort: lastPort, StoreAddress: st.store.Address(), Seeds: st.seeds, Processors: 1,
+		PeerPort: peerPort, MetricsPort: metricsPort, StoreAddress: st.store.Address(), Seeds: st.seeds, Processors: 1,
 		Grace: 4 * time.Second, CapFactor: 2, RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
 	}
 	for _, opt := range opts {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -15,9 +15,10 @@
 	// CallerAddress is where callers connect, ReadyAddress where the balancer asks for readiness.
 	CallerAddress netip.AddrPort
 	ReadyAddress  netip.AddrPort
-	// FirstPort and LastPort bound the ports for traffic between hosts; the metrics are served on the last one.
-	FirstPort int
-	LastPort  int
+	// PeerPort is where other hosts connect and send datagrams, on the IP number of CallerAddress; it is the same on all.
+	PeerPort int
+	// MetricsPort serves the metrics on the IP number of CallerAddress; zero turns that off.
+	MetricsPort int
 	// StoreAddress is the platform's store.
 	StoreAddress netip.AddrPort
 
@@ -27,12 +28,8 @@
 	Processors float64
 	// Memory is the memory that the process may use.
 	Memory chestnutroad.Bytes
-	// Drain is the time after which a leaving target gets no new requests.
-	Drain time.Duration
 	// Grace is the time between the request to stop and the end of the process.
 	Grace time.Duration
-	// ApplyWithin is the time in which a configuration is in force.
-	ApplyWithin time.Duration
 	// CapFactor is the multiple of the mean load that no target should exceed.
 	CapFactor float64
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget that all hosts share for each service.
@@ -87,14 +84,12 @@
 		CallerAddress: rd.needAddress("CallerAddress", false),
 		ReadyAddress:  rd.needAddress("ReadyAddress", false),
 		StoreAddress:  rd.needAddress("StoreAddress", true),
-		FirstPort:     int(rd.count("FirstPort", 0, 1, mostPort)),
-		LastPort:      int(rd.count("LastPort", 0, 1, mostPort)),
+		PeerPort:      rd.needPort("PeerPort"),
+		MetricsPort:   int(rd.count("MetricsPort", 0, 0, mostPort)),
 		Seeds:         rd.addresses("Seeds"),
 		Processors:    rd.ratio("Processors", 1, 0, mostFactor),
 		Memory:        rd.size("Memory", 206<<20, leastMemory, mostMemory),
-		Drain:         rd.duration("Drain", 2*time.Second, 0, mostSpan),
 		Grace:         rd.duration("Grace", 8*time.Second, 0, mostSpan),
-		ApplyWithin:   rd.duration("ApplyWithin", 2*time.Second, 0, mostSpan),
 		CapFactor:     rd.ratio("CapFactor", 2, 1, mostFactor),
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
 		RetrySlack:    rd.ratio("RetrySlack", 100, 0, mostSlack),
@@ -103,6 +98,16 @@
 	}
 }
 
+// needPort reads a port that has no default.
+func (rd *reader) needPort(key string) int {
+	if rd.tb.entries[key] == nil {
+		rd.used[key] = true
+		rd.missing(key)
+		return 0
+	}
+	return int(rd.count(key, 0, 1, mostPort))
+}
+
 // addresses reads a list of IP numbers and ports of other machines.
 func (rd *reader) addresses(key string) []netip.AddrPort {
 	texts := rd.texts(key, func(text string) string {
--- /dev/null
+++ b/internal/settings/entry_test.go
@@ -0,0 +1,96 @@
+package settings_test
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+)
+
+const entryFile = `[Entry]
+ID = "edge-a-1"
+DataCentre = "dc-a"
+CallerAddress = "10.1.0.40:8227"
+ReadyAddress = "10.1.0.40:8220"
+PeerPort = 7340
+StoreAddress = "10.200.1.7:8223"
+`
+
+// TestParseEntry guards against a process that starts with settings that are missing, half-written or wrong, and against
+// one that does not start because the platform added a key.
+func TestParseEntry(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name, text string
+		// fault is a part of the error; empty for settings that can be used.
+		fault string
+	}{
+		{"whole", entryFile, ""},
+		{"unknown key", entryFile + "Later = 3\n[Other]\nKey = 1\n", ""},
+		{"empty", "", "Entry"},
+		{"half-written", entryFile[:60], "not valid TOML"},
+		{"missing key", strings.Replace(entryFile, "StoreAddress", "Unknown", 1), "Entry.StoreAddress"},
+		{"missing port", strings.Replace(entryFile, "PeerPort", "Unknown", 1), "Entry.PeerPort"},
+		{"wrong address", strings.Replace(entryFile, "10.1.0.40:8220", "host", 1), "Entry.ReadyAddress"},
+		{"wrong type", entryFile + "CapFactor = \"two\"\n", "Entry.CapFactor"},
+		{"out of range", entryFile + "RetryRatio = 1.5\n", "Entry.RetryRatio"},
+		{"no unit", entryFile + "Grace = 8\n", "Entry.Grace"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			set, err := settings.ParseEntry(settings.File{Name: "entry.toml", Text: tc.text})
+			if tc.fault == "" {
+				if err != nil || set.PeerPort != 7340 || set.Grace != 8*time.Second {
+					t.Fatalf("got %+v, %v", set, err)
+				}
+				return
+			}
+			if err == nil || !strings.Contains(err.Error(), tc.fault) {
+				t.Errorf("the error is %v", err)
+			}
+		})
+	}
+}
+
+// TestTemplate guards against a template whose keys the settings do not know, or whose values they do not take.
+func TestTemplate(t *testing.T) {
+	t.Parallel()
+	text, err := os.ReadFile("../../deploy/settings.toml.tmpl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := map[string]string{
+		"node_name|json": `"edge-a-1"`, "zone|json": `"dc-a"`, "listen.frontend|json": `"10.1.0.40:8227"`,
+		"listen.ready|json": `"10.1.0.40:8220"`, "internal_ports.0": "7340", "platform.address|json": `"10.200.1.7:8223"`,
+		".|json": `"10.1.0.41:8229"`, "limits.cpu_quota": "0.272", "limits.memory_mb": "206",
+		"bounds.grace_s": "8", "bounds.cap_factor": "2", "bounds.retry_budget_ratio": "0.2",
+		"bounds.retry_min_slack": "135", "bounds.retry_window_s": "10", "#seed_nodes": "", "/seed_nodes": "", ",": "",
+	}
+	filled := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
+		value, known := values[placeholder[2:len(placeholder)-2]]
+		if !known {
+			t.Errorf("the test has no value for %s", placeholder)
+		}
+		return value
+	})
+	set, err := settings.ParseEntry(settings.File{Name: "settings.toml", Text: filled})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if set.PeerPort != 7340 || len(set.Seeds) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 {
+		t.Errorf("got %+v", set)
+	}
+	for line := range strings.Lines(filled) {
+		key, _, found := strings.Cut(line, " = ")
+		if found && !strings.HasPrefix(line, "#") && !strings.Contains(entryKeys, " "+key+" ") {
+			t.Errorf("the settings do not know the key %s", key)
+		}
+	}
+}
+
+const entryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory Grace " +
+	"CapFactor RetryRatio RetrySlack RetryWindow LogLevel "
