--- a/internal/cli/verbs.go
+++ b/internal/cli/verbs.go
@@ -51,7 +51,7 @@
 		func() Command { return &Status{} },
 	},
 	{
-		"timeline", "merge the events of several hosts, cause before effect",
+		"timeline", "merge the events or logs of several hosts, cause before effect",
 		"chestnutroad timeline --request r-17 host-1.jsonl host-2.jsonl",
 		func() Command { return &Timeline{} },
 	},
--- a/internal/timeline/filter.go
+++ b/internal/timeline/filter.go
@@ -1,6 +1,10 @@
 package timeline
 
-import "github.com/chestnutroad/chestnutroad"
+import (
+	"strings"
+
+	"github.com/chestnutroad/chestnutroad"
+)
 
 // Filter selects events; an empty field selects all.
 type Filter struct {
@@ -9,10 +13,11 @@
 	Version chestnutroad.Version
 }
 
-// Match reports whether the event is of the request, the target and the version.
+// Match reports whether the event is of the request, the target and the version; a target may also stand in the detail,
+// as in the log of a request that was sent to several.
 func (ft Filter) Match(event Event) bool {
 	return (ft.Request == "" || ft.Request == event.Request) &&
-		(ft.Target == "" || ft.Target == event.Target) &&
+		(ft.Target == "" || ft.Target == event.Target || strings.Contains(event.Detail, string(ft.Target))) &&
 		(ft.Version == 0 || ft.Version == event.Version)
 }
 
--- a/internal/timeline/read.go
+++ b/internal/timeline/read.go
@@ -26,7 +26,7 @@
 	return fmt.Sprintf("%s:%d: %s", nt.File, nt.Line, nt.Message)
 }
 
-// ReadFile reads the events of one file.
+// ReadFile reads the events of one file, which may be a time line or a process's log.
 func ReadFile(path string) ([]Event, []Notice, error) {
 	file, err := os.Open(filepath.Clean(path))
 	if err != nil {
@@ -50,7 +50,11 @@
 		if len(text) == 0 && last {
 			return events, notices, nil
 		}
-		event, fault := parseLine(text, last)
+		event, isLog := parseLog(text, line)
+		fault := ""
+		if !isLog {
+			event, fault = parseLine(text, last)
+		}
 		if fault != "" {
 			notices = append(notices, Notice{File: name, Line: line, Message: fault})
 		} else {
