--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/chestnutroad/chestnutroad"
 )
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -34,6 +34,10 @@
 }
 
 // Choose returns the target for a request, or false when the service has none that may be used.
+//
+// Targets that failed are used when there is no other, but while none can be reached, one request at a time finds out
+// whether that has changed, and the others are refused at once. That answers a data centre that is cut off from all
+// targets of a service: each request waited there for two connections before it was refused.
 func (pl *Pool) Choose(now time.Time, ask *Ask) (Choice, bool) {
 	all := pl.services[ask.Service]
 	candidates := make([]*target, 0, len(all))
@@ -48,15 +52,30 @@
 	sound := slices.DeleteFunc(slices.Clone(candidates), func(tg *target) bool { return tg.suspect(now) })
 	suspect := len(sound) == 0
 	if suspect {
+		candidates = slices.DeleteFunc(candidates, func(tg *target) bool { return tg.unreachable(now) })
+		if len(candidates) == 0 {
+			return Choice{}, false
+		}
 		// A pool whose targets all failed is still tried: all may have failed for one passing cause.
 		sound = candidates
 	}
 	bound, mean := pl.bound(now, all)
+	choice := pl.pick(now, sound, ask, bound, mean, len(all), suspect)
+	if tg := pl.targets[choice.Entry.ID]; tg.pause > 0 {
+		tg.unreachableUntil = now.Add(tg.pause)
+	}
+	return choice, true
+}
+
+// pick takes one of the targets by the kind of request.
+func (pl *Pool) pick(
+	now time.Time, sound []*target, ask *Ask, bound int, mean float64, count int, suspect bool,
+) Choice {
 	if ask.Affinity != "" {
-		lim := limits{bound: bound, soft: mean + boundSlack, spread: pl.spread(now, ask, mean, len(all))}
-		return preferCached(now, sound, ask, &lim, suspect), true
+		lim := limits{bound: bound, soft: mean + boundSlack, spread: pl.spread(now, ask, mean, count)}
+		return preferCached(now, sound, ask, &lim, suspect)
 	}
-	return pl.preferNear(now, sound, ask, bound, suspect), true
+	return pl.preferNear(now, sound, ask, bound, suspect)
 }
 
 func hasModel(entry *chestnutroad.TargetEntry, model string) bool {
--- a/internal/placement/choose_test.go
+++ b/internal/placement/choose_test.go
@@ -87,9 +87,15 @@
 		{"another service", func(_ *placement.Pool, ak *placement.Ask) { ak.Service = "other" }, false},
 		{"failing, but the only one", func(pl *placement.Pool, _ *placement.Ask) {
 			for range 10 {
-				pl.Observe(start, "i-000", placement.Unreachable)
+				pl.Observe(start, "i-000", placement.Failed)
 			}
 		}, true},
+		{"full, but the only one", func(pl *placement.Pool, _ *placement.Ask) {
+			pl.Observe(start, "i-000", placement.Shed)
+		}, true},
+		{"not reached a moment ago", func(pl *placement.Pool, _ *placement.Ask) {
+			pl.Observe(start, "i-000", placement.Unreachable)
+		}, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -125,6 +131,41 @@
 	}
 }
 
+// TestUnreachablePool answers the load of a data centre that is cut off from all targets of a service: one request at a
+// time tries to reach a target, the others are refused at once, and the first that succeeds opens the pool again.
+func TestUnreachablePool(t *testing.T) {
+	t.Parallel()
+	pl := newPool(2, 8)
+	plain := &placement.Ask{Service: "s"}
+	for _, id := range []chestnutroad.TargetID{"i-000", "i-001"} {
+		pl.Observe(start, id, placement.Unreachable)
+	}
+	tried := 0
+	for tick := range 300 {
+		now := start.Add(time.Duration(tick) * 10 * time.Millisecond)
+		if choice, found := pl.Choose(now, plain); found {
+			tried++
+			pl.Observe(now, choice.Entry.ID, placement.Unreachable)
+		}
+	}
+	// Pauses of 0.5 s and then 1 s leave each target four tries at most in 3 s.
+	if tried == 0 || tried > 8 {
+		t.Errorf("%d of 300 requests in 3 s tried an unreachable target", tried)
+	}
+	later := start.Add(10 * time.Second)
+	choice, found := pl.Choose(later, plain)
+	if !found {
+		t.Fatal("no request tries again")
+	}
+	if again, other := pl.Choose(later, plain); other && again.Entry.ID == choice.Entry.ID {
+		t.Error("two requests try the same target at once")
+	}
+	pl.Observe(later, choice.Entry.ID, placement.Served)
+	if _, found := pl.Choose(later, plain); !found {
+		t.Error("the pool stays closed after a target was reached")
+	}
+}
+
 // TestPlainRequestsStayNear guards against traffic between data centres that nothing asks for.
 func TestPlainRequestsStayNear(t *testing.T) {
 	t.Parallel()
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -172,6 +172,8 @@
 	Unreachable
 	// Shed means that the target was full and did not run the request.
 	Shed
+	// Unknown tells nothing of the target, as when the caller left first.
+	Unknown
 )
 
 // shedPause is how long a target that was full is passed over.
@@ -190,11 +192,14 @@
 		tg.pause = 0
 	case Failed:
 		tg.bad++
+		tg.pause = 0
 	case Unreachable:
 		tg.bad++
 		tg.pause = min(longestPause, max(firstPause, 2*tg.pause))
-		tg.pausedUntil = now.Add(tg.pause)
+		tg.unreachableUntil = now.Add(tg.pause)
 	case Shed:
+		tg.pause = 0
 		tg.pausedUntil = now.Add(shedPause)
+	case Unknown:
 	}
 }
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -13,7 +13,9 @@
 )
 
 const (
-	defaultDialTimeout = 300 * time.Millisecond
+	// defaultDialTimeout leaves time for two other targets where callers want an answer within 600 ms; a connection to
+	// another data centre takes 5 ms, and an opening packet that is lost is only sent again after a second.
+	defaultDialTimeout = 150 * time.Millisecond
 	// userTimeout ends a connection whose peer does not acknowledge bytes or probes; keep-alive probes find a silent
 	// peer within two intervals.
 	userTimeout       = 1500 * time.Millisecond
--- a/internal/timeline/logline.go
+++ b/internal/timeline/logline.go
@@ -29,23 +29,25 @@
 	"Level": true, "Package": true, "Site": true, "DataCentre": true,
 }
 
-// parseLog reads a line of a process's log, which may stand behind a prefix such as a time and a host, as an event that
-// is numbered by its line.
-func parseLog(text []byte, line int) (Event, bool) {
+// parseLog reads a line of a process's log, which may stand behind a prefix such as a time and a host, as an event
+// without a number.
+func parseLog(text []byte) (Event, bool) {
 	start := bytes.IndexByte(text, '{')
 	if start < 0 {
 		return Event{}, false
 	}
 	var ll logLine
 	var fields map[string]any
-	if json.Unmarshal(text[start:], &ll) != nil || json.Unmarshal(text[start:], &fields) != nil {
+	decoder := json.NewDecoder(bytes.NewReader(text[start:]))
+	decoder.UseNumber()
+	if json.Unmarshal(text[start:], &ll) != nil || decoder.Decode(&fields) != nil {
 		return Event{}, false
 	}
 	if ll.Message == "" || ll.Host == "" || ll.Time.IsZero() {
 		return Event{}, false
 	}
 	return Event{
-		Time: Stamp{Physical: ll.Time.UnixMilli()}, Host: ll.Host, Incarnation: ll.Incarnation, Sequence: uint64(line),
+		Time: Stamp{Physical: ll.Time.UnixMilli()}, Host: ll.Host, Incarnation: ll.Incarnation,
 		Type: Type(ll.Message), Request: ll.Request, Target: ll.Target, Version: ll.Version, Detail: detailOf(fields),
 	}, true
 }
--- a/internal/timeline/read.go
+++ b/internal/timeline/read.go
@@ -40,6 +40,7 @@
 func Read(name string, reader io.Reader) ([]Event, []Notice, error) {
 	var events []Event
 	var notices []Notice
+	numbered := map[Reference]uint64{}
 	buffered := bufio.NewReader(reader)
 	for line := 1; ; line++ {
 		text, err := buffered.ReadBytes('\n')
@@ -50,7 +51,13 @@
 		if len(text) == 0 && last {
 			return events, notices, nil
 		}
-		event, isLog := parseLog(text, line)
+		event, isLog := parseLog(text)
+		if isLog {
+			// The lines of a log carry no numbers of their own; a dropped one is reported by the log itself.
+			life := event.Reference()
+			numbered[life]++
+			event.Sequence = numbered[life]
+		}
 		fault := ""
 		if !isLog {
 			event, fault = parseLine(text, last)
