Keep targets whose entries lapsed in an outage of the store until they can be back

Cause: entries of live targets lapse while the store is away and are back within 2 s of its return; a host dropped them at once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -43,6 +43,8 @@
 	link     *link
 	// lastRead is the Unix time in nanoseconds of the last read of the targets that succeeded.
 	lastRead atomic.Int64
+	// lastTrouble is the Unix time in nanoseconds of the last read of the targets that failed.
+	lastTrouble atomic.Int64
 	now      func() time.Time
 	stopping atomic.Bool
 	// grace is the time.Duration between the request to stop and the end of the process.
@@ -241,6 +243,8 @@
 		reached: func(ok bool) {
 			if ok {
 				en.lastRead.Store(en.now().UnixNano())
+			} else {
+				en.lastTrouble.Store(en.now().UnixNano())
 			}
 		},
 	}
@@ -316,7 +320,7 @@
 func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) {
 	id := chestnutroad.TargetID(record.Key)
 	if len(record.Value) == 0 {
-		en.removeTarget(id, "removed")
+		en.removeLater(id)
 		return
 	}
 	entry, err := en.decoder.Target(record.Key, record.Value)
@@ -335,6 +339,35 @@
 	}
 }
 
+const (
+	// troubleMemory is the time after a failed read of the store in which a removed entry may come back.
+	troubleMemory = 3 * time.Second
+	// returnTime is how long targets take to register again after the store has returned.
+	returnTime = 2200 * time.Millisecond
+)
+
+// removeLater removes a target whose entry is gone. Entries also lapse while the store is away, and those of targets that
+// live are back within about 2 s; a target is used until then, so that an outage does not empty the pools.
+func (en *Entry) removeLater(id chestnutroad.TargetID) {
+	en.state.mu.Lock()
+	entry, known := en.state.pool.Entry(id)
+	en.state.mu.Unlock()
+	trouble := en.now().UnixNano()-en.lastTrouble.Load() < int64(troubleMemory) && en.lastTrouble.Load() > 0
+	if !known || entry.Leaving || !trouble {
+		en.removeTarget(id, "removed")
+		return
+	}
+	en.logger.Info("target may come back", "Target", id, "Wait", returnTime)
+	time.AfterFunc(returnTime, func() {
+		en.state.mu.Lock()
+		_, back := en.state.records[string(id)]
+		en.state.mu.Unlock()
+		if !back {
+			en.removeTarget(id, "did not come back")
+		}
+	})
+}
+
 func (en *Entry) removeTarget(id chestnutroad.TargetID, reason string) {
 	en.state.mu.Lock()
 	before, known := en.state.pool.Entry(id)
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -13,7 +13,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad"
-	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 	"github.com/chestnutroad/chestnutroad/internal/siblings"
 )
@@ -292,14 +291,3 @@
 		en.resetTargets(answer.Targets, answer.Offset)
 	}
 }
-
-// counts returns the requests at each target in order of the targets' ids.
-func countsOf(pool *placement.Pool) []byte {
-	own := pool.Own()
-	entries := pool.Entries()
-	counts := make([]byte, len(entries))
-	for index := range entries {
-		counts[index] = byte(min(255, own[entries[index].ID]))
-	}
-	return counts
-}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -128,13 +128,13 @@
 	if offset != st.offset {
 		return
 	}
-	entries := st.pool.Entries()
-	if len(entries) != len(counts) {
+	keys := slices.Sorted(maps.Keys(st.records))
+	if len(keys) != len(counts) {
 		return
 	}
 	others := make(map[chestnutroad.TargetID]int, len(counts))
-	for index := range entries {
-		others[entries[index].ID] = int(counts[index])
+	for index, key := range keys {
+		others[chestnutroad.TargetID(key)] = int(counts[index])
 	}
 	st.pool.SetOthers(others)
 }
@@ -150,13 +150,24 @@
 func (st *state) held() relay.Held {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	held := relay.Held{Offset: st.offset, Own: countsOf(st.pool)}
+	held := relay.Held{Offset: st.offset, Own: st.ownCounts()}
 	if tb := st.table.Load(); tb != nil {
 		held.Version = tb.Version()
 	}
 	return held
 }
 
+// ownCounts returns the own requests at each target in the order of the records' keys, which is the same on all hosts
+// that hold the records up to one offset.
+func (st *state) ownCounts() []byte {
+	own := st.pool.Own()
+	counts := make([]byte, 0, len(st.records))
+	for _, key := range slices.Sorted(maps.Keys(st.records)) {
+		counts = append(counts, byte(min(relay.MaxCount, own[chestnutroad.TargetID(key)])))
+	}
+	return counts
+}
+
 // beyond returns what the host holds beyond what another one does.
 func (st *state) beyond(request *siblings.StateRequest) *siblings.State {
 	st.mu.Lock()
--- a/internal/entry/state_test.go
+++ b/internal/entry/state_test.go
@@ -137,3 +137,26 @@
 		t.Errorf("%d calls in %d s\n%s", calls, seconds, third.log)
 	}
 }
+
+// TestEntriesLapseInAnOutage guards against pools that are empty after an outage of the store, in which the entries of
+// targets that live have lapsed, and against targets that stay although their entry does not come back.
+func TestEntriesLapseInAnOutage(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.configure(3, 1, keys)
+	rn := st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	st.store.SetFault(standin.Busy)
+	time.Sleep(time.Second)
+	st.store.PutTarget("i-1", "")
+	st.store.SetFault(standin.Healthy)
+	time.Sleep(1500 * time.Millisecond)
+	if got := stockStatus(ht, "k-1"); got != http.StatusOK {
+		t.Errorf("got %d while the target may come back\n%s", got, ht.log)
+	}
+	ht.eventually(4*time.Second, "the target is gone", func() bool {
+		return stockStatus(ht, "k-1") == http.StatusServiceUnavailable
+	})
+	st.store.PutTarget("i-1", rn.Entry("desk", "dc-a", "ready"))
+	ht.eventually(applyWithin, "the target is back", func() bool { return stockStatus(ht, "k-1") == http.StatusOK })
+}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -74,8 +74,8 @@
 	rankDelay = 250 * time.Millisecond
 	// countsAge is how long counts are believed.
 	countsAge = time.Second
-	// maxCount is the most requests that a byte tells.
-	maxCount = 255
+	// MaxCount is the most requests that a byte tells.
+	MaxCount = 255
 )
 
 type peer struct {
@@ -343,7 +343,7 @@
 
 func addCounts(to, from []byte) {
 	for index := range min(len(to), len(from)) {
-		to[index] = byte(min(maxCount, int(to[index])+int(from[index])))
+		to[index] = byte(min(MaxCount, int(to[index])+int(from[index])))
 	}
 }
 
