--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,8 +45,8 @@
 	lastRead atomic.Int64
 	// lastTrouble is the Unix time in nanoseconds of the last read of the targets that failed.
 	lastTrouble atomic.Int64
-	now      func() time.Time
-	stopping atomic.Bool
+	now         func() time.Time
+	stopping    atomic.Bool
 	// grace is the time.Duration between the request to stop and the end of the process.
 	grace   atomic.Int64
 	handler filter
