--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -15,7 +15,7 @@
 func TestDrain(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "model")
 	rn.Events, rn.Gap = 20, 150*time.Millisecond
 	st.runner("i-2", "desk")
@@ -53,14 +53,14 @@
 func TestAnswersInTheDrainClose(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	conn := silentConn(t, ht.address)
 	ht.stop()
 	ht.eventually(500*time.Millisecond, "the host says that it is not ready", func() bool { return !ht.isReady() })
 	req, err := standin.NewRequest(t.Context(), ht.address, &standin.Call{
-		Method: http.MethodGet, Host: "a.example", Path: "/stock/x", ID: "r-1", Key: "k-1",
+		Method: http.MethodGet, Path: "/stock/x", ID: "r-1", Key: "k-1",
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -6,24 +6,23 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
 
-const keys = `"k-1","k-2"`
-
 // TestForward guards against requests that reach a target changed, with the caller's key, or without what the target is
 // told; and against answers that are not the target's own.
 func TestForward(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	got := ht.call(t.Context(), standin.Call{
 		Method: http.MethodPost, Path: "/order/a//b/../c?x=%2F&y", ID: "r-1", Key: "k-2", Body: "GET /smuggled HTTP/1.1\r\n\r\n",
 		Budget: 800 * time.Millisecond,
 	})
-	if got.status != http.StatusOK || got.body != "answer of i-1" || got.header.Get("Chestnutroad-Response-Signature") != "3e1b.07" {
+	if got.status != http.StatusOK || got.body != "answer of i-1" || !got.facts().Receipt {
 		t.Fatalf("got %+v\n%s", got, ht.log)
 	}
 	runs := rn.Runs()
@@ -34,10 +33,8 @@
 	if run.Method != http.MethodPost || run.URI != "/order/a//b/../c?x=%2F&y" || run.Body != "GET /smuggled HTTP/1.1\r\n\r\n" {
 		t.Errorf("the target got %s %s %q", run.Method, run.URI, run.Body)
 	}
-	header := run.Header
-	if header.Get("Authorization") != "" || header.Get("Chestnutroad-Tenant") != "team-1" ||
-		header.Get("Chestnutroad-Expect-Instance") != "i-1" || header.Get("Chestnutroad-Attempt-Id") != "r-1" {
-		t.Errorf("the target got the header %v", header)
+	if run.HasKey || run.Team != standin.TeamName || run.Target != "i-1" || run.ID != "r-1" {
+		t.Errorf("the target got %+v", run)
 	}
 }
 
@@ -46,7 +43,7 @@
 func TestRefusals(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	cases := []struct {
@@ -104,7 +101,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			st := newSite(t)
-			st.configure(3, 2, keys)
+			st.store.Configure(3, 2, "k-1", "k-2")
 			bad, good := st.runner("i-1", "desk"), st.runner("i-2", "desk")
 			ht := st.start("host-1", true)
 			for kind, want := range map[string]int{"order": tc.order, "stock": tc.stock} {
@@ -135,14 +132,14 @@
 func TestStrayAnswer(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	rn.Always(standin.ServeTwice)
 	ht := st.start("host-1", true)
 	for _, id := range []string{"r-1", "r-2", "r-3"} {
 		got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: id, Key: "k-1", Body: "b"})
-		if got.status != http.StatusOK || got.header.Get("Chestnutroad-Attempt-Id") != id {
-			t.Errorf("%s got %d for %s", id, got.status, got.header.Get("Chestnutroad-Attempt-Id"))
+		if got.status != http.StatusOK || got.facts().ID != chestnutroad.RequestID(id) {
+			t.Errorf("%s got %d for %s", id, got.status, got.facts().ID)
 		}
 	}
 }
@@ -151,7 +148,7 @@
 func TestEarlyAnswer(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	rn.Then(standin.Early)
@@ -172,7 +169,7 @@
 func TestKeptConnections(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	call := standin.Call{Method: http.MethodPost, Path: "/order/x", ID: "r-1", Key: "k-1", Body: "b"}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -26,16 +25,6 @@
 	seeds []netip.AddrPort
 }
 
-const configuration = `{"version":%d,"routes":[
-{"name":"order","host":"a.example","path_prefix":"/order/","route_kind":"non_idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"desk","max_attempts":%d},
-{"name":"stock","host":"a.example","path_prefix":"/stock/","route_kind":"idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"desk","max_attempts":2},
-{"name":"chat","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":4000,"latency_goal_ms":500,"service":"model","max_attempts":2,"stream_resume":true,"itl_target_ms":200},
-{"name":"once","host":"a.example","path_prefix":"/once/","route_kind":"streaming","timeout_ms":4000,"latency_goal_ms":500,"service":"model","max_attempts":1,"stream_resume":false,"itl_target_ms":200},
-{"name":"open","host":"a.example","path_prefix":"/open/","route_kind":"idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"desk","max_attempts":1,"anonymous":true}],
-"services":[{"name":"desk","max_connections":50},{"name":"model","max_connections":50,"inference_engine":{"slots":8,"kv_capacity_tokens":1000}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"team-1","api_keys":[%s]}]}`
-
 func newSite(t *testing.T) *site {
 	t.Helper()
 	st := &site{t: t, store: standin.NewStore()}
@@ -43,10 +32,6 @@
 	return st
 }
 
-func (st *site) configure(version, orderAttempts int, keys string) {
-	st.store.PutConfiguration(fmt.Sprintf(configuration, version, orderAttempts, keys))
-}
-
 // runner starts a runner that is registered for the service.
 func (st *site) runner(id, service string) *standin.Runner {
 	st.t.Helper()
@@ -177,6 +162,11 @@
 	err    error
 }
 
+// facts returns what the answer's headers say.
+func (rp *reply) facts() chestnutroad.AnswerFacts {
+	return platform.Wire{}.ReadAnswer(rp.status, rp.header)
+}
+
 // call sends a call on a connection of its own.
 func (ht *host) call(ctx context.Context, call standin.Call) reply {
 	ht.t.Helper()
@@ -186,9 +176,6 @@
 
 func (ht *host) callWith(ctx context.Context, client *http.Client, call standin.Call) reply {
 	ht.t.Helper()
-	if call.Host == "" {
-		call.Host = "a.example"
-	}
 	req, err := standin.NewRequest(ctx, ht.address, &call)
 	if err != nil {
 		ht.t.Fatal(err)
--- a/internal/entry/state_test.go
+++ b/internal/entry/state_test.go
@@ -32,19 +32,19 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			st := newSite(t)
-			st.configure(3, 1, keys)
+			st.store.Configure(3, 1, "k-1", "k-2")
 			st.runner("i-1", "desk")
 			ht := st.start("host-1", true)
 			tc.upset(st)
 			time.Sleep(100 * time.Millisecond)
-			st.configure(8, 1, `"k-2"`)
+			st.store.Configure(8, 1, "k-2")
 			ht.eventually(applyWithin, "the key is refused", func() bool {
 				return stockStatus(ht, "k-1") == http.StatusUnauthorized
 			})
 			if got := stockStatus(ht, "k-2"); got != http.StatusOK {
 				t.Errorf("the kept key got %d", got)
 			}
-			st.configure(7, 1, keys)
+			st.store.Configure(7, 1, "k-1", "k-2")
 			time.Sleep(300 * time.Millisecond)
 			if got := stockStatus(ht, "k-1"); got != http.StatusUnauthorized {
 				t.Errorf("an earlier version came back in force: %d", got)
@@ -58,7 +58,7 @@
 func TestTargetsFollow(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	one, two := st.runner("i-1", "desk"), st.runner("i-2", "desk")
 	ht := st.start("host-1", true)
 	st.store.PutTarget("i-3", `{"service":"desk"}`)
@@ -86,7 +86,7 @@
 func TestReusedAddress(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	rn.ID = "i-9"
@@ -101,7 +101,7 @@
 func TestCutOffFromTheStore(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	st.runner("i-1", "desk")
 	served := st.start("host-1", true)
 	down := standin.NewStore()
@@ -109,7 +109,7 @@
 	down.SetFault(standin.Silent)
 	cut := st.start("host-2", false, func(set *settings.Entry) { set.StoreAddress = down.Address() })
 	cut.eventually(3*time.Second, "the host starts with the state of another one", cut.isReady)
-	st.configure(5, 1, `"k-2"`)
+	st.store.Configure(5, 1, "k-2")
 	for _, ht := range []*host{served, cut} {
 		ht.eventually(applyWithin, "the key is refused", func() bool {
 			return stockStatus(ht, "k-1") == http.StatusUnauthorized
@@ -122,7 +122,7 @@
 func TestOneHostReadsTheStore(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	st.runner("i-1", "desk")
 	st.start("host-1", true)
 	st.start("host-2", true)
@@ -143,7 +143,7 @@
 func TestEntriesLapseInAnOutage(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	ht := st.start("host-1", true)
 	st.store.SetFault(standin.Busy)
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -30,7 +30,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			st := newSite(t)
-			st.configure(3, 1, keys)
+			st.store.Configure(3, 1, "k-1", "k-2")
 			one, two := st.runner("i-1", "model"), st.runner("i-2", "model")
 			for _, rn := range []*standin.Runner{one, two} {
 				rn.Events = 6
@@ -56,7 +56,7 @@
 			}
 			if tc.runs == 2 {
 				resumed := second.Runs()
-				if id := resumed[len(resumed)-1].Header.Get("Last-Event-Id"); id != "1" {
+				if id := resumed[len(resumed)-1].ResumeAfter; id != "1" {
 					t.Errorf("resumed after event %q, want 1", id)
 				}
 			}
@@ -68,7 +68,7 @@
 func TestSilentStreamIsResumed(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	one, two := st.runner("i-1", "model"), st.runner("i-2", "model")
 	one.Events, two.Events = 3, 3
 	ht := st.start("host-1", true)
@@ -91,7 +91,7 @@
 func TestCallerLeaves(t *testing.T) {
 	t.Parallel()
 	st := newSite(t)
-	st.configure(3, 1, keys)
+	st.store.Configure(3, 1, "k-1", "k-2")
 	rn := st.runner("i-1", "desk")
 	rn.Always(standin.Hang)
 	ht := st.start("host-1", true)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", pr.address, callerPort), &standin.Call{
-		Method: http.MethodPost, Host: "a.example", Path: "/" + kind + "/x", ID: id, Key: key, Body: id,
+		Method: http.MethodPost, Path: "/" + kind + "/x", ID: id, Key: key, Body: id,
 		Budget: 1500 * time.Millisecond, Prefix: "a:10,b:20",
 	})
 	if err != nil {
@@ -238,7 +238,7 @@
 func (wd *world) checkAfterwards() {
 	wd.t.Helper()
 	wd.awaitReady()
-	wd.configure(`"k-2"`)
+	wd.configure("k-2")
 	time.Sleep(2 * time.Second)
 	for _, pr := range wd.hosts {
 		if ex := wd.send(wd.t.Context(), http.DefaultClient, pr, "stock", "late-"+pr.address.String(), "k-1"); ex.status != http.StatusUnauthorized {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -17,23 +17,13 @@
 )
 
 const (
-	hostCount   = 3
-	callerPort  = 28227
-	readyPort   = 28220
-	peerPort    = 27340
-	streamSize  = 8
-	initialKeys = `"k-1","k-2"`
+	hostCount  = 3
+	callerPort = 28227
+	readyPort  = 28220
+	peerPort   = 27340
+	streamSize = 8
 )
 
-const configuration = `{"version":%d,"routes":[
-{"name":"order","host":"a.example","path_prefix":"/order/","route_kind":"non_idempotent","timeout_ms":1500,"latency_goal_ms":100,"service":"desk","max_attempts":2},
-{"name":"stock","host":"a.example","path_prefix":"/stock/","route_kind":"idempotent","timeout_ms":1500,"latency_goal_ms":100,"service":"desk","max_attempts":2},
-{"name":"chat","host":"a.example","path_prefix":"/chat/","route_kind":"streaming","timeout_ms":4000,"latency_goal_ms":500,"service":"model","max_attempts":2,"stream_resume":true,"itl_target_ms":100},
-{"name":"once","host":"a.example","path_prefix":"/once/","route_kind":"streaming","timeout_ms":4000,"latency_goal_ms":500,"service":"model","max_attempts":1,"stream_resume":false,"itl_target_ms":100}],
-"services":[{"name":"desk","max_connections":50},{"name":"model","max_connections":50,"inference_engine":{"slots":8,"kv_capacity_tokens":1000}}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4096,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"team-1","api_keys":[%s]}]}`
-
 // world is a store, runners behind proxies, and entry hosts as processes.
 type world struct {
 	t       *testing.T
@@ -69,7 +59,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(wd.link.close)
-	wd.configure(initialKeys)
+	wd.configure("k-1", "k-2")
 	for index, service := range []string{"desk", "desk", "model", "model"} {
 		wd.addRunner(fmt.Sprintf("i-%d", index), service)
 	}
@@ -83,9 +73,9 @@
 	return wd
 }
 
-func (wd *world) configure(keys string) {
+func (wd *world) configure(keys ...string) {
 	wd.version += 3
-	wd.store.PutConfiguration(fmt.Sprintf(configuration, wd.version, keys))
+	wd.store.Configure(wd.version, 2, keys...)
 }
 
 func (wd *world) addRunner(id, service string) {
