--- a/call.go
+++ b/call.go
@@ -61,4 +61,6 @@
 	WriteCall(header http.Header, orders *CallOrders)
 	ReadAnswer(status int, header http.Header) AnswerFacts
 	WriteRetryAfter(header http.Header, wait time.Duration)
+	// ReadyPath is where the balancer asks whether a host is ready.
+	ReadyPath() string
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -214,7 +214,7 @@
 
 func (en *Entry) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /readyz", func(writer http.ResponseWriter, _ *http.Request) {
+	mux.HandleFunc("GET "+en.wire.ReadyPath(), func(writer http.ResponseWriter, _ *http.Request) {
 		if en.stopping.Load() || !en.state.ready() {
 			writer.WriteHeader(http.StatusServiceUnavailable)
 		}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -142,7 +142,7 @@
 }
 
 func (ht *host) isReady() bool {
-	req, err := http.NewRequestWithContext(ht.t.Context(), http.MethodGet, "http://"+ht.ready+"/readyz", http.NoBody)
+	req, err := http.NewRequestWithContext(ht.t.Context(), http.MethodGet, "http://"+ht.ready+platform.Wire{}.ReadyPath(), http.NoBody)
 	if err != nil {
 		return false
 	}
