--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,8 +48,10 @@
 	now         func() time.Time
 	stopping    atomic.Bool
 	// grace is the time.Duration between the request to stop and the end of the process.
-	grace   atomic.Int64
-	handler filter
+	grace atomic.Int64
+	// drainTime is the time.Duration after which a target that left must get no requests.
+	drainTime atomic.Int64
+	handler   filter
 }
 
 // Option changes a default of an Entry.
@@ -87,6 +89,7 @@
 		opt(en)
 	}
 	en.grace.Store(int64(set.Grace))
+	en.drainTime.Store(int64(set.Drain))
 	en.watchState()
 	en.link = newLink(en)
 	en.handler = en.chain()
@@ -96,6 +99,7 @@
 // Apply puts changed settings in force: limits and budgets at once, while addresses stay until the next start.
 func (en *Entry) Apply(set *settings.Entry) {
 	en.grace.Store(int64(set.Grace))
+	en.drainTime.Store(int64(set.Drain))
 	en.state.mu.Lock()
 	defer en.state.mu.Unlock()
 	en.state.ratio, en.state.slack, en.state.window = set.RetryRatio, set.RetrySlack, set.RetryWindow
@@ -340,10 +344,13 @@
 }
 
 const (
-	// troubleMemory is the time after a failed read of the store in which a removed entry may come back.
-	troubleMemory = 3 * time.Second
+	// troubleMemory is the time after a failed read of the store in which a removal may have been made by the outage; the
+	// first reads after it show those.
+	troubleMemory = time.Second
 	// returnTime is how long targets take to register again after the store has returned.
 	returnTime = 2200 * time.Millisecond
+	// drainMargin keeps the end of the wait before the time at which a target that left must get no requests.
+	drainMargin = 300 * time.Millisecond
 )
 
 // removeLater removes a target whose entry is gone. Entries also lapse while the store is away, and those of targets that
@@ -357,8 +364,9 @@
 		en.removeTarget(id, "removed")
 		return
 	}
-	en.logger.Info("target may come back", "Target", id, "Wait", returnTime)
-	time.AfterFunc(returnTime, func() {
+	wait := min(returnTime, time.Duration(en.drainTime.Load())-drainMargin)
+	en.logger.Info("target may come back", "Target", id, "Wait", wait)
+	time.AfterFunc(wait, func() {
 		en.state.mu.Lock()
 		_, back := en.state.records[string(id)]
 		en.state.mu.Unlock()
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -102,7 +102,7 @@
 		ID: chestnutroad.HostID(id), DataCentre: "dc-a",
 		CallerAddress: netip.AddrPortFrom(address, callerPort), ReadyAddress: netip.AddrPortFrom(address, readyPort),
 		PeerPort: peerPort, MetricsPort: metricsPort, StoreAddress: st.store.Address(), Seeds: st.seeds, Processors: 1,
-		Grace: 4 * time.Second, CapFactor: 2, RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
+		Grace: 4 * time.Second, Drain: 2 * time.Second, CapFactor: 2, RetryRatio: 0.2, RetrySlack: 240, RetryWindow: 10 * time.Second,
 	}
 	for _, opt := range opts {
 		opt(set)
--- a/internal/entry/state_test.go
+++ b/internal/entry/state_test.go
@@ -138,6 +138,24 @@
 	}
 }
 
+// TestRemovalAfterTrouble guards against requests to a target that left after the host's trouble with the store was over:
+// it has to get none from 2 s on (kaffivakt trouble-1, seed 1032208799209).
+func TestRemovalAfterTrouble(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	st.store.SetFault(standin.Busy)
+	time.Sleep(time.Second)
+	st.store.SetFault(standin.Healthy)
+	time.Sleep(1700 * time.Millisecond)
+	st.store.PutTarget("i-1", "")
+	ht.eventually(applyWithin, "the target gets no requests", func() bool {
+		return stockStatus(ht, "k-1") == http.StatusServiceUnavailable
+	})
+}
+
 // TestEntriesLapseInAnOutage guards against pools that are empty after an outage of the store, in which the entries of
 // targets that live have lapsed, and against targets that stay although their entry does not come back.
 func TestEntriesLapseInAnOutage(t *testing.T) {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -28,6 +28,8 @@
 	Processors float64
 	// Memory is the memory that the process may use.
 	Memory chestnutroad.Bytes
+	// Drain is the time after which a target that left must get no requests.
+	Drain time.Duration
 	// Grace is the time between the request to stop and the end of the process.
 	Grace time.Duration
 	// CapFactor is the multiple of the mean load that no target should exceed.
@@ -89,6 +91,7 @@
 		Seeds:         rd.addresses("Seeds"),
 		Processors:    rd.ratio("Processors", 1, 0, mostFactor),
 		Memory:        rd.size("Memory", 206<<20, leastMemory, mostMemory),
+		Drain:         rd.duration("Drain", 2*time.Second, time.Second, mostSpan),
 		Grace:         rd.duration("Grace", 8*time.Second, 0, mostSpan),
 		CapFactor:     rd.ratio("CapFactor", 2, 1, mostFactor),
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -67,7 +67,7 @@
 		"node_name|json": `"edge-a-1"`, "zone|json": `"dc-a"`, "listen.frontend|json": `"10.1.0.40:8227"`,
 		"listen.ready|json": `"10.1.0.40:8220"`, "internal_ports.0": "7340", "platform.address|json": `"10.200.1.7:8223"`,
 		".|json": `"10.1.0.41:8229"`, "limits.cpu_quota": "0.272", "limits.memory_mb": "206",
-		"bounds.grace_s": "8", "bounds.cap_factor": "2", "bounds.retry_budget_ratio": "0.2",
+		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.cap_factor": "2", "bounds.retry_budget_ratio": "0.2",
 		"bounds.retry_min_slack": "135", "bounds.retry_window_s": "10", "#seed_nodes": "", "/seed_nodes": "", ",": "",
 	}
 	filled := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
@@ -93,4 +93,4 @@
 }
 
 const entryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory Grace " +
-	"CapFactor RetryRatio RetrySlack RetryWindow LogLevel "
+	"Drain CapFactor RetryRatio RetrySlack RetryWindow LogLevel "
