Restart a soak's process once when two signals end it together

Cause: two signals that end one process each started a successor; the test lost sight of the one that got the address, which stayed after the test and answered the next soak's hosts with its old configuration.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -44,9 +44,12 @@
 	binary   string
 	log      string
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	ended   chan struct{}
+	// restarting is held from a signal that ends the process to the start of the next one: two of them at once started
+	// two processes, of which one was lost sight of and kept the address after the test.
+	restarting sync.Mutex
+	mu         sync.Mutex
+	command    *exec.Cmd
+	ended      chan struct{}
 }
 
 func newWorld(t *testing.T, binary string, number byte) *world {
@@ -130,6 +133,8 @@
 	command := exec.Command(pr.binary, "serve") //nolint:noctx // The process is ended by signals, as on the platform.
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+pr.settings)
 	command.Stdout, command.Stderr = file, file
+	// A test that is ended itself must not leave processes behind.
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
 		pr.t.Error(err)
 		return
@@ -145,6 +150,10 @@
 
 // signal sends a signal to the process, and starts it again when the signal ends it.
 func (pr *process) signal(sig syscall.Signal, ends bool) {
+	if ends {
+		pr.restarting.Lock()
+		defer pr.restarting.Unlock()
+	}
 	pr.mu.Lock()
 	command, ended := pr.command, pr.ended
 	pr.mu.Unlock()
