Measure the age of store reads by a clock that can't be set

Cause: the times of the last good and the last failed read of the store were wall clock times. After a host's clock was set back by 40 minutes it counted as reading the store for 40 minutes, so that the hosts that follow it would not read themselves while the store turned it away; set ahead, it counted as failing for one interval.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -33,7 +33,7 @@
 	set := en.counters.set
 	set.NewGauge("chestnutroad_configuration_version", func() float64 { return float64(en.state.held().Version) })
 	set.NewGauge("chestnutroad_store_read_age_seconds", func() float64 {
-		return en.now().Sub(time.Unix(0, en.lastRead.Load())).Seconds()
+		return (en.elapsed() - time.Duration(en.lastRead.Load())).Seconds()
 	})
 	set.NewGauge("chestnutroad_relaying", func() float64 {
 		if en.link.relaying() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,12 +41,13 @@
 	counters *counters
 	callers  *callerConns
 	link     *link
-	// lastRead is the Unix time in nanoseconds of the last read of the targets that succeeded.
-	lastRead atomic.Int64
-	// lastTrouble is the Unix time in nanoseconds of the last read of the targets that failed.
+	// lastRead and lastTrouble are when the last read of the targets succeeded and failed, by elapsed; zero for never.
+	lastRead    atomic.Int64
 	lastTrouble atomic.Int64
 	now         func() time.Time
-	stopping    atomic.Bool
+	// elapsed is the time since the start, which goes on evenly when the host's clock is set.
+	elapsed  func() time.Duration
+	stopping atomic.Bool
 	// grace is the time.Duration between the request to stop and the end of the process.
 	grace atomic.Int64
 	// drainTime is the time.Duration after which a target that left must get no requests.
@@ -83,6 +84,7 @@
 		counters: newCounters(),
 		callers:  newCallerConns(),
 		now:      time.Now,
+		elapsed:  sinceNow(),
 	}
 	en.requests = en.logger
 	for _, opt := range opts {
@@ -96,6 +98,12 @@
 	return en
 }
 
+// sinceNow returns a clock that counts from now; it is never zero afterwards.
+func sinceNow() func() time.Duration {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
+
 // Apply puts changed settings in force: limits and budgets at once, while addresses stay until the next start.
 func (en *Entry) Apply(set *settings.Entry) {
 	en.grace.Store(int64(set.Grace))
@@ -244,13 +252,7 @@
 	targets := &follower{
 		store: en.store, stream: chestnutroad.KeyedTargets, interval: targetInterval, logger: en.logger,
 		needed: en.readsStore, reset: en.resetTargets, apply: en.applyTargets,
-		reached: func(ok bool) {
-			if ok {
-				en.lastRead.Store(en.now().UnixNano())
-			} else {
-				en.lastTrouble.Store(en.now().UnixNano())
-			}
-		},
+		reached: en.noteRead,
 	}
 	go configuration.run(ctx)
 	targets.run(ctx)
@@ -359,8 +361,7 @@
 	en.state.mu.Lock()
 	entry, known := en.state.pool.Entry(id)
 	en.state.mu.Unlock()
-	trouble := en.now().UnixNano()-en.lastTrouble.Load() < int64(troubleMemory) && en.lastTrouble.Load() > 0
-	if !known || entry.Leaving || !trouble {
+	if !known || entry.Leaving || !en.within(&en.lastTrouble, troubleMemory) {
 		en.removeTarget(id, "removed")
 		return
 	}
@@ -376,6 +377,21 @@
 	})
 }
 
+// noteRead notes a read of the targets that has just reached the store or failed.
+func (en *Entry) noteRead(ok bool) {
+	if ok {
+		en.lastRead.Store(int64(en.elapsed()))
+		return
+	}
+	en.lastTrouble.Store(int64(en.elapsed()))
+}
+
+// within reports whether a moment is less than the span ago.
+func (en *Entry) within(moment *atomic.Int64, span time.Duration) bool {
+	at := time.Duration(moment.Load())
+	return at > 0 && en.elapsed()-at < span
+}
+
 func (en *Entry) removeTarget(id chestnutroad.TargetID, reason string) {
 	en.state.mu.Lock()
 	before, known := en.state.pool.Entry(id)
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -272,7 +272,7 @@
 // held returns what the host holds, for other hosts.
 func (en *Entry) held() relay.Held {
 	held := en.state.held()
-	held.Fresh = en.now().UnixNano()-en.lastRead.Load() < int64(freshFor) && en.lastRead.Load() > 0
+	held.Fresh = en.within(&en.lastRead, freshFor)
 	held.Leaving = en.stopping.Load()
 	return held
 }
