--- /dev/null
+++ b/test/cost/host_test.go
@@ -0,0 +1,198 @@
+package cost
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform"
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+const (
+	callerPort  = 28227
+	readyPort   = 28220
+	peerPort    = 27340
+	metricsPort = 27355
+	// eventCount is the number of events of a stream; the longest kind of the users has 38.
+	eventCount = 38
+	callBudget = 5 * time.Second
+	// clockTicks is the number of parts of a second in which Linux counts processor time.
+	clockTicks = 100
+)
+
+// host is an entry host as a process, with a store, a plain runner and an engine as stand-ins in the test's process.
+type host struct {
+	tb      testing.TB
+	address string
+	client  *http.Client
+	pid     int
+}
+
+// newHost starts a host that writes its log to output; address is a loopback address of the test's own.
+func newHost(tb testing.TB, address string, output io.Writer) *host {
+	tb.Helper()
+	directory := tb.TempDir()
+	binary := filepath.Join(directory, "chestnutroad")
+	text, err := exec.CommandContext(tb.Context(), "go", "build", "-o", binary, "../../cmd/chestnutroad").CombinedOutput()
+	if err != nil {
+		tb.Fatalf("go build: %v\n%s", err, text)
+	}
+	store := standin.NewStore()
+	tb.Cleanup(store.Close)
+	store.Configure(3, 2, "k-1")
+	for _, service := range []string{"desk", "model"} {
+		rn, err := standin.NewRunner("i-" + service)
+		if err != nil {
+			tb.Fatal(err)
+		}
+		tb.Cleanup(rn.Close)
+		if service == "model" {
+			rn.Events, rn.Gap = eventCount, time.Millisecond
+		}
+		store.PutTarget(rn.ID, rn.Entry(service, "dc-a", "ready"))
+	}
+	path := filepath.Join(directory, "settings.toml")
+	settings := fmt.Sprintf(`[Entry]
+ID = "host-1"
+DataCentre = "dc-a"
+CallerAddress = "%[1]s:%[2]d"
+ReadyAddress = "%[1]s:%[3]d"
+PeerPort = %[4]d
+MetricsPort = %[5]d
+StoreAddress = "%[6]s"
+Memory = "206MB"
+`, address, callerPort, readyPort, peerPort, metricsPort, store.Address())
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		tb.Fatal(err)
+	}
+	command := exec.CommandContext(tb.Context(), binary, "serve")
+	command.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	command.Stdout, command.Stderr = output, os.Stderr
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := command.Start(); err != nil {
+		tb.Fatal(err)
+	}
+	hs := &host{
+		tb: tb, address: address, pid: command.Process.Pid,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
+	}
+	tb.Cleanup(func() {
+		hs.client.CloseIdleConnections()
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	for end := time.Now().Add(10 * time.Second); hs.call("stock", "ready") != nil; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			tb.Fatal("the host does not serve")
+		}
+	}
+	return hs
+}
+
+// call sends one call and reads the answer to its end.
+func (hs *host) call(kind, id string) error {
+	ctx, cancel := context.WithTimeout(hs.tb.Context(), callBudget)
+	defer cancel()
+	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", hs.address, callerPort), &standin.Call{
+		Method: http.MethodPost, Path: "/" + kind + "/x", ID: id, Key: "k-1", Body: id,
+		Budget: callBudget, Prefix: "a:10,b:20",
+	})
+	if err != nil {
+		return err
+	}
+	resp, err := hs.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d: %s", resp.StatusCode, body)
+	}
+	return nil
+}
+
+// processorTime returns the processor time that the process has taken, in parts of 10 ms.
+func (hs *host) processorTime() time.Duration {
+	hs.tb.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", hs.pid))
+	if err != nil {
+		hs.tb.Fatal(err)
+	}
+	// The name of the program stands in brackets and may hold spaces; user and system time are fields 14 and 15.
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
+	ticks := 0
+	for _, field := range fields[11:13] {
+		count, err := strconv.Atoi(field)
+		if err != nil {
+			hs.tb.Fatal(err)
+		}
+		ticks += count
+	}
+	return time.Duration(ticks) * time.Second / clockTicks
+}
+
+// memory returns a value of the process in MB: VmRSS is what it holds in memory, VmHWM the most that it ever held.
+func (hs *host) memory(name string) float64 {
+	hs.tb.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", hs.pid))
+	if err != nil {
+		hs.tb.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, name+":"); found {
+			kilobytes, err := strconv.Atoi(strings.Fields(value)[0])
+			if err != nil {
+				hs.tb.Fatal(err)
+			}
+			return float64(kilobytes) / 1024
+		}
+	}
+	hs.tb.Fatalf("the process has no %s", name)
+	return 0
+}
+
+// metric returns the value of a metric without labels.
+func (hs *host) metric(name string) float64 {
+	hs.tb.Helper()
+	ctx, cancel := context.WithTimeout(hs.tb.Context(), callBudget)
+	defer cancel()
+	url := fmt.Sprintf("http://%s:%d/metrics", hs.address, metricsPort)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		hs.tb.Fatal(err)
+	}
+	resp, err := hs.client.Do(req)
+	if err != nil {
+		hs.tb.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		hs.tb.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, found := strings.CutPrefix(line, name+" "); found {
+			number, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+			if err != nil {
+				hs.tb.Fatal(err)
+			}
+			return number
+		}
+	}
+	hs.tb.Fatalf("there is no metric %s", name)
+	return 0
+}
