Give each test process loopback addresses of its own, and play a soak's seeds at the same time

Cause: hosts of tests share fixed ports on fixed addresses, so that two test runs at once on one machine met. A soak beside another one failed: its calls reached the other's hosts (order ran 2 times, address already in use). The second octet now follows from the process id.

--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -84,10 +84,13 @@
 	portMu.Lock()
 	defer portMu.Unlock()
 	lastHost++
-	return netip.AddrFrom4([4]byte{127, 0, 77, lastHost})
+	return standin.Loopback(addressGroup, lastHost)
 }
 
 const (
+	// addressGroup keeps the hosts of this package apart from those of other packages.
+	addressGroup = 77
+
 	callerPort  = 18227
 	readyPort   = 18220
 	peerPort    = 17340
--- a/test/cost/cost_test.go
+++ b/test/cost/cost_test.go
@@ -32,7 +32,7 @@
 
 // BenchmarkPlainCall measures the processor time of the host for a plain call, and its memory at start and at its peak.
 func BenchmarkPlainCall(b *testing.B) {
-	hs := newHost(b, "127.0.78.1", io.Discard)
+	hs := newHost(b, 1, io.Discard)
 	memory, started := hs.memory("VmRSS"), hs.processorTime()
 	b.ResetTimer()
 	together(b, b.N, func(index int) error { return hs.call("stock", fmt.Sprintf("p-%d", index)) })
@@ -44,7 +44,7 @@
 
 // BenchmarkStreamedEvent measures the processor time of the host for an event of a stream, with the call's own part.
 func BenchmarkStreamedEvent(b *testing.B) {
-	hs := newHost(b, "127.0.78.2", io.Discard)
+	hs := newHost(b, 2, io.Discard)
 	memory, started := hs.memory("VmRSS"), hs.processorTime()
 	b.ResetTimer()
 	together(b, b.N, func(index int) error { return hs.call("chat", fmt.Sprintf("s-%d", index)) })
@@ -75,7 +75,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = reader.Close(); _ = writer.Close() }()
-	hs := newHost(t, "127.0.78.3", writer)
+	hs := newHost(t, 3, writer)
 	var late atomic.Int64
 	interval := stalledTime / (stalledCalls / callerCount)
 	together(t, stalledCalls, func(index int) error {
--- a/test/cost/host_test.go
+++ b/test/cost/host_test.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	// addressGroup keeps the hosts of this package apart from those of other packages.
+	addressGroup = 78
+
 	callerPort  = 28227
 	readyPort   = 28220
 	peerPort    = 27340
@@ -38,9 +41,10 @@
 	pid     int
 }
 
-// newHost starts a host that writes its log to output; address is a loopback address of the test's own.
-func newHost(tb testing.TB, address string, output io.Writer) *host {
+// newHost starts a host that writes its log to output; number tells the hosts of the package apart.
+func newHost(tb testing.TB, number byte, output io.Writer) *host {
 	tb.Helper()
+	address := standin.Loopback(addressGroup, number).String()
 	directory := tb.TempDir()
 	binary := filepath.Join(directory, "chestnutroad")
 	text, err := exec.CommandContext(tb.Context(), "go", "build", "-o", binary, "../../cmd/chestnutroad").CombinedOutput()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -51,7 +51,10 @@
 		t.Fatalf("go build: %v\n%s", err, output)
 	}
 	for index, seed := range seeds(t) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { play(t, binary, seed, byte(100+index%100)) })
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, binary, seed, byte(100+index%100))
+		})
 	}
 }
 
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -67,7 +67,7 @@
 		wd.addRunner(fmt.Sprintf("i-%d", index), service)
 	}
 	for index := range hostCount {
-		wd.hosts = append(wd.hosts, wd.newProcess(netip.AddrFrom4([4]byte{127, 0, number, byte(index + 1)}), index))
+		wd.hosts = append(wd.hosts, wd.newProcess(standin.Loopback(number, byte(index+1)), index))
 	}
 	for _, pr := range wd.hosts {
 		pr.start()
