Try targets that could not be reached again, and learn that a data centre is cut off

Cause: a target to which one connection failed got no further request while any other target was sound; only a new life of the target ended that.

A target is now closed for 0.5 s, then for twice as long, 2 s at most; then one request tries it on a new connection with 50 ms to connect. Three targets of a data centre that can't be reached, with none that answered between them, close the data centre in the same way.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -149,13 +149,21 @@
 	}
 }
 
+// trialDialTimeout bounds the connection of a request that finds out whether a target can be reached again: kept ones may
+// be dead, and a plain request that is due within 120 ms must still have time for another target.
+const trialDialTimeout = 50 * time.Millisecond
+
 // send sends the request to one target and passes the answer on.
 func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) result {
 	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
 	defer cancel()
 	patience := newPatience(cancel, firstWait(ex, en.now()))
 	defer patience.stop()
-	an, err := en.targets.Exchange(ctx, en.targetRequest(ex, entry))
+	request := en.targetRequest(ex, entry)
+	if ex.choice.Trial {
+		request.Fresh, request.DialTimeout = true, trialDialTimeout
+	}
+	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
 		return failedSend(err, ex.request.Context().Err() != nil)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -73,7 +73,8 @@
 		fields = append(fields, "Team", ex.team.Name)
 	}
 	if ex.choice.Entry.ID != "" {
-		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound, "Preference", ex.choice.Preference)
+		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound, "Preference", ex.choice.Preference,
+			"Trial", ex.choice.Trial)
 	}
 	if err != nil {
 		fields = append(fields, "Error", err)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -31,6 +31,8 @@
 	Preference int
 	// Suspect is true when only targets that lately failed were left.
 	Suspect bool
+	// Trial is true when the request finds out whether the target can be reached again.
+	Trial bool
 }
 
 // Choose returns the target for a request, or false when the service has none that may be used.
@@ -49,10 +51,10 @@
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	sound := slices.DeleteFunc(slices.Clone(candidates), func(tg *target) bool { return tg.suspect(now) })
+	sound := slices.DeleteFunc(slices.Clone(candidates), func(tg *target) bool { return pl.suspect(now, tg) })
 	suspect := len(sound) == 0
 	if suspect {
-		candidates = slices.DeleteFunc(candidates, func(tg *target) bool { return tg.unreachable(now) })
+		candidates = slices.DeleteFunc(candidates, func(tg *target) bool { return pl.closed(now, tg) })
 		if len(candidates) == 0 {
 			return Choice{}, false
 		}
@@ -61,9 +63,7 @@
 	}
 	bound, mean := pl.bound(now, all)
 	choice := pl.pick(now, sound, ask, bound, mean, len(all), suspect)
-	if tg := pl.targets[choice.Entry.ID]; tg.pause > 0 {
-		tg.unreachableUntil = now.Add(tg.pause)
-	}
+	choice.Trial = pl.try(now, pl.targets[choice.Entry.ID])
 	return choice, true
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -15,6 +15,7 @@
 	policy     Policy
 	targets    map[chestnutroad.TargetID]*target
 	services   map[chestnutroad.ServiceID][]*target
+	centres    map[chestnutroad.DataCentreID]*centre
 	popular    *popularity
 }
 
@@ -41,6 +42,7 @@
 		policy:     Bounded,
 		targets:    map[chestnutroad.TargetID]*target{},
 		services:   map[chestnutroad.ServiceID][]*target{},
+		centres:    map[chestnutroad.DataCentreID]*centre{},
 		popular:    newPopularity(),
 	}
 	for _, opt := range opts {
@@ -112,7 +114,7 @@
 		switch {
 		case tg.entry.Leaving:
 			counts["Leaving"]++
-		case tg.suspect(now):
+		case pl.suspect(now, tg):
 			counts["Suspect"]++
 		default:
 			counts["Ready"]++
@@ -191,16 +193,16 @@
 	switch outcome {
 	case Served:
 		tg.good++
-		tg.pause = 0
+		pl.reached(tg)
 	case Failed:
 		tg.bad++
-		tg.pause = 0
+		tg.reach = reach{}
 	case Unreachable:
 		tg.bad++
-		tg.pause = min(longestPause, max(firstPause, 2*tg.pause))
-		tg.unreachableUntil = now.Add(tg.pause)
+		tg.reach.miss(now)
+		pl.centre(tg.entry.DataCentre).miss(now, id)
 	case Shed:
-		tg.pause = 0
+		pl.reached(tg)
 		tg.pausedUntil = now.Add(shedPause)
 	case Unknown:
 	}
--- /dev/null
+++ b/internal/placement/reach.go
@@ -0,0 +1,94 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+const (
+	// firstPause and longestPause bound the time for which what can't be reached gets no requests; a host learns of the
+	// end of a cut after the longest one at most.
+	firstPause   = 500 * time.Millisecond
+	longestPause = 2 * time.Second
+	// sameMiss is the time in which further misses tell no more than the first: requests that were on their way with it.
+	sameMiss = firstPause / 2
+	// cutAfter is the number of targets of a data centre that can't be reached, one after the other with none that
+	// answered between them, from which the data centre counts as cut off.
+	cutAfter = 3
+)
+
+// reach is what is known of the connections to a target or a data centre. After a miss it is closed for a pause that
+// doubles; then one request tries, and the others pass over until it has ended.
+type reach struct {
+	pause    time.Duration
+	until    time.Time
+	missedAt time.Time
+}
+
+// miss takes in a connection that failed.
+func (rc *reach) miss(now time.Time) {
+	if rc.pause > 0 && now.Sub(rc.missedAt) < sameMiss {
+		return
+	}
+	rc.pause = min(longestPause, max(firstPause, 2*rc.pause))
+	rc.until, rc.missedAt = now.Add(rc.pause), now
+}
+
+// closed reports whether a request would most likely only wait for a connection.
+func (rc *reach) closed(now time.Time) bool { return rc.pause > 0 && now.Before(rc.until) }
+
+// try notes a request and reports whether it finds out that a connection can be opened again.
+func (rc *reach) try(now time.Time) bool {
+	if rc.pause > 0 {
+		rc.until = now.Add(rc.pause)
+	}
+	return rc.pause > 0
+}
+
+// centre is what is known of the connections to the targets of a data centre.
+type centre struct {
+	reach reach
+	// missed are the targets that could not be reached since one was.
+	missed map[chestnutroad.TargetID]bool
+}
+
+func (cn *centre) miss(now time.Time, id chestnutroad.TargetID) {
+	cn.missed[id] = true
+	if len(cn.missed) >= cutAfter {
+		cn.reach.miss(now)
+	}
+}
+
+func (pl *Pool) centre(id chestnutroad.DataCentreID) *centre {
+	known := pl.centres[id]
+	if known == nil {
+		known = &centre{missed: map[chestnutroad.TargetID]bool{}}
+		pl.centres[id] = known
+	}
+	return known
+}
+
+// reached takes in that a target answered.
+func (pl *Pool) reached(tg *target) {
+	tg.reach = reach{}
+	delete(pl.centres, tg.entry.DataCentre)
+}
+
+// closed reports whether the target or its data centre could not be reached lately.
+func (pl *Pool) closed(now time.Time, tg *target) bool {
+	known := pl.centres[tg.entry.DataCentre]
+	return tg.reach.closed(now) || known != nil && known.reach.closed(now)
+}
+
+// suspect reports whether requests go elsewhere while there is another target.
+func (pl *Pool) suspect(now time.Time, tg *target) bool { return pl.closed(now, tg) || tg.suspect(now) }
+
+// try notes that a request is sent to the target and reports whether it is a trial.
+func (pl *Pool) try(now time.Time, tg *target) bool {
+	trial := tg.reach.try(now)
+	if known := pl.centres[tg.entry.DataCentre]; known != nil {
+		trial = known.reach.try(now) || trial
+	}
+	return trial
+}
--- /dev/null
+++ b/internal/placement/reach_test.go
@@ -0,0 +1,105 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/placement"
+)
+
+// TestUnreachableTargetReturns guards against a target that is never used again after one connection to it failed: only
+// a restart of the target ended that, so that hosts that had been cut off stayed with the targets of their data centre.
+func TestUnreachableTargetReturns(t *testing.T) {
+	t.Parallel()
+	pl := newPool(3, 8)
+	home, _ := pl.Choose(start, ask("part", 1))
+	pl.Observe(start, home.Entry.ID, placement.Unreachable)
+	if choice, _ := pl.Choose(start, ask("part", 2)); choice.Entry.ID == home.Entry.ID {
+		t.Error("the target is used at once after it could not be reached")
+	}
+	later := start.Add(5 * time.Second)
+	if choice, _ := pl.Choose(later, ask("part", 3)); choice.Entry.ID != home.Entry.ID {
+		t.Fatal("no request finds out whether the target can be reached again")
+	}
+	if choice, _ := pl.Choose(later, ask("part", 4)); choice.Entry.ID == home.Entry.ID {
+		t.Error("two requests find out at once")
+	}
+	pl.Observe(later, home.Entry.ID, placement.Served)
+	if choice, _ := pl.Choose(later, ask("part", 5)); choice.Entry.ID != home.Entry.ID {
+		t.Error("the target is not used after it was reached")
+	}
+}
+
+// cutWorld is a host of data centre "a" with 22 engines in each of five data centres.
+type cutWorld struct {
+	pool *placement.Pool
+	next int
+}
+
+// serve plays one request and returns the number of connections that failed before one was opened, at most dials.
+func (cw *cutWorld) serve(now time.Time, cutOff bool, dials int) (failed int, served chestnutroad.DataCentreID) {
+	cw.next++
+	request := ask(fmt.Sprintf("part-%d", cw.next%40), cw.next)
+	for failed < dials {
+		choice, found := cw.pool.Choose(now, request)
+		if !found {
+			return failed, ""
+		}
+		if !cutOff || choice.Entry.DataCentre == "a" {
+			cw.pool.Observe(now, choice.Entry.ID, placement.Served)
+			return failed, choice.Entry.DataCentre
+		}
+		cw.pool.Observe(now, choice.Entry.ID, placement.Unreachable)
+		request.Excluded = append(request.Excluded, choice.Entry.ID)
+		failed++
+	}
+	return failed, ""
+}
+
+// TestDataCentreCutOff answers the load of a data centre that is cut off from the others while its own targets go on:
+// on kaffivakt-router-grown inc-4a1c 209 requests of one were refused and 104 streams broken off after six connections
+// each, since each of 90 targets had to fail by itself. A few requests find the cut out, the others are served near;
+// after the cut all targets are used again within some seconds.
+func TestDataCentreCutOff(t *testing.T) {
+	t.Parallel()
+	cw := &cutWorld{pool: placement.NewPool("a")}
+	for index := range 110 {
+		cw.pool.Set(entry(index, chestnutroad.DataCentreID("abcde"[index%5:index%5+1]), 16))
+	}
+	const (
+		interval = 100 * time.Millisecond
+		cutFor   = 5500 * time.Millisecond
+		dials    = 6
+	)
+	unserved, retried := 0, 0
+	now := start
+	for ; now.Before(start.Add(cutFor)); now = now.Add(interval) {
+		failed, served := cw.serve(now, true, dials)
+		if served == "" {
+			unserved++
+		}
+		if failed > 0 && now.Sub(start) > 2*time.Second {
+			retried++
+		}
+	}
+	if unserved > 3 {
+		t.Errorf("%d of 55 requests were not served in the cut", unserved)
+	}
+	// After the first two seconds one request in each pause of 2 s tries each of four data centres.
+	if retried > 10 {
+		t.Errorf("%d of 35 requests met a failed connection after the cut was known", retried)
+	}
+	now = now.Add(2 * time.Second)
+	far := 0
+	for range 60 {
+		now = now.Add(interval)
+		if _, served := cw.serve(now, false, dials); served != "a" {
+			far++
+		}
+	}
+	if far < 30 {
+		t.Errorf("%d of 60 requests were served in other data centres after the cut, want 48 or so", far)
+	}
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -9,9 +9,6 @@
 const (
 	// failureMemory is how long a failed request counts against a target; half of it is a typical restart.
 	failureMemory = 4 * time.Second
-	// firstPause and longestPause bound the time for which a target that can't be reached gets no requests.
-	firstPause   = 500 * time.Millisecond
-	longestPause = time.Second
 	// ejectAfter is the number of outcomes that an ejection rests on.
 	ejectAfter = 4
 	// ejectShare is the share of failed outcomes from which a target is passed over: runners that fail at random were
@@ -35,12 +32,10 @@
 	reportedAt time.Time
 	// pausedUntil is when a target that was full gets requests again.
 	pausedUntil time.Time
-	// unreachableUntil and pause describe a target that could not be reached.
-	unreachableUntil time.Time
-	pause            time.Duration
-	good             float64
-	bad              float64
-	countedAt        time.Time
+	reach       reach
+	good        float64
+	bad         float64
+	countedAt   time.Time
 }
 
 // load estimates the number of requests at the target.
@@ -65,16 +60,11 @@
 
 // suspect reports whether requests go elsewhere while there is another target.
 func (tg *target) suspect(now time.Time) bool {
-	if now.Before(tg.pausedUntil) || tg.pause > 0 {
+	if now.Before(tg.pausedUntil) || tg.reach.closed(now) {
 		return true
 	}
 	tg.fade(now)
 	return tg.bad >= 2 && tg.good+tg.bad >= ejectAfter && tg.bad/(tg.good+tg.bad) >= ejectShare
 }
 
-// unreachable reports whether the target could not be reached lately, so that a request would only wait for it.
-func (tg *target) unreachable(now time.Time) bool {
-	return tg.pause > 0 && now.Before(tg.unreachableUntil)
-}
-
 func (tg *target) usable() bool { return !tg.lost && !tg.entry.Leaving }
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -32,6 +33,8 @@
 	HasBody bool
 	// Fresh asks for a new connection.
 	Fresh bool
+	// DialTimeout bounds the time to connect when it is shorter than the pool's; zero leaves that.
+	DialTimeout time.Duration
 	// Belongs reports whether an answer is to this request; others are passed over.
 	Belongs func(status int, header http.Header) bool
 }
@@ -70,7 +73,7 @@
 // Exchange sends a request and returns the head of its answer. The end of ctx closes the connection, which most targets
 // take as a cancellation.
 func (pl *Pool) Exchange(ctx context.Context, rq *Request) (*Answer, error) {
-	cn, err := pl.take(ctx, rq.Address, rq.Fresh)
+	cn, err := pl.take(ctx, rq)
 	if err != nil {
 		return nil, &NotSentError{Cause: err}
 	}
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -91,9 +91,9 @@
 }
 
 // take returns a kept connection that is still sound, or opens one.
-func (pl *Pool) take(ctx context.Context, address netip.AddrPort, fresh bool) (*conn, error) {
-	for !fresh {
-		cn := pl.pop(address)
+func (pl *Pool) take(ctx context.Context, rq *Request) (*conn, error) {
+	for !rq.Fresh {
+		cn := pl.pop(rq.Address)
 		if cn == nil {
 			break
 		}
@@ -103,7 +103,12 @@
 		}
 		cn.close()
 	}
-	raw, err := pl.dialer.DialContext(ctx, "tcp", address.String())
+	if rq.DialTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, rq.DialTimeout)
+		defer cancel()
+	}
+	raw, err := pl.dialer.DialContext(ctx, "tcp", rq.Address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the target")
 	}
