Pass on a target's own failure when a second target gives nothing better

Cause: the failure was kept for the send that it ended only. A request that may be repeated, failed by one target and then refused, cut off or not answered by another one, got the host's 502 or 504, without the target's receipt. TestTargetsOwnFailure failed before in all three cases.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -16,8 +16,6 @@
 	request *http.Request
 	started time.Time
 	took    time.Duration
-	// firstByte is the time from the start to the first bytes of the answer.
-	firstByte time.Duration
 
 	table    *routing.Table
 	facts    chestnutroad.CallFacts
@@ -30,6 +28,8 @@
 	progress attempt.State
 	ask      placement.Ask
 	choice   placement.Choice
+	// failure is the last failure of a target's own, which the caller gets when nothing better follows.
+	failure *whole
 	// trail lists each send with its target and end, for the log.
 	trail  []string
 	status int
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -22,7 +22,7 @@
 	end attempt.End
 	// done is true when the caller has the whole answer.
 	done bool
-	// failure is the target's own failure, kept in case that nothing better follows.
+	// failure is the target's own failure.
 	failure *whole
 	err     error
 	outcome placement.Outcome
@@ -57,6 +57,9 @@
 		if res.done {
 			return nil
 		}
+		if res.failure != nil {
+			ex.failure = res.failure
+		}
 		if ex.request.Context().Err() != nil {
 			return errors.Mark(res.err, errCallerGone)
 		}
@@ -100,6 +103,9 @@
 
 // noTarget concludes an exchange for which no target is left.
 func (en *Entry) noTarget(ex *exchange) error {
+	if ex.failure != nil && !ex.delivered() {
+		return en.deliver(ex, ex.failure)
+	}
 	if ex.progress.MayHaveRun || ex.delivered() {
 		return en.failed(ex, "no further target is left")
 	}
@@ -117,8 +123,8 @@
 }
 
 func (en *Entry) conclude(ex *exchange, step attempt.Step, res *result) error {
-	if step == attempt.Deliver && !ex.delivered() {
-		return en.deliver(ex, res.failure)
+	if ex.failure != nil && !ex.delivered() {
+		return en.deliver(ex, ex.failure)
 	}
 	if step == attempt.Refuse {
 		refusal := chestnutroad.Refuse(chestnutroad.TargetRefused, res.err.Error())
@@ -132,7 +138,6 @@
 	copyHeader(ex.writer.Header(), an.header)
 	ex.writer.Header().Set("Content-Length", strconv.Itoa(len(an.body)))
 	ex.status = an.status
-	ex.firstByte = en.now().Sub(ex.started)
 	ex.writer.WriteHeader(an.status)
 	if ex.request.Method == http.MethodHead {
 		return nil
--- a/internal/entry/serve_test.go
+++ b/internal/entry/serve_test.go
@@ -188,3 +188,36 @@
 		}
 	}
 }
+
+// TestTargetsOwnFailure guards against a target's own failure that is replaced by one of the host, when the request went
+// on to a second target and got nothing better there.
+func TestTargetsOwnFailure(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name   string
+		second standin.Behaviour
+	}{
+		{"second refuses", standin.Refuse},
+		{"second cuts its answer", standin.Cut},
+		{"second hangs", standin.Hang},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			one, two := st.runner("i-1", "desk"), st.runner("i-2", "desk")
+			ht := st.start("host-1", true)
+			one.Always(standin.FailRun)
+			two.Always(tc.second)
+			for _, id := range []string{"r-1", "r-2", "r-3", "r-4"} {
+				got := ht.call(t.Context(), standin.Call{
+					Method: http.MethodGet, Path: "/stock/x", ID: id, Key: "k-1", Budget: 600 * time.Millisecond,
+				})
+				if got.status != http.StatusInternalServerError || !got.facts().Receipt {
+					t.Errorf("%s got %d %q\n%s", id, got.status, got.body, ht.log)
+				}
+			}
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -67,7 +67,6 @@
 func (en *Entry) startStream(ex *exchange, header http.Header) {
 	copyHeader(ex.writer.Header(), header)
 	ex.status = http.StatusOK
-	ex.firstByte = en.now().Sub(ex.started)
 	ex.writer.WriteHeader(http.StatusOK)
 }
 
