Make one retry budget and one list of hop-by-hop headers of each pair, and apply RedirectLimit

The fading retry budget stood in internal/host and in internal/replay, the headers of one connection in internal/target and internal/caller, the latter without those that a Connection header names. RedirectLimit of the fleet's settings was checked and not applied; TestRedirectLimitOfTheSettings sees its effect.

--- a/internal/caller/plainanswer.go
+++ b/internal/caller/plainanswer.go
@@ -4,13 +4,9 @@
 	"net/http"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/hopbyhop"
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // plainAnswer passes a plain service's answer on without change.
 type plainAnswer struct {
 	out *output
@@ -22,9 +18,7 @@
 	for name, values := range header {
 		target[name] = values
 	}
-	for _, name := range hopHeaders {
-		target.Del(name)
-	}
+	hopbyhop.Remove(target)
 	an.out.head(status)
 	return nil
 }
--- /dev/null
+++ b/internal/hopbyhop/doc.go
@@ -0,0 +1,2 @@
+// Package hopbyhop knows the headers that concern one connection only.
+package hopbyhop
--- a/internal/host/entry.go
+++ b/internal/host/entry.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 )
 
@@ -32,9 +34,12 @@
 
 // entry forwards callers' requests to the owners of shards.
 type entry struct {
-	fleet         fleet
-	now           func() time.Time
-	budget        *retryBudget
+	fleet fleet
+	now   func() time.Time
+
+	// mu guards the limits, which a configuration changes while requests run.
+	mu            sync.Mutex
+	budget        *retrybudget.Fading
 	redirectLimit int
 }
 
@@ -50,21 +55,42 @@
 	return &entry{
 		fleet:         fleet,
 		now:           now,
-		budget:        newRetryBudget(defaultRetryShare, defaultRetryWindow, defaultRetryFloor),
+		budget:        retrybudget.NewFading(defaultRetryShare, defaultRetryWindow, defaultRetryFloor),
 		redirectLimit: defaultRedirectLimit,
 	}
 }
 
 // configure applies the limits of the configuration in force.
 func (en *entry) configure(fleet settings.Fleet) {
-	en.budget.configure(fleet.RetryShare, fleet.RetryWindow, fleet.RetryFloor)
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.budget.Configure(fleet.RetryShare, fleet.RetryWindow, fleet.RetryFloor)
+	en.redirectLimit = fleet.RedirectLimit
+}
+
+func (en *entry) countRequest() {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.budget.Request(en.now())
+}
+
+func (en *entry) takeRetry() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.budget.Retry(en.now())
+}
+
+func (en *entry) redirects() int {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.redirectLimit
 }
 
 // Forward runs the call and returns nil once the whole answer was passed on.
 func (en *entry) Forward(
 	ctx context.Context, request *chestnutroad.Request, call *chestnutroad.Call, answer chestnutroad.Answer,
 ) error {
-	en.budget.request(en.now())
+	en.countRequest()
 	chatHeader(request, call)
 	route := &routing{entry: en, request: request, tried: map[chestnutroad.ShardID]bool{}}
 	pg := &progress{answer: answer, onTokens: func(chestnutroad.Tokens) {}}
@@ -128,7 +154,7 @@
 	switch {
 	case refusal.NotRun && refusal.Kind.Answer().Elsewhere:
 		rt.tried[shard] = true
-		return refusal.Kind != chestnutroad.TargetRefused || rt.entry.budget.retry(rt.entry.now())
+		return refusal.Kind != chestnutroad.TargetRefused || rt.entry.takeRetry()
 	case refusal.Kind == chestnutroad.StreamBroken && pg.repeatable(rt.request):
 		return rt.mayResume() && rt.waitForOwner(ctx)
 	default:
@@ -141,13 +167,13 @@
 func (rt *routing) mayResume() bool {
 	rt.resumes++
 	rt.searching = time.Time{}
-	return rt.resumes == 1 || rt.entry.budget.retry(rt.entry.now())
+	return rt.resumes == 1 || rt.entry.takeRetry()
 }
 
 // follow goes to the shard that an owner named, up to the limit.
 func (rt *routing) follow(shard chestnutroad.ShardID) bool {
 	rt.redirects++
-	if rt.redirects > rt.entry.redirectLimit {
+	if rt.redirects > rt.entry.redirects() {
 		rt.last = chestnutroad.Refuse(chestnutroad.Overloaded, "every shard is at its load bound").After(noOwnerRetry)
 		return false
 	}
--- a/internal/host/entry_test.go
+++ b/internal/host/entry_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
 )
 
 // scriptedFleet answers the attempts of requests in order; the last answer repeats.
@@ -161,3 +162,17 @@
 		t.Error("the budget allowed no retry at all")
 	}
 }
+
+// TestRedirectLimitOfTheSettings guards against the key RedirectLimit that is checked and has no effect.
+func TestRedirectLimitOfTheSettings(t *testing.T) {
+	for _, limit := range []int{0, 1, 5} {
+		fleet := &scriptedFleet{answers: []error{&redirect{shardIn("c")}}}
+		en := newEntry(fleet, time.Now)
+		en.configure(settings.Fleet{RedirectLimit: limit, RetryWindow: time.Second})
+		request := chestnutroad.Request{Chat: 1, Repeat: chestnutroad.RepeatAllowed}
+		err := en.Forward(t.Context(), &request, &chestnutroad.Call{Header: http.Header{}}, nothing{})
+		if chestnutroad.RefusalOf(err).Kind != chestnutroad.Overloaded || fleet.count != limit+1 {
+			t.Errorf("with a limit of %d the fleet was asked %d times: %v", limit, fleet.count, err)
+		}
+	}
+}
--- a/internal/replay/host.go
+++ b/internal/replay/host.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/member"
 	"github.com/chestnutroad/chestnutroad/internal/order"
 	"github.com/chestnutroad/chestnutroad/internal/pool"
+	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
 	"github.com/chestnutroad/chestnutroad/internal/trace"
 )
 
@@ -20,7 +21,7 @@
 	leaving   bool
 	born      time.Duration
 	died      time.Duration
-	budget    *retryBudget
+	budget    *retrybudget.Fading
 	control   controlCounter
 	instances map[chestnutroad.ServiceID]*instance
 
@@ -48,7 +49,7 @@
 	fleet := si.effective.Fleet
 	ho := &host{
 		si: si, Host: description, alive: true, born: si.queue.now,
-		budget:    newRetryBudget(fleet.RetryShare, fleet.RetryWindow, fleet.RetryFloor),
+		budget:    retrybudget.NewFading(fleet.RetryShare, fleet.RetryWindow, fleet.RetryFloor),
 		instances: map[chestnutroad.ServiceID]*instance{},
 		books:     member.NewOwnership(description.ID),
 		owned:     map[chestnutroad.ShardID]*instance{},
--- /dev/null
+++ b/internal/retrybudget/fading.go
@@ -0,0 +1,55 @@
+package retrybudget
+
+import "time"
+
+// Fading allows retries as a share of recent requests, with a floor; both counts fade, so that they stand for the requests
+// of about one window. It is not safe for concurrent use.
+type Fading struct {
+	share    float64
+	floor    float64
+	window   time.Duration
+	requests float64
+	retries  float64
+	last     time.Time
+}
+
+// NewFading returns a budget of share retries for each request, and perSecond retries a second at least.
+func NewFading(share float64, window time.Duration, perSecond int) *Fading {
+	fd := &Fading{}
+	fd.Configure(share, window, perSecond)
+	return fd
+}
+
+// Configure changes the limits and keeps the counts.
+func (fd *Fading) Configure(share float64, window time.Duration, perSecond int) {
+	fd.share = share
+	fd.window = window
+	fd.floor = float64(perSecond) * window.Seconds()
+}
+
+func (fd *Fading) fade(now time.Time) {
+	elapsed := now.Sub(fd.last)
+	fd.last = now
+	if elapsed <= 0 {
+		return
+	}
+	keep := max(0, 1-elapsed.Seconds()/fd.window.Seconds())
+	fd.requests *= keep
+	fd.retries *= keep
+}
+
+// Request counts a first attempt.
+func (fd *Fading) Request(now time.Time) {
+	fd.fade(now)
+	fd.requests++
+}
+
+// Retry takes one retry, or returns false when the budget is used up.
+func (fd *Fading) Retry(now time.Time) bool {
+	fd.fade(now)
+	if fd.retries+1 > max(fd.floor, fd.share*fd.requests) {
+		return false
+	}
+	fd.retries++
+	return true
+}
--- /dev/null
+++ b/internal/retrybudget/fading_test.go
@@ -0,0 +1,43 @@
+package retrybudget_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
+)
+
+// TestFading guards against retries that multiply an overload, and against hosts with few requests that get none.
+func TestFading(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		requests int
+		// after is the time between the requests and the retries.
+		after time.Duration
+		want  int
+	}{
+		{"floor", 0, 0, 10},
+		{"share", 1000, 0, 100},
+		{"half a window later", 1000, 5 * time.Second, 50},
+		{"a window later", 1000, 10 * time.Second, 10},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			fd := retrybudget.NewFading(0.1, 10*time.Second, 1)
+			now := time.Unix(1_000_000, 0)
+			for range tc.requests {
+				fd.Request(now)
+			}
+			now = now.Add(tc.after)
+			got := 0
+			for fd.Retry(now) && got < 1000 {
+				got++
+			}
+			if got != tc.want {
+				t.Errorf("%d retries were allowed, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/target/header.go
+++ b/internal/target/header.go
@@ -3,10 +3,10 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	chestnutroad "github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/hopbyhop"
 )
 
 // The headers between the fleet and its targets.
@@ -25,13 +25,6 @@
 	HeaderKey = "Idempotency-Key"
 )
 
-// hopHeaders concern one connection only and are not forwarded (RFC 9110, section 7.6.1). Expect is dropped because
-// the body is already at hand, and Content-Length because it is set from the body.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
-}
-
 // requestHeader returns the call's header as it is sent to the target.
 func requestHeader(call *chestnutroad.Call) http.Header {
 	header := Forwardable(call.Header)
@@ -62,14 +55,10 @@
 	if header == nil {
 		header = make(http.Header)
 	}
-	for _, list := range from["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
+	hopbyhop.Remove(header)
+	// The body is already at hand, and its length is set from it.
+	header.Del("Expect")
+	header.Del("Content-Length")
 	return header
 }
 
