Do not take replaced targets for a data centre that is cut off

A target whose address another one has taken over answers that at once, so that the data centre can be reached; four such targets closed the whole data centre (TestReplacedTargets failed with the outcome used before).

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -267,7 +267,7 @@
 	body, err := io.ReadAll(io.LimitReader(an.Body, maxWhole+1))
 	switch {
 	case facts.WrongTarget:
-		return result{end: attempt.NotRun, err: errWrongTarget, outcome: placement.Unreachable}
+		return result{end: attempt.NotRun, err: errWrongTarget, outcome: placement.Replaced}
 	case facts.NotRun:
 		if err == nil {
 			an.Finish()
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -174,6 +174,8 @@
 	Failed
 	// Unreachable means that no connection to the target could be opened, or that it went silent.
 	Unreachable
+	// Replaced means that another target answered at the address.
+	Replaced
 	// Shed means that the target was full and did not run the request.
 	Shed
 	// Unknown tells nothing of the target, as when the caller left first.
@@ -201,6 +203,10 @@
 		tg.bad++
 		tg.reach.miss(now)
 		pl.centre(tg.entry.DataCentre).miss(now, id)
+	case Replaced:
+		pl.reached(tg)
+		tg.bad++
+		tg.reach.miss(now)
 	case Shed:
 		pl.reached(tg)
 		tg.pausedUntil = now.Add(shedPause)
--- a/internal/placement/reach_test.go
+++ b/internal/placement/reach_test.go
@@ -103,3 +103,23 @@
 		t.Errorf("%d of 60 requests were served in other data centres after the cut, want 48 or so", far)
 	}
 }
+
+// TestReplacedTargets guards against a data centre that counts as cut off because other targets took over the addresses of
+// some of its targets: those answered, so that it can be reached.
+func TestReplacedTargets(t *testing.T) {
+	t.Parallel()
+	pl := placement.NewPool("a")
+	for index := range 6 {
+		pl.Set(entry(index, "b", 16))
+	}
+	replaced := map[chestnutroad.TargetID]bool{"i-000": true, "i-001": true, "i-002": true, "i-003": true}
+	for id := range replaced {
+		pl.Observe(start, id, placement.Replaced)
+	}
+	for index := range 40 {
+		choice, found := pl.Choose(start, ask(fmt.Sprintf("part-%d", index), index))
+		if !found || replaced[choice.Entry.ID] || choice.Suspect || choice.Trial {
+			t.Fatalf("request %d got %+v, %t", index, choice, found)
+		}
+	}
+}
