Log when a target or a data centre is lost or back, and why no target was left

Lines for each change of what is believed of connections, the numbers Known, Leaving and Closed on a request without a target, and the state Unreachable of chestnutroad_targets. TestReachIsLogged and TestReachChanges.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -30,6 +30,8 @@
 	choice   placement.Choice
 	// failure is the last failure of a target's own, which the caller gets when nothing better follows.
 	failure *whole
+	// census counts the targets of the service when none was left.
+	census *placement.Census
 	// trail lists each send with its target and end, for the log.
 	trail  []string
 	status int
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -51,7 +51,7 @@
 		ex.choice = choice
 		sent := en.now()
 		res := en.send(ex, &choice.Entry)
-		en.state.finish(en.now(), choice.Entry.ID, res.outcome)
+		en.logReach(&choice.Entry, en.state.finish(en.now(), choice.Entry.ID, res.outcome), res.err)
 		en.counters.sent(string(ex.service), res.err)
 		ex.trail = append(ex.trail, trailStep(&choice, &res, en.now().Sub(sent)))
 		if res.done {
@@ -71,6 +71,23 @@
 	}
 }
 
+// logReach writes a line when it changed whether a target or its data centre can be reached.
+func (en *Entry) logReach(entry *chestnutroad.TargetEntry, change placement.Reach, err error) {
+	if change.TargetLost {
+		en.logger.Info("target can't be reached", "Target", entry.ID, "Service", entry.Service,
+			"Address", entry.Address, "TargetCentre", entry.DataCentre, "Error", err)
+	}
+	if change.CentreLost {
+		en.logger.Warn("data centre can't be reached", "TargetCentre", entry.DataCentre, "Target", entry.ID, "Error", err)
+	}
+	if change.TargetBack {
+		en.logger.Info("target can be reached again", "Target", entry.ID, "Service", entry.Service, "TargetCentre", entry.DataCentre)
+	}
+	if change.CentreBack {
+		en.logger.Info("data centre can be reached again", "TargetCentre", entry.DataCentre, "Target", entry.ID)
+	}
+}
+
 func trailStep(choice *placement.Choice, res *result, took time.Duration) string {
 	text := string(choice.Entry.ID) + " " + strconv.FormatInt(took.Milliseconds(), 10) + "ms"
 	if res.err != nil {
@@ -109,6 +126,8 @@
 	if ex.progress.MayHaveRun || ex.delivered() {
 		return en.failed(ex, "no further target is left")
 	}
+	census := en.state.census(en.now(), ex.service)
+	ex.census = &census
 	return chestnutroad.Refuse(chestnutroad.NoTarget, "no target is left").After(noTargetReturn)
 }
 
--- /dev/null
+++ b/internal/entry/reach_test.go
@@ -0,0 +1,43 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// TestReachIsLogged guards against a refusal whose cause can't be found in the log: of ten failed requests of a played day
+// six had no target left, and no line told that a data centre could not be reached.
+func TestReachIsLogged(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	for index := range 3 {
+		rn := st.runner(fmt.Sprintf("i-%d", index), "desk")
+		rn.Close()
+	}
+	ht := st.start("host-1", true)
+	for _, id := range []string{"r-1", "r-2"} {
+		got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: id, Key: "k-1", Body: "b"})
+		if got.status != http.StatusServiceUnavailable {
+			t.Errorf("%s got %d", id, got.status)
+		}
+	}
+	text := ht.log.String()
+	cases := []struct {
+		text  string
+		count int
+	}{
+		{`"Message":"target can't be reached"`, 3},
+		{`"Message":"data centre can't be reached"`, 1},
+		{`"Known":3,"Leaving":0,"Closed":3`, 2},
+	}
+	for _, tc := range cases {
+		if got := strings.Count(text, tc.text); got != tc.count {
+			t.Errorf("the log has %q %d times, want %d\n%s", tc.text, got, tc.count, text)
+		}
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -76,6 +76,9 @@
 		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound, "Preference", ex.choice.Preference,
 			"Trial", ex.choice.Trial)
 	}
+	if ex.census != nil {
+		fields = append(fields, "Known", ex.census.Known, "Leaving", ex.census.Leaving, "Closed", ex.census.Closed)
+	}
 	if err != nil {
 		fields = append(fields, "Error", err)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -78,11 +78,17 @@
 	return choice, found
 }
 
-func (st *state) finish(now time.Time, id chestnutroad.TargetID, outcome placement.Outcome) {
+func (st *state) finish(now time.Time, id chestnutroad.TargetID, outcome placement.Outcome) placement.Reach {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.pool.Finish(id)
-	st.pool.Observe(now, id, outcome)
+	return st.pool.Observe(now, id, outcome)
+}
+
+func (st *state) census(now time.Time, service chestnutroad.ServiceID) placement.Census {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.pool.Census(now, service)
 }
 
 func (st *state) reported(now time.Time, id chestnutroad.TargetID, facts *chestnutroad.AnswerFacts) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -107,13 +107,15 @@
 	return entries
 }
 
-// States counts the targets that are ready, that leave, and that are passed over since they failed.
+// States counts the targets that are ready, that leave, that can't be reached, and that are passed over since they failed.
 func (pl *Pool) States(now time.Time) map[string]int {
 	counts := map[string]int{}
 	for _, tg := range pl.targets {
 		switch {
 		case tg.entry.Leaving:
 			counts["Leaving"]++
+		case pl.closed(now, tg):
+			counts["Unreachable"]++
 		case pl.suspect(now, tg):
 			counts["Suspect"]++
 		default:
@@ -185,31 +187,54 @@
 // shedPause is how long a target that was full is passed over.
 const shedPause = 100 * time.Millisecond
 
-// Observe takes in how a request at a target ended.
-func (pl *Pool) Observe(now time.Time, id chestnutroad.TargetID, outcome Outcome) {
+// Observe takes in how a request at a target ended and returns how that changed what is believed of connections.
+func (pl *Pool) Observe(now time.Time, id chestnutroad.TargetID, outcome Outcome) Reach {
 	tg := pl.targets[id]
 	if tg == nil {
-		return
+		return Reach{}
 	}
 	tg.fade(now)
+	change := Reach{}
 	switch outcome {
 	case Served:
 		tg.good++
-		pl.reached(tg)
+		change = pl.reached(tg)
 	case Failed:
 		tg.bad++
+		change.TargetBack = tg.reach.pause > 0
 		tg.reach = reach{}
 	case Unreachable:
 		tg.bad++
-		tg.reach.miss(now)
-		pl.centre(tg.entry.DataCentre).miss(now, id)
+		change.TargetLost = tg.reach.miss(now)
+		change.CentreLost = pl.centre(tg.entry.DataCentre).miss(now, id)
 	case Replaced:
-		pl.reached(tg)
+		change = pl.reached(tg)
 		tg.bad++
-		tg.reach.miss(now)
+		change.TargetBack, change.TargetLost = false, tg.reach.miss(now)
 	case Shed:
-		pl.reached(tg)
+		change = pl.reached(tg)
 		tg.pausedUntil = now.Add(shedPause)
 	case Unknown:
 	}
+	return change
+}
+
+// Census counts the targets of a service by why they may not be used.
+type Census struct {
+	// Known are all targets that have an entry; Leaving ones get no new requests; Closed ones can't be reached.
+	Known, Leaving, Closed int
+}
+
+// Census counts the targets of a service.
+func (pl *Pool) Census(now time.Time, service chestnutroad.ServiceID) Census {
+	count := Census{Known: len(pl.services[service])}
+	for _, tg := range pl.services[service] {
+		switch {
+		case tg.entry.Leaving:
+			count.Leaving++
+		case pl.closed(now, tg):
+			count.Closed++
+		}
+	}
+	return count
 }
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -26,13 +26,15 @@
 	missedAt time.Time
 }
 
-// miss takes in a connection that failed.
-func (rc *reach) miss(now time.Time) {
+// miss takes in a connection that failed and reports whether that is the first since one was opened.
+func (rc *reach) miss(now time.Time) bool {
 	if rc.pause > 0 && now.Sub(rc.missedAt) < sameMiss {
-		return
+		return false
 	}
+	first := rc.pause == 0
 	rc.pause = min(longestPause, max(firstPause, 2*rc.pause))
 	rc.until, rc.missedAt = now.Add(rc.pause), now
+	return first
 }
 
 // closed reports whether a request would most likely only wait for a connection.
@@ -53,11 +55,17 @@
 	missed map[chestnutroad.TargetID]bool
 }
 
-func (cn *centre) miss(now time.Time, id chestnutroad.TargetID) {
+func (cn *centre) miss(now time.Time, id chestnutroad.TargetID) bool {
 	cn.missed[id] = true
-	if len(cn.missed) >= cutAfter {
-		cn.reach.miss(now)
-	}
+	return len(cn.missed) >= cutAfter && cn.reach.miss(now)
+}
+
+// Reach says how the outcome of a request changed what is believed of connections.
+type Reach struct {
+	// TargetLost and CentreLost are true when the target or its data centre can't be reached from now on.
+	TargetLost, CentreLost bool
+	// TargetBack and CentreBack are true when they can be reached again.
+	TargetBack, CentreBack bool
 }
 
 func (pl *Pool) centre(id chestnutroad.DataCentreID) *centre {
@@ -70,9 +78,12 @@
 }
 
 // reached takes in that a target answered.
-func (pl *Pool) reached(tg *target) {
+func (pl *Pool) reached(tg *target) Reach {
+	known := pl.centres[tg.entry.DataCentre]
+	change := Reach{TargetBack: tg.reach.pause > 0, CentreBack: known != nil && known.reach.pause > 0}
 	tg.reach = reach{}
 	delete(pl.centres, tg.entry.DataCentre)
+	return change
 }
 
 // closed reports whether the target or its data centre could not be reached lately.
--- a/internal/placement/reach_test.go
+++ b/internal/placement/reach_test.go
@@ -123,3 +123,42 @@
 		}
 	}
 }
+
+// TestReachChanges guards against a log that leaves out when a target or a data centre was lost or came back, and against
+// one that repeats it with each request.
+func TestReachChanges(t *testing.T) {
+	t.Parallel()
+	targetLost, targetBack := placement.Reach{TargetLost: true}, placement.Reach{TargetBack: true}
+	steps := []struct {
+		name    string
+		target  chestnutroad.TargetID
+		outcome placement.Outcome
+		want    placement.Reach
+		// closed is the number of targets that can't be reached afterwards.
+		closed int
+	}{
+		{"first miss", "i-000", placement.Unreachable, targetLost, 1},
+		{"the same cause", "i-000", placement.Unreachable, placement.Reach{}, 1},
+		{"second target", "i-001", placement.Unreachable, targetLost, 2},
+		{"third target", "i-002", placement.Unreachable, placement.Reach{TargetLost: true, CentreLost: true}, 4},
+		{"fourth target", "i-003", placement.Unreachable, targetLost, 4},
+		{"nothing known", "i-003", placement.Unknown, placement.Reach{}, 4},
+		{"one answers", "i-000", placement.Served, placement.Reach{TargetBack: true, CentreBack: true}, 3},
+		{"it answers again", "i-000", placement.Served, placement.Reach{}, 3},
+		{"another refuses", "i-001", placement.Shed, targetBack, 2},
+		{"another breaks off", "i-002", placement.Failed, targetBack, 1},
+		{"another was replaced", "i-001", placement.Replaced, targetLost, 2},
+	}
+	pl := placement.NewPool("a")
+	for index := range 4 {
+		pl.Set(entry(index, "b", 16))
+	}
+	for _, step := range steps {
+		if got := pl.Observe(start, step.target, step.outcome); got != step.want {
+			t.Errorf("%s: got %+v, want %+v", step.name, got, step.want)
+		}
+		if got := pl.Census(start, "s"); got != (placement.Census{Known: 4, Closed: step.closed}) {
+			t.Errorf("%s: got %+v, want %d closed", step.name, got, step.closed)
+		}
+	}
+}
