Count a target against itself that turns requests away with free places

Orders may be sent to one target by their rule, so that they were refused. TestTargetThatShedsWhileEmpty failed before.

--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -214,6 +214,10 @@
 	case Shed:
 		change = pl.reached(tg)
 		tg.pausedUntil = now.Add(shedPause)
+		if tg.load(now) < tg.entry.Slots {
+			// A target with free places has no reason to turn requests away.
+			tg.bad++
+		}
 	case Unknown:
 	}
 	return change
--- a/internal/placement/reach_test.go
+++ b/internal/placement/reach_test.go
@@ -162,3 +162,43 @@
 		}
 	}
 }
+
+// TestTargetThatShedsWhileEmpty answers the load of a target that turns requests away although it has free places: on
+// kaffivakt-router-grown inc-4a1c one did so for two seconds, and orders, which may be sent to one target only, were
+// refused. It is passed over like one that fails; a target that is really full only pauses.
+func TestTargetThatShedsWhileEmpty(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		load int
+		used bool
+	}{
+		{"nearly empty", 1, false},
+		{"full", 20, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			pl := newPool(3, 8)
+			counts := map[chestnutroad.TargetID]int{"i-000": tc.load, "i-001": tc.load, "i-002": tc.load}
+			pl.SetOthers(counts)
+			for index := range 6 {
+				outcome := placement.Served
+				if index%2 == 0 {
+					outcome = placement.Shed
+				}
+				pl.Observe(start, "i-000", outcome)
+			}
+			used := false
+			for index := range 60 {
+				choice, _ := pl.Choose(start.Add(200*time.Millisecond), &placement.Ask{
+					Service: "s", Request: chestnutroad.RequestID(fmt.Sprintf("r-%d", index)),
+				})
+				used = used || choice.Entry.ID == "i-000"
+			}
+			if used != tc.used {
+				t.Errorf("the target is used: %t", used)
+			}
+		})
+	}
+}
