Send all targets to hosts that may hold one that ended unseen

A host that reads the whole list of targets knows no ends of targets that came and went before. Asked by a host that held such a target, it answered with changes alone, and the target stayed in use there.

TestLateStartTellsOfEnds fails without the change: in two of four cases the asking host gets changes that leave the end out.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -321,16 +321,23 @@
 		}
 	}
 	en.state.mu.Unlock()
-	en.applyTargets(all, next)
+	en.takeTargets(all, next, en.state.replaceRecords)
 	en.state.listed.Store(true)
 }
 
-// applyTargets takes in records of targets up to next.
+// applyTargets takes in the changes of targets up to next.
 func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+	en.takeTargets(records, next, en.state.applyRecords)
+}
+
+// takeTargets has records of targets take effect, and then keeps them for other hosts.
+func (en *Entry) takeTargets(
+	records []chestnutroad.KeyedRecord, next chestnutroad.Offset, keep func([]chestnutroad.KeyedRecord, chestnutroad.Offset),
+) {
 	for _, record := range records {
 		en.applyTarget(&record)
 	}
-	en.state.applyRecords(records, next)
+	keep(records, next)
 }
 
 func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) {
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -23,7 +23,7 @@
 	// gone holds the offset at which a key lost its record.
 	gone map[string]chestnutroad.Offset
 	next chestnutroad.Offset
-	// whole is the offset below which keys that are gone were forgotten.
+	// whole is the offset below which keys that are gone were forgotten or never known.
 	whole chestnutroad.Offset
 }
 
@@ -80,6 +80,14 @@
 	return all
 }
 
+// jump notes that the records up to next are known without the changes between: a key that came and went meanwhile, or
+// before the host started, is not known here, and hosts that hold it have to get all records.
+func (rs *records) jump(next chestnutroad.Offset) {
+	if next > rs.next {
+		rs.whole = next
+	}
+}
+
 // since returns the changes that a host lacks that holds the records below the offset.
 func (rs *records) since(held chestnutroad.Offset) []chestnutroad.KeyedRecord {
 	var changes []chestnutroad.KeyedRecord
--- a/internal/entry/records_test.go
+++ b/internal/entry/records_test.go
@@ -125,3 +125,38 @@
 		t.Errorf("got %+v, %v", records, err)
 	}
 }
+
+// TestLateStartTellsOfEnds guards against a host that holds a target whose end it is never told of, since the host that it
+// asks learned the list of targets after that end (lustre-ruta-grown trouble-2, seed 33488221257).
+func TestLateStartTellsOfEnds(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// before and beforeNext are what the asked host knew before it read the whole list up to offset 10, in which "a" is
+		// no more.
+		before     []chestnutroad.KeyedRecord
+		beforeNext chestnutroad.Offset
+		// held is what the asking host holds, with "a" among it.
+		held chestnutroad.Offset
+		all  bool
+	}{
+		{"started after the end", nil, 0, 6, true},
+		{"missed its life", []chestnutroad.KeyedRecord{keyed(1, "b", "x")}, 2, 6, true},
+		{"asked by a host that holds the whole list", nil, 0, 10, false},
+		{"read the list anew without a change", []chestnutroad.KeyedRecord{keyed(1, "b", "x")}, 10, 6, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newState(&settings.Entry{CapFactor: 2})
+			st.listed.Store(true)
+			st.applyRecords(tc.before, tc.beforeNext)
+			st.replaceRecords([]chestnutroad.KeyedRecord{keyed(1, "b", "x")}, 10)
+			st.applyRecords([]chestnutroad.KeyedRecord{keyed(10, "c", "x")}, 11)
+			answer := st.beyond(&siblings.StateRequest{Offset: tc.held})
+			if all := len(answer.AllTargets) > 0; all != tc.all {
+				t.Errorf("all targets: %t, want %t", all, tc.all)
+			}
+		})
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -183,7 +183,15 @@
 	return counts
 }
 
-// applyRecords takes in records of targets up to next.
+// replaceRecords takes in the newest record of each target up to next, and the ends of targets that have none any more.
+func (st *state) replaceRecords(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+	st.mu.Lock()
+	st.records.jump(next)
+	st.mu.Unlock()
+	st.applyRecords(records, next)
+}
+
+// applyRecords takes in the changes of targets up to next.
 func (st *state) applyRecords(changes []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
