Obey targets that say that they leave or want no requests for a time

Answers of a target can state that it leaves (Server-Leaving) and a 503 the time for which it wants nothing from the host (Retry-After). Neither was read: hosts went by the store alone, and sent a target that had turned a request away the next one 100 ms later.

A target that says that it leaves gets nothing more from the host that was told, until a new life is registered, whatever the store says or if it is silent. One that wants nothing for a time gets nothing until then, and a request for which no other target is left is refused at once, with that time as Retry-After. Hosts tell each other with the counts; what other hosts were told of a time has targets passed over while others are left.

--- a/call.go
+++ b/call.go
@@ -53,6 +53,11 @@
 	Running int
 	Waiting int
 	HasLoad bool
+	// Leaving is true when the target states that it leaves.
+	Leaving bool
+	// RetryAfter is the time for which a target that turned the request away wants no requests from this host; zero when
+	// it states none.
+	RetryAfter time.Duration
 }
 
 // Wire translates between the headers of an installation and the product.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -54,7 +54,7 @@
 		choice, found := en.state.choose(en.now(), &ex.ask)
 		en.countRefusal(ex, !found && choice.Full)
 		if !found {
-			return en.noTarget(ex, choice.Full)
+			return en.noTarget(ex, &choice)
 		}
 		ex.choice = choice
 		sent := en.now()
@@ -169,18 +169,21 @@
 )
 
 // noTarget concludes an exchange for which no target is left.
-func (en *Entry) noTarget(ex *exchange, full bool) error {
+func (en *Entry) noTarget(ex *exchange, choice *placement.Choice) error {
 	if ex.failure != nil && !ex.delivered() {
 		return en.deliver(ex, ex.failure)
 	}
 	if ex.progress.MayHaveRun || ex.delivered() {
 		return en.failed(ex, "no further target is left")
 	}
-	if full {
+	if choice.Full {
 		return en.overloaded(ex, "no target has a place")
 	}
 	census := en.state.census(en.now(), ex.service)
 	ex.census = &census
+	if choice.Wait > 0 {
+		return chestnutroad.Refuse(chestnutroad.NoTarget, "all targets turned requests away for a time").After(choice.Wait)
+	}
 	return chestnutroad.Refuse(chestnutroad.NoTarget, "no target is left").After(noTargetReturn)
 }
 
@@ -212,7 +215,7 @@
 			return en.overloaded(ex, res.err.Error())
 		}
 		refusal := chestnutroad.Refuse(chestnutroad.TargetRefused, res.err.Error())
-		return refusal.After(overloadReturn)
+		return refusal.After(max(overloadReturn, en.state.soonestReturn(en.now(), ex.service)))
 	}
 	return en.failed(ex, res.err.Error())
 }
@@ -267,7 +270,7 @@
 	}
 	defer an.Close()
 	facts := en.wire.ReadAnswer(an.Status, an.Header)
-	en.state.reported(en.now(), entry.ID, &facts)
+	en.takeFacts(entry, &facts)
 	ex.reported = facts
 	if ex.rule.Streaming && an.Status == http.StatusOK && facts.Receipt && an.Header.Get("Content-Encoding") == "" {
 		return en.passStream(ex, an, silence)
@@ -275,6 +278,17 @@
 	return en.passWhole(ex, an, &facts)
 }
 
+// takeFacts takes in what a target's answer says of the target.
+func (en *Entry) takeFacts(entry *chestnutroad.TargetEntry, facts *chestnutroad.AnswerFacts) {
+	now := en.now()
+	en.state.reported(now, entry.ID, facts)
+	if facts.WrongTarget || !en.state.noted(now, entry, facts) {
+		return
+	}
+	en.logger.Info("target wants no requests", "Target", entry.ID, "Service", entry.Service, "Address", entry.Address,
+		"Leaving", facts.Leaving, "For", facts.RetryAfter)
+}
+
 // failedSend returns how a send without an answer ended; one whose caller left tells nothing of the target.
 func failedSend(err error, callerGone bool) result {
 	res := result{end: attempt.Broken, err: err, outcome: placement.Failed}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -86,18 +86,27 @@
 		}
 		ln.mu.Lock()
 		known := ln.node.Receive(ln.entry.now(), message)
-		others := ln.node.Others(ln.entry.now(), message.Offset)
+		others := ln.others(ln.entry.now(), message.Offset)
 		ln.mu.Unlock()
 		if !known {
 			ln.askUnknown(from.String())
 			continue
 		}
 		if message.Kind == relay.Beacon && others != nil {
-			ln.entry.state.setOthers(message.Offset, others)
+			ln.entry.state.setOthers(ln.entry.now(), message.Offset, others)
 		}
 	}
 }
 
+// others returns what other hosts said last of the targets, or nil when that is too old; ln.mu must be held.
+func (ln *link) others(now time.Time, offset chestnutroad.Offset) *othersView {
+	counts := ln.node.Others(now, offset)
+	if counts == nil {
+		return nil
+	}
+	return &othersView{counts: counts, notices: ln.node.OthersNotices(now, offset)}
+}
+
 // askUnknown has the state of a host fetched that is not in the list, which names it.
 func (ln *link) askUnknown(address string) {
 	select {
@@ -114,10 +123,10 @@
 		ln.mu.Lock()
 		sends := ln.node.Tick(now, &held)
 		relaying := ln.node.Relaying()
-		others := ln.node.Others(now, held.Offset)
+		others := ln.others(now, held.Offset)
 		ln.mu.Unlock()
 		if relaying && others != nil {
-			ln.entry.state.setOthers(held.Offset, others)
+			ln.entry.state.setOthers(now, held.Offset, others)
 		}
 		if relaying != wasRelaying {
 			ln.entry.logger.Info("relaying changed", "Relaying", relaying, "Version", held.Version, "Fresh", held.Fresh)
@@ -308,7 +317,7 @@
 
 // held returns what the host holds, for other hosts.
 func (en *Entry) held() relay.Held {
-	held := en.state.held()
+	held := en.state.held(en.now())
 	held.Fresh = en.within(&en.lastRead, freshFor)
 	held.Leaving = en.stopping.Load()
 	return held
@@ -327,7 +336,7 @@
 		en.applyConfiguration([]chestnutroad.KeyedRecord{{Key: en.decoder.ConfigurationKey(), Value: text}}, "host "+from)
 	}
 	switch {
-	case answer.Offset <= en.state.held().Offset:
+	case answer.Offset <= en.state.held(en.now()).Offset:
 	case len(answer.AllTargets) > 0:
 		records, err := siblings.UnpackRecords(answer.AllTargets)
 		if err != nil {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -107,6 +107,23 @@
 	st.pool.Reported(now, id, facts.Running, facts.Waiting)
 }
 
+// noted takes in whether the target says that it leaves, or wants no requests for a time, and reports whether that is new.
+func (st *state) noted(now time.Time, entry *chestnutroad.TargetEntry, facts *chestnutroad.AnswerFacts) bool {
+	if !facts.Leaving && facts.RetryAfter <= 0 {
+		return false
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.pool.Noted(now, entry, placement.Notice{Leaving: facts.Leaving, Hold: facts.RetryAfter})
+}
+
+// soonestReturn returns how long no target of the service takes requests; zero when one does.
+func (st *state) soonestReturn(now time.Time, service chestnutroad.ServiceID) time.Duration {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.pool.SoonestReturn(now, service)
+}
+
 func (st *state) budget(service chestnutroad.ServiceID) *retrybudget.Budget {
 	known := st.budgets[service]
 	if known == nil {
@@ -135,22 +152,36 @@
 	st.hosts = count
 }
 
-// setOthers takes in the requests of other hosts at each target, in the order of the ids that were listed at offset.
-func (st *state) setOthers(offset chestnutroad.Offset, counts []byte) {
+// othersView is what other hosts said last of the targets, in the order of the ids that were listed at an offset.
+type othersView struct {
+	counts []byte
+	// notices are nil when no target said anything.
+	notices []relay.Notice
+}
+
+// setOthers takes in what other hosts said of the targets that were listed at offset.
+func (st *state) setOthers(now time.Time, offset chestnutroad.Offset, view *othersView) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if offset != st.records.next {
 		return
 	}
 	keys := st.records.keys()
-	if len(keys) != len(counts) {
+	if len(keys) != len(view.counts) {
 		return
 	}
-	others := make(map[chestnutroad.TargetID]int, len(counts))
+	counts := make(map[chestnutroad.TargetID]int, len(keys))
+	notices := map[chestnutroad.TargetID]placement.Notice{}
 	for index, key := range keys {
-		others[chestnutroad.TargetID(key)] = int(counts[index])
+		id := chestnutroad.TargetID(key)
+		counts[id] = int(view.counts[index])
+		if index < len(view.notices) && view.notices[index] > 0 {
+			notice := view.notices[index]
+			notices[id] = placement.Notice{Leaving: notice == relay.Leaving, Hold: relay.Hold(notice)}
+		}
 	}
-	st.pool.SetOthers(others)
+	st.pool.SetOthers(counts)
+	st.pool.SetOthersNotices(now, notices)
 }
 
 // targets counts the targets by their state.
@@ -161,10 +192,10 @@
 }
 
 // held returns what the host holds.
-func (st *state) held() relay.Held {
+func (st *state) held(now time.Time) relay.Held {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	held := relay.Held{Offset: st.records.next, Own: st.ownCounts()}
+	held := relay.Held{Offset: st.records.next, Own: st.ownCounts(), Notices: st.ownNotices(now)}
 	if tb := st.table.Load(); tb != nil {
 		held.Version = tb.Version()
 	}
@@ -183,6 +214,25 @@
 	return counts
 }
 
+// ownNotices returns what targets said to this host in the order of the records' keys, or nil when none said anything.
+func (st *state) ownNotices(now time.Time) []relay.Notice {
+	own := st.pool.Notices(now)
+	if len(own) == 0 {
+		return nil
+	}
+	keys := st.records.keys()
+	notices := make([]relay.Notice, len(keys))
+	for index, key := range keys {
+		switch said := own[chestnutroad.TargetID(key)]; {
+		case said.Leaving:
+			notices[index] = relay.Leaving
+		default:
+			notices[index] = relay.NewNotice(said.Hold)
+		}
+	}
+	return notices
+}
+
 // replaceRecords takes in the newest record of each target up to next, and the ends of targets that have none any more.
 func (st *state) replaceRecords(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
 	st.mu.Lock()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -45,6 +45,8 @@
 	Trial bool
 	// Full is true when no target was chosen since none that may be used has a place.
 	Full bool
+	// Wait is set when no target was chosen since all that may be used turned requests away for a time: the least of them.
+	Wait time.Duration
 }
 
 // Choose returns the target for a request, or false when the service has none that may be used.
@@ -60,8 +62,9 @@
 			candidates = append(candidates, tg)
 		}
 	}
+	candidates, wait := soonestReturn(now, candidates)
 	if len(candidates) == 0 {
-		return Choice{}, false
+		return Choice{Wait: wait}, false
 	}
 	sound := slices.DeleteFunc(slices.Clone(candidates), func(tg *target) bool { return pl.suspect(now, tg) })
 	suspect := len(sound) == 0
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -89,7 +89,7 @@
 func (pl *Pool) Use(now time.Time, ask *Ask) float64 {
 	taken, places := 0, 0
 	for _, tg := range pl.services[ask.Service] {
-		if tg.usable() && !pl.closed(now, tg) {
+		if tg.usable() && !pl.closed(now, tg) && tg.notice.hold(now) == 0 {
 			taken += tg.load(now)
 			places += tg.places(now, ask)
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -16,6 +16,7 @@
 	targets    map[chestnutroad.TargetID]*target
 	services   map[chestnutroad.ServiceID][]*target
 	centres    map[chestnutroad.DataCentreID]*centre
+	notices    map[chestnutroad.TargetID]*notice
 	popular    *popularity
 	uses       map[chestnutroad.ServiceID]*use
 }
@@ -44,6 +45,7 @@
 		targets:    map[chestnutroad.TargetID]*target{},
 		services:   map[chestnutroad.ServiceID][]*target{},
 		centres:    map[chestnutroad.DataCentreID]*centre{},
+		notices:    map[chestnutroad.TargetID]*notice{},
 		popular:    newPopularity(),
 		uses:       map[chestnutroad.ServiceID]*use{},
 	}
@@ -70,6 +72,7 @@
 	}
 	pl.Remove(entry.ID)
 	tg := &target{entry: *entry, hash: chestnutroad.HashID(string(entry.ID))}
+	pl.attachNotice(tg)
 	pl.targets[entry.ID] = tg
 	pl.services[entry.Service] = append(pl.services[entry.Service], tg)
 	slices.SortFunc(pl.services[entry.Service], func(one, two *target) int {
@@ -109,13 +112,16 @@
 	return entries
 }
 
-// States counts the targets that are ready, that leave, that can't be reached, and that are passed over since they failed.
+// States counts the targets that are ready, that leave, that turned requests away for a time, that can't be reached, and
+// that are passed over since they failed.
 func (pl *Pool) States(now time.Time) map[string]int {
 	counts := map[string]int{}
 	for _, tg := range pl.targets {
 		switch {
-		case tg.entry.Leaving:
+		case tg.leaving():
 			counts["Leaving"]++
+		case tg.notice.hold(now) > 0:
+			counts["Held"]++
 		case pl.closed(now, tg):
 			counts["Unreachable"]++
 		case pl.suspect(now, tg):
@@ -227,8 +233,9 @@
 
 // Census counts the targets of a service by why they may not be used.
 type Census struct {
-	// Known are all targets that have an entry; Leaving ones get no new requests; Closed ones can't be reached.
-	Known, Leaving, Closed int
+	// Known are all targets that have an entry; Leaving ones get no new requests; Held ones turned requests away for a time
+	// that is not over; Closed ones can't be reached.
+	Known, Leaving, Held, Closed int
 }
 
 // Census counts the targets of a service.
@@ -236,8 +243,10 @@
 	count := Census{Known: len(pl.services[service])}
 	for _, tg := range pl.services[service] {
 		switch {
-		case tg.entry.Leaving:
+		case tg.leaving():
 			count.Leaving++
+		case tg.notice.hold(now) > 0:
+			count.Held++
 		case pl.closed(now, tg):
 			count.Closed++
 		}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -33,6 +33,11 @@
 	// reported is the target's own count of running and waiting requests, with the own requests subtracted.
 	reported   int
 	reportedAt time.Time
+	// notice is what the target said to this host; nil when it said nothing.
+	notice *notice
+	// othersLeaving and othersUntil are what it said to other hosts: that it leaves, and until when it wants no requests.
+	othersLeaving bool
+	othersUntil   time.Time
 	// pausedUntil is when a target that was full gets requests again.
 	pausedUntil time.Time
 	reach       reach
@@ -60,11 +65,11 @@
 
 // suspect reports whether requests go elsewhere while there is another target.
 func (tg *target) suspect(now time.Time) bool {
-	if now.Before(tg.pausedUntil) || tg.reach.closed(now) {
+	if now.Before(tg.pausedUntil) || now.Before(tg.othersUntil) || tg.reach.closed(now) {
 		return true
 	}
 	tg.fade(now)
 	return tg.bad >= 2 && tg.good+tg.bad >= ejectAfter && tg.bad/(tg.good+tg.bad) >= ejectShare
 }
 
-func (tg *target) usable() bool { return !tg.lost && !tg.entry.Leaving }
+func (tg *target) usable() bool { return !tg.lost && !tg.leaving() }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -44,6 +44,8 @@
 	Leaving bool `json:",omitempty"`
 	// Counts are the requests at each target, in the order of the ids that were listed at Offset; at most 255 each.
 	Counts []byte
+	// Notices are what the targets said of themselves, in the same order; left out when none said anything.
+	Notices []Notice `json:",omitempty"`
 }
 
 // Send is a message on its way to a host.
@@ -62,6 +64,8 @@
 	Leaving bool
 	// Own are the host's own requests at each target in order of their ids.
 	Own []byte
+	// Notices are what targets said to the host itself in that order; nil when none said anything.
+	Notices []Notice
 }
 
 const (
@@ -96,6 +100,7 @@
 	reported       []byte
 	reportedOffset chestnutroad.Offset
 	total          []byte
+	totalNotices   []Notice
 	totalOffset    chestnutroad.Offset
 	totalAt        time.Time
 	relaying       bool
@@ -210,6 +215,7 @@
 	pr.beacon = now
 	if relay, _, found := nd.Relay(now); found && relay.ID == message.From {
 		nd.total, nd.totalOffset, nd.totalAt = message.Counts, message.Offset, now
+		nd.totalNotices = message.Notices
 	}
 	return true
 }
@@ -251,10 +257,11 @@
 	return last
 }
 
-func (nd *Node) message(kind Kind, held *Held, counts []byte) Message {
+func (nd *Node) message(kind Kind, held *Held, counts []byte, notices []Notice) Message {
 	return Message{
 		Kind: kind, From: nd.self.ID, DataCentre: nd.self.DataCentre,
 		Version: held.Version, Offset: held.Offset, Fresh: held.Fresh, Leaving: held.Leaving, Counts: counts,
+		Notices: notices,
 	}
 }
 
@@ -264,13 +271,14 @@
 		return nil
 	}
 	nd.reported, nd.reportedOffset = held.Own, held.Offset
-	return []Send{{Address: relay.Address, Message: nd.message(Report, held, held.Own)}}
+	return []Send{{Address: relay.Address, Message: nd.message(Report, held, held.Own, held.Notices)}}
 }
 
 func (nd *Node) relay(now time.Time, held *Held) []Send {
 	nd.reported, nd.reportedOffset = held.Own, held.Offset
 	sum := slices.Clone(held.Own)
 	total := slices.Clone(held.Own)
+	notices, allNotices := held.Notices, held.Notices
 	for _, pr := range nd.peers {
 		if now.Sub(pr.heard) >= countsAge || pr.last.Offset != held.Offset {
 			continue
@@ -278,15 +286,19 @@
 		if pr.DataCentre == nd.self.DataCentre && pr.last.Kind == Report {
 			addCounts(sum, pr.last.Counts)
 			addCounts(total, pr.last.Counts)
+			notices = mergeNotices(notices, pr.last.Notices)
+			allNotices = mergeNotices(allNotices, pr.last.Notices)
 		}
 		if pr.DataCentre != nd.self.DataCentre && pr.last.Kind == Exchange {
 			addCounts(total, pr.last.Counts)
+			allNotices = mergeNotices(allNotices, pr.last.Notices)
 		}
 	}
 	nd.total, nd.totalOffset, nd.totalAt = total, held.Offset, now
+	nd.totalNotices = allNotices
 	nd.turn += remoteCandidates
 	sends := make([]Send, 0, len(nd.peers))
-	beacon, exchange := nd.message(Beacon, held, total), nd.message(Exchange, held, sum)
+	beacon, exchange := nd.message(Beacon, held, total, allNotices), nd.message(Exchange, held, sum, notices)
 	for _, hs := range nd.local {
 		if hs.ID != nd.self.ID {
 			sends = append(sends, Send{Address: hs.Address, Message: beacon})
@@ -360,3 +372,12 @@
 	}
 	return others
 }
+
+// OthersNotices returns what targets said to any host, in order of their ids; nil when nothing is known. What they said
+// to this host is among it.
+func (nd *Node) OthersNotices(now time.Time, offset chestnutroad.Offset) []Notice {
+	if now.Sub(nd.totalAt) >= countsAge || nd.totalOffset != offset {
+		return nil
+	}
+	return nd.totalNotices
+}
--- a/internal/relay/node_test.go
+++ b/internal/relay/node_test.go
@@ -193,3 +193,27 @@
 		t.Errorf("%.0f bytes a second on a host's average", perHost)
 	}
 }
+
+// TestNoticesReachAllHosts guards against a target's notice that stays with the host that got it, that comes back to it as
+// a newer one, or that is believed after it is over.
+func TestNoticesReachAllHosts(t *testing.T) {
+	t.Parallel()
+	wd := newWorld(3, 4)
+	wd.run(3 * time.Second)
+	teller := wd.hosts[6].ID
+	wd.held[teller].Notices = []relay.Notice{0, relay.Leaving, relay.NewNotice(1100 * time.Millisecond)}
+	wd.run(time.Second)
+	for _, hs := range wd.hosts {
+		got := wd.nodes[hs.ID].OthersNotices(wd.now, 5)
+		if len(got) != 3 || got[0] != 0 || got[1] != relay.Leaving || relay.Hold(got[2]) != 1250*time.Millisecond {
+			t.Errorf("%s knows %v", hs.ID, got)
+		}
+	}
+	wd.held[teller].Notices = nil
+	wd.run(time.Second)
+	for _, hs := range wd.hosts {
+		if got := wd.nodes[hs.ID].OthersNotices(wd.now, 5); got != nil {
+			t.Errorf("%s still knows %v", hs.ID, got)
+		}
+	}
+}
--- a/internal/siblings/datagram.go
+++ b/internal/siblings/datagram.go
@@ -16,7 +16,7 @@
 const (
 	// maxDatagram bounds a message: with 3,000 targets it is some 1.5 KB packed.
 	maxDatagram = 8 << 10
-	// packFrom is the number of counts from which they are packed: most are zero or small.
+	// packFrom is the number of counts or notices from which they are packed: most are zero or small.
 	packFrom = 64
 	// maxCounts bounds the memory of unpacked counts.
 	maxCounts = 64 << 10
@@ -25,8 +25,9 @@
 // datagram is the form in which a message is sent.
 type datagram struct {
 	relay.Message
-	// Size is the number of counts when they are packed; zero when they are not.
-	Size int `json:",omitempty"`
+	// Size and NoticeSize are the numbers of counts and notices when they are packed; zero when they are not.
+	Size       int `json:",omitempty"`
+	NoticeSize int `json:",omitempty"`
 }
 
 // Socket sends and receives the datagrams between hosts; one goroutine may send while another one receives.
@@ -101,39 +102,56 @@
 
 func (sk *Socket) encode(message *relay.Message) ([]byte, error) {
 	dg := datagram{Message: *message}
-	if len(message.Counts) >= packFrom {
-		var packed bytes.Buffer
-		sk.packer.Reset(&packed)
-		// A buffer takes all writes.
-		_, _ = sk.packer.Write(message.Counts)
-		_ = sk.packer.Close()
-		dg.Counts, dg.Size = packed.Bytes(), len(message.Counts)
-	}
+	dg.Counts, dg.Size = sk.pack(message.Counts)
+	dg.Notices, dg.NoticeSize = sk.pack(message.Notices)
 	data, err := json.Marshal(&dg)
 	return data, errors.Wrap(err, "datagram")
 }
 
+// pack returns the bytes in a shorter form and their number, or the bytes themselves and zero when they are few.
+func (sk *Socket) pack(data []byte) (packed []byte, size int) {
+	if len(data) < packFrom {
+		return data, 0
+	}
+	var buffer bytes.Buffer
+	sk.packer.Reset(&buffer)
+	// A buffer takes all writes.
+	_, _ = sk.packer.Write(data)
+	_ = sk.packer.Close()
+	return buffer.Bytes(), len(data)
+}
+
+// unpack returns what pack made from so many bytes.
+func (sk *Socket) unpack(packed []byte, size int) ([]byte, error) {
+	if size < 0 || size > maxCounts {
+		return nil, errors.Newf("%d counts", size)
+	}
+	if size == 0 {
+		return packed, nil
+	}
+	resetter, ok := sk.unpacker.(flate.Resetter)
+	if !ok {
+		return nil, errors.New("the unpacker can't be used again")
+	}
+	if err := resetter.Reset(bytes.NewReader(packed), nil); err != nil {
+		return nil, err
+	}
+	data := make([]byte, size)
+	_, err := io.ReadFull(sk.unpacker, data)
+	return data, err
+}
+
 func (sk *Socket) decode(data []byte) (*relay.Message, error) {
 	var dg datagram
 	if err := json.Unmarshal(data, &dg); err != nil {
 		return nil, err
 	}
-	if dg.Size < 0 || dg.Size > maxCounts {
-		return nil, errors.Newf("%d counts", dg.Size)
+	var err error
+	if dg.Counts, err = sk.unpack(dg.Counts, dg.Size); err != nil {
+		return nil, err
 	}
-	if dg.Size > 0 {
-		resetter, ok := sk.unpacker.(flate.Resetter)
-		if !ok {
-			return nil, errors.New("the unpacker can't be used again")
-		}
-		if err := resetter.Reset(bytes.NewReader(dg.Counts), nil); err != nil {
-			return nil, err
-		}
-		counts := make([]byte, dg.Size)
-		if _, err := io.ReadFull(sk.unpacker, counts); err != nil {
-			return nil, err
-		}
-		dg.Counts = counts
+	if dg.Notices, err = sk.unpack(dg.Notices, dg.NoticeSize); err != nil {
+		return nil, err
 	}
 	return &dg.Message, nil
 }
--- a/internal/siblings/datagram_test.go
+++ b/internal/siblings/datagram_test.go
@@ -36,6 +36,12 @@
 					counts[index] = byte(1 + rng.IntN(tc.highest))
 				}
 			}
+			notices := make([]relay.Notice, tc.targets/2)
+			for index := range notices {
+				if rng.Float64() < 0.01 {
+					notices[index] = relay.Leaving
+				}
+			}
 			receiver, err := siblings.ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"))
 			if err != nil {
 				t.Fatal(err)
@@ -50,6 +56,7 @@
 			for range 2 {
 				size, err := sender.Send([]relay.Send{{Address: receiver.Address().String(), Message: relay.Message{
 					Kind: relay.Report, From: "host-1", DataCentre: "dc-a", Version: 12, Offset: 100_000, Counts: counts,
+					Notices: notices,
 				}}})
 				if err != nil || size > tc.most {
 					t.Fatalf("%d bytes, %v", size, err)
@@ -58,7 +65,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if !bytes.Equal(message.Counts, counts) || message.Offset != 100_000 {
+				if !bytes.Equal(message.Counts, counts) || !bytes.Equal(message.Notices, notices) || message.Offset != 100_000 {
 					t.Errorf("got %+v", message)
 				}
 			}
