Pass targets over below the bound only as far as arrivals go over it

The own bound was 0.85 of the installation's, and from three requests above the mean on a growing share of requests passed a target over. That keeps hosts with late counts from flooding targets, and costs shared parts that are read again elsewhere also on sites where no target is near the bound.

The bound is the installation's now. The margin below it in which requests pass over follows the share of arrivals at targets over the bound, which hosts see in the counts of all hosts.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -77,6 +77,7 @@
 		sound = candidates
 	}
 	bound, mean := pl.bound(now, all)
+	pl.margin(ask.Service).follow(now)
 	sound = pl.withPlaces(now, sound, ask)
 	if len(sound) == 0 {
 		return Choice{Full: true}, false
@@ -95,7 +96,7 @@
 		return Choice{Entry: tg.entry, Load: tg.load(now), Bound: bound, Suspect: suspect}
 	}
 	if ask.Affinity != "" {
-		lim := limits{bound: bound, soft: mean + boundSlack, spread: pl.spread(now, ask, mean, count)}
+		lim := limits{bound: bound, margin: pl.margin(ask.Service).width, spread: pl.spread(now, ask, mean, count)}
 		return preferCached(now, sound, ask, &lim, suspect)
 	}
 	return pl.preferNear(now, sound, ask, bound, suspect)
@@ -107,17 +108,21 @@
 
 // bound returns the most requests that a target may hold before others are preferred, and the mean of all targets.
 func (pl *Pool) bound(now time.Time, targets []*target) (bound int, mean float64) {
+	return pl.boundOf(targets, func(tg *target) int { return tg.load(now) })
+}
+
+func (pl *Pool) boundOf(targets []*target, load func(tg *target) int) (bound int, mean float64) {
 	total, count := 0, 0
 	for _, tg := range targets {
 		if tg.usable() {
-			total += tg.load(now)
+			total += load(tg)
 			count++
 		}
 	}
 	if count > 0 {
 		mean = float64(total) / float64(count)
 	}
-	return int(mean*pl.capFactor*boundShare) + boundSlack, mean
+	return int(mean*pl.capFactor) + boundSlack, mean
 }
 
 // spreadRoom is the part of the room between the mean and the bound that a popular part is planned to take at each of
@@ -134,9 +139,10 @@
 
 // limits bounds what a target gets of the requests with one part.
 type limits struct {
-	// bound is the number of requests at which a target is passed over; soft is where that begins for some requests.
-	bound int
-	soft  float64
+	// bound is the number of requests at which a target is passed over, margin the part of it below which that begins for
+	// some requests.
+	bound  int
+	margin float64
 	// spread is the number of targets among which the requests with the part are divided.
 	spread int
 }
@@ -150,6 +156,7 @@
 // A popular part has several first targets, and each request begins at one of them.
 func preferCached(now time.Time, targets []*target, ask *Ask, lim *limits, suspect bool) Choice {
 	ranking := newRanking(targets, ask.Affinity)
+	soft := (1 - lim.margin) * float64(lim.bound)
 	spread := min(lim.spread, len(targets))
 	first := int(draw(ask.Request, "") * float64(spread))
 	for index := range targets {
@@ -163,8 +170,7 @@
 		if load >= lim.bound || load >= tg.entry.Slots {
 			continue
 		}
-		// On a pool with few requests the bound lies below the soft one, and nothing is passed over before it.
-		if over := float64(load) - lim.soft; over > 0 && draw(ask.Request, tg.entry.ID) < over/(float64(lim.bound)-lim.soft) {
+		if over := float64(load) + 1 - soft; over > 0 && draw(ask.Request, tg.entry.ID) < over/(float64(lim.bound)+1-soft) {
 			continue
 		}
 		return Choice{Entry: tg.entry, Load: load, Bound: lim.bound, Preference: index, Suspect: suspect}
--- /dev/null
+++ b/internal/placement/margin_test.go
@@ -0,0 +1,49 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// TestMargin guards against a margin that costs cached parts while no target is over the bound, and against none while
+// more arrivals than the rule allows meet one that is.
+func TestMargin(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// over is the number of the 40 arrivals in each interval that go to one target, which has 3 to hold at the most.
+		over int
+		wide bool
+	}{
+		{"all targets alike", 4, false},
+		{"one target far over the bound", 20, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			now := time.Unix(1_000_000, 0)
+			pl := NewPool("a")
+			ids := make([]chestnutroad.TargetID, 0, 10)
+			for _, id := range "abcdefghij" {
+				ids = append(ids, chestnutroad.TargetID(id))
+				pl.Set(&chestnutroad.TargetEntry{ID: chestnutroad.TargetID(id), Service: "s", Slots: 64})
+			}
+			for range 40 {
+				counts := map[chestnutroad.TargetID]int{ids[0]: tc.over}
+				for _, id := range ids[1:] {
+					counts[id] = (40 - tc.over) / 9
+				}
+				pl.SetOthers(counts)
+				pl.margin("s").follow(now)
+				// All requests end before the next ones arrive.
+				pl.SetOthers(nil)
+				now = now.Add(150 * time.Millisecond)
+			}
+			if width := pl.margin("s").width; (width > widestMargin/2) != tc.wide {
+				t.Errorf("the margin is %.2f", width)
+			}
+		})
+	}
+}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,6 +18,7 @@
 	centres    map[chestnutroad.DataCentreID]*centre
 	notices    map[chestnutroad.TargetID]*notice
 	popular    *popularity
+	margins    map[chestnutroad.ServiceID]*margin
 	uses       map[chestnutroad.ServiceID]*use
 }
 
@@ -30,8 +31,6 @@
 const (
 	// defaultCapFactor applies where the installation's settings state none.
 	defaultCapFactor = 2
-	// boundShare keeps the own bound below the installation's, since the counts of other hosts are late.
-	boundShare = 0.85
 	// boundSlack allows small pools a few requests above the mean.
 	boundSlack = 3
 )
@@ -47,6 +46,7 @@
 		centres:    map[chestnutroad.DataCentreID]*centre{},
 		notices:    map[chestnutroad.TargetID]*notice{},
 		popular:    newPopularity(),
+		margins:    map[chestnutroad.ServiceID]*margin{},
 		uses:       map[chestnutroad.ServiceID]*use{},
 	}
 	for _, opt := range opts {
@@ -149,6 +149,10 @@
 	for id, tg := range pl.targets {
 		tg.others = counts[id]
 	}
+	for service, targets := range pl.services {
+		bound, _ := pl.boundOf(targets, func(tg *target) int { return tg.own + tg.others })
+		pl.margin(service).compare(targets, bound)
+	}
 }
 
 // Start counts a request that is sent to a target.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -30,6 +30,8 @@
 	own int
 	// others is the number of requests that other hosts reported there.
 	others int
+	// counted is the number of requests of all hosts when the counts of others last came.
+	counted int
 	// reported is the target's own count of running and waiting requests, with the own requests subtracted.
 	reported   int
 	reportedAt time.Time
