Leave targets that can't be reached out of the mean of the load

In a data centre that is cut off, hosts count their own requests only, and the targets of the other data centres with none.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -106,9 +106,12 @@
 	return model == "" || len(entry.Models) == 0 || slices.Contains(entry.Models, model)
 }
 
-// bound returns the most requests that a target may hold before others are preferred, and the mean of all targets.
+// bound returns the most requests that a target may hold before others are preferred, and the mean of all targets. Those
+// that can't be reached don't count: in a data centre that is cut off they would lower the mean, and with it the bound of
+// the targets that have to take over.
 func (pl *Pool) bound(now time.Time, targets []*target) (bound int, mean float64) {
-	return pl.boundOf(targets, func(tg *target) int { return tg.load(now) })
+	reached := slices.DeleteFunc(slices.Clone(targets), func(tg *target) bool { return pl.closed(now, tg) })
+	return pl.boundOf(reached, func(tg *target) int { return tg.load(now) })
 }
 
 func (pl *Pool) boundOf(targets []*target, load func(tg *target) int) (bound int, mean float64) {
--- a/internal/placement/reach_test.go
+++ b/internal/placement/reach_test.go
@@ -202,3 +202,25 @@
 		})
 	}
 }
+
+// TestBoundOfACutDataCentre guards against requests that leave the target where their part is cached since targets that
+// can't be reached lower the mean: in a data centre that is cut off its own targets have all the requests.
+func TestBoundOfACutDataCentre(t *testing.T) {
+	t.Parallel()
+	pl := placement.NewPool("a")
+	for index := range 12 {
+		pl.Set(entry(index, chestnutroad.DataCentreID("abc"[index/4:index/4+1]), 64))
+	}
+	for index := 4; index < 12; index++ {
+		pl.Observe(start, entry(index, "b", 64).ID, placement.Unreachable)
+	}
+	counts := map[chestnutroad.TargetID]int{}
+	for index := range 4 {
+		counts[entry(index, "a", 64).ID] = 10
+	}
+	pl.SetOthers(counts)
+	choice, found := pl.Choose(start, ask("part", 1))
+	if !found || choice.Entry.DataCentre != "a" || choice.Bound != 23 || choice.Preference != 0 {
+		t.Errorf("got %+v", choice)
+	}
+}
