Keep prompt parts where they are in use when targets join

Hosts remember where parts are in use and tell each other of those that do not reside by their hash, when a target joins and at most every 3 s while they are used. A target that joined gets no parts for a second, then new ones, idle ones and what overflows; a part that overflowed to a target which its hash prefers moves there. A part whose target ended stays where it went meanwhile. Where hosts disagree, the target that the hash prefers is taken, so that all agree in the end, and a host that knows nothing goes by the hash.

Tried in vain: a memory of 10 s for a minute, telling hosts that start all residences at once.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
-	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
@@ -118,7 +117,7 @@
 	for _, budget := range en.state.budgets {
 		budget.Configure(set.RetryRatio, set.RetryWindow)
 	}
-	en.state.pool.Configure(placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement))
+	en.state.pool.Configure(poolOptions(set)...)
 }
 
 const (
@@ -354,7 +353,9 @@
 	}
 	en.state.mu.Lock()
 	before, known := en.state.pool.Entry(id)
-	en.state.pool.Set(&entry)
+	if en.state.pool.Set(&entry) {
+		en.state.pool.Joined(en.now(), id)
+	}
 	en.state.mu.Unlock()
 	if !known || !before.SameLife(&entry) || before.Leaving != entry.Leaving {
 		en.logger.Info("target changed", "Target", id, "Service", entry.Service, "Address", entry.Address,
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -92,6 +92,7 @@
 			ln.askUnknown(from.String())
 			continue
 		}
+		ln.entry.state.setResidences(ln.entry.now(), message.Residences)
 		if message.Kind == relay.Beacon && others != nil {
 			ln.entry.state.setOthers(ln.entry.now(), message.Offset, others)
 		}
@@ -120,6 +121,7 @@
 	for sleep(ctx, relay.Interval) {
 		now := ln.entry.now()
 		held := ln.entry.held()
+		held.Residences = ln.entry.state.residences(now)
 		ln.mu.Lock()
 		sends := ln.node.Tick(now, &held)
 		relaying := ln.node.Relaying()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -46,9 +46,8 @@
 
 func newState(set *settings.Entry) *state {
 	return &state{
-		records: newRecords(),
-		pool: placement.NewPool(
-			set.DataCentre, placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement)),
+		records:   newRecords(),
+		pool:      placement.NewPool(set.DataCentre, poolOptions(set)...),
 		budgets:   map[chestnutroad.ServiceID]*retrybudget.Budget{},
 		pacings:   map[chestnutroad.RouteID]*pacing{},
 		teams:     map[chestnutroad.ServiceID]*admission.Teams{},
@@ -60,6 +59,13 @@
 	}
 }
 
+// poolOptions returns what the settings say of the choice of targets.
+func poolOptions(set *settings.Entry) []placement.Option {
+	return []placement.Option{
+		placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement), placement.WithPartMemory(set.PartMemory),
+	}
+}
+
 // offer puts a configuration in force unless a newer one already is, and reports whether it did.
 func (st *state) offer(cf *chestnutroad.Configuration, text []byte) bool {
 	st.mu.Lock()
@@ -184,6 +190,20 @@
 	st.pool.SetOthersNotices(now, notices)
 }
 
+// residences returns what other hosts are to be told of prompt parts, each once.
+func (st *state) residences(now time.Time) []chestnutroad.Residence {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.pool.Residences(now)
+}
+
+// setResidences takes in what other hosts know of prompt parts.
+func (st *state) setResidences(now time.Time, told []chestnutroad.Residence) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.pool.SetResidences(now, told)
+}
+
 // targets counts the targets by their state.
 func (st *state) targets(now time.Time) map[string]int {
 	st.mu.Lock()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -56,12 +56,15 @@
 // targets of a service: each request waited there for two connections before it was refused.
 func (pl *Pool) Choose(now time.Time, ask *Ask) (Choice, bool) {
 	all := pl.services[ask.Service]
-	candidates := make([]*target, 0, len(all))
+	usable := make([]*target, 0, len(all))
 	for _, tg := range all {
-		if tg.usable() && !slices.Contains(ask.Excluded, tg.entry.ID) && hasModel(&tg.entry, ask.Model) {
-			candidates = append(candidates, tg)
+		if tg.usable() && hasModel(&tg.entry, ask.Model) {
+			usable = append(usable, tg)
 		}
 	}
+	candidates := slices.DeleteFunc(slices.Clone(usable), func(tg *target) bool {
+		return slices.Contains(ask.Excluded, tg.entry.ID)
+	})
 	candidates, wait := soonestReturn(now, candidates)
 	if len(candidates) == 0 {
 		return Choice{Wait: wait}, false
@@ -78,18 +81,34 @@
 	}
 	bound, mean := pl.bound(now, all)
 	pl.margin(ask.Service).follow(now)
-	sound = pl.withPlaces(now, sound, ask)
+	home := pl.homeOf(now, usable, ask)
+	sound = pl.withPlaces(now, sound, ask, home)
 	if len(sound) == 0 {
 		return Choice{Full: true}, false
 	}
-	choice := pl.pick(now, sound, ask, bound, mean, len(all), suspect)
+	choice := pl.pick(now, sound, ask, home, bound, mean, len(all), suspect)
+	if home != nil && choice.Entry.ID != home.entry.ID {
+		pl.residents.strayed(now, partHash(ask.Affinity), home, pl.targets[choice.Entry.ID])
+	}
 	choice.Trial = pl.try(now, pl.targets[choice.Entry.ID])
 	return choice, true
 }
 
+// homeOf returns the target at which the request's shared part resides; nil when it has none or the policy is a baseline.
+// A request that is sent again is not counted as another use.
+func (pl *Pool) homeOf(now time.Time, usable []*target, ask *Ask) *target {
+	if ask.Affinity == "" || baselines[pl.policy] != nil {
+		return nil
+	}
+	if len(ask.Excluded) > 0 {
+		return pl.residents.find(now, partHash(ask.Affinity))
+	}
+	return pl.reside(now, usable, ask.Affinity)
+}
+
 // pick takes one of the targets by the policy and the kind of request.
 func (pl *Pool) pick(
-	now time.Time, sound []*target, ask *Ask, bound int, mean float64, count int, suspect bool,
+	now time.Time, sound []*target, ask *Ask, home *target, bound int, mean float64, count int, suspect bool,
 ) Choice {
 	if choose := baselines[pl.policy]; choose != nil {
 		tg := choose(now, sound, ask)
@@ -97,7 +116,7 @@
 	}
 	if ask.Affinity != "" {
 		lim := limits{bound: bound, margin: pl.margin(ask.Service).width, spread: pl.spread(now, ask, mean, count)}
-		return preferCached(now, sound, ask, &lim, suspect)
+		return preferCached(now, newRanking(now, sound, ask.Affinity, home), ask, &lim, suspect)
 	}
 	return pl.preferNear(now, sound, ask, bound, suspect)
 }
@@ -150,19 +169,18 @@
 	spread int
 }
 
-// preferCached takes the first target with room in the order of the part's hash, so that all hosts send requests with
-// one part to the same few targets; with room at none it takes the least loaded.
+// preferCached takes the first target with room in the order for the part, so that all hosts send requests with one part
+// to the same few targets; with room at none it takes the least loaded.
 //
 // The counts of other hosts are some hundred ms old. If all hosts passed a target over at the same count, they would
 // flood the next one until the counts show it, so a growing share of requests passes over a target that fills up.
 //
 // A popular part has several first targets, and each request begins at one of them.
-func preferCached(now time.Time, targets []*target, ask *Ask, lim *limits, suspect bool) Choice {
-	ranking := newRanking(targets, ask.Affinity)
+func preferCached(now time.Time, ranking *ranking, ask *Ask, lim *limits, suspect bool) Choice {
 	soft := (1 - lim.margin) * float64(lim.bound)
-	spread := min(lim.spread, len(targets))
+	spread := min(lim.spread, len(ranking.entries))
 	first := int(draw(ask.Request, "") * float64(spread))
-	for index := range targets {
+	for index := range ranking.entries {
 		// The popular part's first targets are taken in turn, beginning at the request's own.
 		rank := index
 		if index < spread {
@@ -191,7 +209,7 @@
 // firstRanks is the number of first targets that are looked for one by one; beyond it all are sorted.
 const firstRanks = 16
 
-// ranking is the order of targets for a part's hash. Requests go to the first few, so that only those are put in order: at
+// ranking is the order of targets for a part: the one at which it resides, then by the part's hash. Requests go to the first few, so that only those are put in order: at
 // 3,000 targets a whole sort with a hash for each comparison took a host most of its processor time.
 type ranking struct {
 	entries []ranked
@@ -204,11 +222,14 @@
 	weight uint64
 }
 
-func newRanking(targets []*target, affinity string) *ranking {
+func newRanking(now time.Time, targets []*target, affinity string, home *target) *ranking {
 	rk := &ranking{entries: make([]ranked, len(targets))}
-	part := chestnutroad.HashID(affinity)
+	part := partHash(affinity)
 	for index, tg := range targets {
-		rk.entries[index] = ranked{target: tg, weight: weight(tg, part)}
+		rk.entries[index] = ranked{target: tg, weight: tg.rank(now, part)}
+		if tg == home {
+			rk.entries[index].weight = residentRank
+		}
 	}
 	return rk
 }
@@ -249,8 +270,8 @@
 }
 
 // weight is the rendezvous hash of a target and the hash of a prompt part.
-func weight(tg *target, part uint64) uint64 {
-	mixed := tg.hash ^ part
+func weight(tg *target, part chestnutroad.PartHash) uint64 {
+	mixed := tg.hash ^ uint64(part)
 	// The finalizer of the SplitMix64 generator spreads each bit over all others.
 	mixed = (mixed ^ mixed>>30) * 0xbf58476d1ce4e5b9
 	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -54,12 +54,12 @@
 // On a crowded pool a free place at any other engine would be taken by requests whose parts have to be read again there,
 // which makes all engines slower: in an overload of three times the usual traffic 4.4 million tokens of 7.4 million were
 // read again. Requests whose shared parts cost more than their answers wait near them or are refused.
-func (pl *Pool) withPlaces(now time.Time, targets []*target, ask *Ask) []*target {
+func (pl *Pool) withPlaces(now time.Time, targets []*target, ask *Ask, home *target) []*target {
 	if !ask.Places {
 		return targets
 	}
 	if ask.Affinity != "" && ask.Shared > costlyParts*ask.Output && crowded(now, targets) {
-		targets = newRanking(targets, ask.Affinity).first(min(nearTargets, len(targets)))
+		targets = newRanking(now, targets, ask.Affinity, home).first(min(nearTargets, len(targets)))
 	}
 	return slices.DeleteFunc(targets, func(tg *target) bool { return !tg.hasPlace(now, ask) })
 }
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/chestnutroad/chestnutroad"
 )
 
 // Policy names a way to choose among the sound targets of a service.
@@ -50,7 +48,7 @@
 
 // firstByHash hashes a request without a shared part by its id, which spreads plain requests.
 func firstByHash(_ time.Time, targets []*target, ask *Ask) *target {
-	key := chestnutroad.HashID(cmp.Or(ask.Affinity, string(ask.Request)))
+	key := partHash(cmp.Or(ask.Affinity, string(ask.Request)))
 	return slices.MaxFunc(targets, func(one, two *target) int { return cmp.Compare(weight(one, key), weight(two, key)) })
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -18,6 +18,7 @@
 	centres    map[chestnutroad.DataCentreID]*centre
 	notices    map[chestnutroad.TargetID]*notice
 	popular    *popularity
+	residents  *residents
 	margins    map[chestnutroad.ServiceID]*margin
 	uses       map[chestnutroad.ServiceID]*use
 }
@@ -49,6 +50,7 @@
 		margins:    map[chestnutroad.ServiceID]*margin{},
 		uses:       map[chestnutroad.ServiceID]*use{},
 	}
+	pl.residents = newResidents(pl.targets)
 	for _, opt := range opts {
 		opt(pl)
 	}
--- /dev/null
+++ b/internal/placement/residence.go
@@ -0,0 +1,233 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+const (
+	// settleTime is how long a target that joined comes last for requests with shared parts: hosts tell each other
+	// meanwhile which parts are in use at other targets. They learn of the target within 0.7 s of each other, and a message
+	// takes up to two intervals to a host of another data centre.
+	settleTime = time.Second
+	// tellInterval is the time between two messages about a part that does not reside by its hash, for hosts that started
+	// meanwhile.
+	tellInterval = 3 * time.Second
+	// maxResidents bounds the parts that are remembered, each with some 100 bytes.
+	maxResidents = 4096
+	// maxDue bounds the residences in one message; what is left goes with the next ones.
+	maxDue = 64
+	// DefaultPartMemory is the usual time for which a part stays with a target after its last use: most chats return
+	// within minutes, and a part that was not asked for in one likely had to yield to others.
+	DefaultPartMemory = time.Minute
+)
+
+// place is the life of a target, which has what it cached until it ends.
+type place struct {
+	id      chestnutroad.TargetID
+	started chestnutroad.Incarnation
+}
+
+func placeOf(tg *target) place { return place{id: tg.entry.ID, started: tg.entry.Started} }
+
+// resident says where requests with a part go.
+type resident struct {
+	home place
+	// last is where the latest request went, if home had no room or could not be reached.
+	last   place
+	usedAt time.Time
+	toldAt time.Time
+}
+
+// residents follow where parts are in use. A part that nobody used for the memory's time is forgotten and goes where its
+// hash says.
+type residents struct {
+	memory  time.Duration
+	targets map[chestnutroad.TargetID]*target
+	parts   map[chestnutroad.PartHash]*resident
+	// due are the parts whose residence is told to other hosts next.
+	due []chestnutroad.PartHash
+}
+
+func newResidents(targets map[chestnutroad.TargetID]*target) *residents {
+	return &residents{memory: DefaultPartMemory, targets: targets, parts: map[chestnutroad.PartHash]*resident{}}
+}
+
+// WithPartMemory sets how long after its last use a prompt part stays where it was used; zero leaves the default.
+func WithPartMemory(memory time.Duration) Option {
+	return func(pl *Pool) {
+		if memory > 0 {
+			pl.residents.memory = memory
+		}
+	}
+}
+
+// find returns the target at which the part was lately in use, or nil.
+func (rs *residents) find(now time.Time, part chestnutroad.PartHash) *target {
+	known := rs.parts[part]
+	if known == nil || now.Sub(known.usedAt) >= rs.memory {
+		return nil
+	}
+	for _, pc := range []place{known.home, known.last} {
+		if tg := rs.targets[pc.id]; tg != nil && tg.usable() && tg.entry.Started == pc.started {
+			return tg
+		}
+	}
+	return nil
+}
+
+// use notes a request with the part, whose requests go to home; byHash is where they would go by the hash alone.
+func (rs *residents) use(now time.Time, part chestnutroad.PartHash, home, byHash *target) {
+	known := rs.parts[part]
+	if known == nil {
+		rs.makeRoom(now)
+		if len(rs.parts) >= maxResidents {
+			return
+		}
+		known = &resident{}
+		rs.parts[part] = known
+	}
+	if known.home != placeOf(home) {
+		*known = resident{home: placeOf(home)}
+	}
+	known.usedAt = now
+	if home != byHash && now.Sub(known.toldAt) >= tellInterval {
+		rs.tell(now, part)
+	}
+}
+
+// strayed notes that a request with the part went to another target than home, which had no room or could not be reached.
+// If the hash prefers that one to home, the part moves there: else targets that join stay empty while the parts crowd at
+// the others.
+func (rs *residents) strayed(now time.Time, part chestnutroad.PartHash, home, chosen *target) {
+	if weight(chosen, part) > weight(home, part) {
+		rs.use(now, part, chosen, chosen)
+		return
+	}
+	if known := rs.parts[part]; known != nil {
+		known.last = placeOf(chosen)
+	}
+}
+
+func (rs *residents) tell(now time.Time, part chestnutroad.PartHash) {
+	rs.parts[part].toldAt = now
+	rs.due = append(rs.due, part)
+}
+
+// makeRoom drops what is forgotten once the memory is full.
+func (rs *residents) makeRoom(now time.Time) {
+	if len(rs.parts) < maxResidents {
+		return
+	}
+	for part, known := range rs.parts {
+		if now.Sub(known.usedAt) >= rs.memory {
+			delete(rs.parts, part)
+		}
+	}
+}
+
+// Joined notes that a target was registered. Parts that are in use elsewhere stay there: a target that joins took over its
+// share of all parts at once, and each of them was read again (lustre-ruta quiet-1: 267 of 584 thousand tokens).
+func (pl *Pool) Joined(now time.Time, id chestnutroad.TargetID) {
+	tg := pl.targets[id]
+	if tg == nil {
+		return
+	}
+	tg.joinedAt = now
+	for part := range pl.residents.parts {
+		home := pl.residents.find(now, part)
+		if home != nil && home.entry.Service == tg.entry.Service && weight(tg, part) > weight(home, part) {
+			pl.residents.tell(now, part)
+		}
+	}
+}
+
+// Residences returns where parts reside that other hosts would look for elsewhere, each once.
+func (pl *Pool) Residences(now time.Time) []chestnutroad.Residence {
+	rs := pl.residents
+	var told []chestnutroad.Residence
+	for len(rs.due) > 0 && len(told) < maxDue {
+		part := rs.due[0]
+		rs.due = rs.due[1:]
+		if home := rs.find(now, part); home != nil {
+			told = append(told, chestnutroad.Residence{Part: part, Target: home.shortHash()})
+		}
+	}
+	return told
+}
+
+// SetResidences takes in what other hosts know of parts. Where hosts disagree, the target that the hash prefers is taken.
+func (pl *Pool) SetResidences(now time.Time, told []chestnutroad.Residence) {
+	if len(told) == 0 {
+		return
+	}
+	byHash := make(map[chestnutroad.TargetHash]*target, len(pl.targets))
+	for _, tg := range pl.targets {
+		byHash[tg.shortHash()] = tg
+	}
+	for _, rd := range told {
+		tg := byHash[rd.Target]
+		if tg == nil || !tg.usable() {
+			continue
+		}
+		home := pl.residents.find(now, rd.Part)
+		if home != nil && weight(home, rd.Part) > weight(tg, rd.Part) {
+			continue
+		}
+		pl.residents.use(now, rd.Part, tg, tg)
+		if known := pl.residents.parts[rd.Part]; known != nil {
+			known.toldAt = now
+		}
+	}
+}
+
+// reside returns the target at which a prompt part resides among the usable ones, and notes the use.
+func (pl *Pool) reside(now time.Time, usable []*target, affinity string) *target {
+	part := partHash(affinity)
+	firstByHash := first(now, usable, part)
+	home := pl.residents.find(now, part)
+	if home == nil || home.entry.Service != firstByHash.entry.Service {
+		home = firstByHash
+	}
+	pl.residents.use(now, part, home, firstByHash)
+	return home
+}
+
+// shortHash names the target in messages between hosts.
+func (tg *target) shortHash() chestnutroad.TargetHash { return chestnutroad.TargetHash(tg.hash) }
+
+func partHash(affinity string) chestnutroad.PartHash {
+	return chestnutroad.PartHash(chestnutroad.HashID(affinity))
+}
+
+// settling reports whether the target joined a moment ago.
+func (tg *target) settling(now time.Time) bool { return now.Before(tg.joinedAt.Add(settleTime)) }
+
+// residentRank goes before that of all other targets.
+const residentRank = math.MaxUint64
+
+// rank orders targets for a part, highest first; one that joined a moment ago comes last.
+func (tg *target) rank(now time.Time, part chestnutroad.PartHash) uint64 {
+	if tg.settling(now) {
+		// Nearly all other targets have a bit set in the upper half.
+		return weight(tg, part) >> 32
+	}
+	return weight(tg, part)
+}
+
+// first returns the usable target that the part's hash prefers, or nil.
+func first(now time.Time, targets []*target, part chestnutroad.PartHash) *target {
+	var found *target
+	best := uint64(0)
+	for _, tg := range targets {
+		if !tg.usable() {
+			continue
+		}
+		if rank := tg.rank(now, part); found == nil || rank > best {
+			found, best = tg, rank
+		}
+	}
+	return found
+}
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -26,6 +26,8 @@
 	hash uint64
 	// lost is true once the entry was removed; requests that run there go on.
 	lost bool
+	// joinedAt is when the target was registered at this host.
+	joinedAt time.Time
 	// own is the number of this host's requests at the target.
 	own int
 	// others is the number of requests that other hosts reported there.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -46,6 +46,8 @@
 	Counts []byte
 	// Notices are what the targets said of themselves, in the same order; left out when none said anything.
 	Notices []Notice `json:",omitempty"`
+	// Residences say where prompt parts are in use; they are encoded apart.
+	Residences []chestnutroad.Residence `json:"-"`
 }
 
 // Send is a message on its way to a host.
@@ -66,6 +68,8 @@
 	Own []byte
 	// Notices are what targets said to the host itself in that order; nil when none said anything.
 	Notices []Notice
+	// Residences are what other hosts are to be told of prompt parts, once.
+	Residences []chestnutroad.Residence
 }
 
 const (
@@ -104,6 +108,9 @@
 	totalOffset    chestnutroad.Offset
 	totalAt        time.Time
 	relaying       bool
+	// local and remote residences arrived since the last tick and are passed on with the next one.
+	localResidences  []chestnutroad.Residence
+	remoteResidences []chestnutroad.Residence
 	// turn counts through the hosts of data centres whose relay is not known.
 	turn int
 }
@@ -209,8 +216,14 @@
 	}
 	pr.last = *message
 	pr.heard = now
-	if message.Kind != Beacon {
+	switch message.Kind {
+	case Report:
+		nd.localResidences = passOn(nd.localResidences, message.Residences)
 		return true
+	case Exchange:
+		nd.remoteResidences = passOn(nd.remoteResidences, message.Residences)
+		return true
+	case Beacon:
 	}
 	pr.beacon = now
 	if relay, _, found := nd.Relay(now); found && relay.ID == message.From {
@@ -224,6 +237,7 @@
 func (nd *Node) Tick(now time.Time, held *Held) []Send {
 	nd.relaying = nd.shouldRelay(now, held)
 	if !nd.relaying {
+		nd.localResidences, nd.remoteResidences = nil, nil
 		return nd.report(now, held)
 	}
 	return nd.relay(now, held)
@@ -265,13 +279,28 @@
 	}
 }
 
+// maxResidences bounds what a relay passes on with one message; a part whose residence is left out is told again later.
+const maxResidences = 128
+
+// passOn adds residences that are not among those to be passed on yet: several hosts may tell of one part.
+func passOn(to, from []chestnutroad.Residence) []chestnutroad.Residence {
+	for _, rd := range from {
+		if len(to) < maxResidences && !slices.Contains(to, rd) {
+			to = append(to, rd)
+		}
+	}
+	return to
+}
+
 func (nd *Node) report(now time.Time, held *Held) []Send {
 	relay, _, found := nd.Relay(now)
 	if !found {
 		return nil
 	}
 	nd.reported, nd.reportedOffset = held.Own, held.Offset
-	return []Send{{Address: relay.Address, Message: nd.message(Report, held, held.Own, held.Notices)}}
+	report := nd.message(Report, held, held.Own, held.Notices)
+	report.Residences = held.Residences
+	return []Send{{Address: relay.Address, Message: report}}
 }
 
 func (nd *Node) relay(now time.Time, held *Held) []Send {
@@ -298,7 +327,11 @@
 	nd.totalNotices = allNotices
 	nd.turn += remoteCandidates
 	sends := make([]Send, 0, len(nd.peers))
+	local := passOn(nd.localResidences, held.Residences)
+	remote := nd.remoteResidences
+	nd.localResidences, nd.remoteResidences = nil, nil
 	beacon, exchange := nd.message(Beacon, held, total, allNotices), nd.message(Exchange, held, sum, notices)
+	beacon.Residences, exchange.Residences = passOn(slices.Clone(local), remote), local
 	for _, hs := range nd.local {
 		if hs.ID != nd.self.ID {
 			sends = append(sends, Send{Address: hs.Address, Message: beacon})
--- a/internal/relay/node_test.go
+++ b/internal/relay/node_test.go
@@ -19,6 +19,8 @@
 	held  map[chestnutroad.HostID]*relay.Held
 	dead  map[chestnutroad.HostID]bool
 	bytes int
+	// told counts the residences that each host received.
+	told map[chestnutroad.HostID]int
 }
 
 func newWorld(dataCentres, perCentre int) *world {
@@ -58,6 +60,9 @@
 				wd.bytes += len(send.Message.Counts)
 				to := chestnutroad.HostID(send.Address)
 				if !wd.dead[to] {
+					if wd.told != nil {
+						wd.told[to] += len(send.Message.Residences)
+					}
 					wd.nodes[to].Receive(wd.now, &send.Message)
 				}
 			}
@@ -217,3 +222,24 @@
 		}
 	}
 }
+
+// TestResidencesReachAllHosts guards against a part whose residence stays with the host that knows it, or is passed on
+// without an end.
+func TestResidencesReachAllHosts(t *testing.T) {
+	t.Parallel()
+	wd := newWorld(3, 4)
+	wd.run(3 * time.Second)
+	want := chestnutroad.Residence{Part: 1 << 60, Target: 7}
+	teller := wd.hosts[6].ID
+	wd.held[teller].Residences = []chestnutroad.Residence{want}
+	wd.told = map[chestnutroad.HostID]int{}
+	wd.run(relay.Interval)
+	wd.held[teller].Residences = nil
+	wd.run(3 * time.Second)
+	for _, hs := range wd.hosts {
+		// A relay hears of it from the teller or another relay, each other host once from its relay.
+		if got := wd.told[hs.ID]; got != 1 && hs.ID != teller {
+			t.Errorf("%s was told %d times", hs.ID, got)
+		}
+	}
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -37,6 +37,8 @@
 	CapFactor float64
 	// Placement names how targets are chosen; all but the default are baselines for comparisons.
 	Placement placement.Policy
+	// PartMemory is how long after its last use a prompt part stays with the target where it was used.
+	PartMemory time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget that all hosts share for each service.
 	RetryRatio  float64
 	RetrySlack  float64
@@ -102,6 +104,7 @@
 		Grace:         rd.duration("Grace", 8*time.Second, 0, mostSpan),
 		CapFactor:     rd.ratio("CapFactor", 2, 1, mostFactor),
 		Placement:     placement.Policy(rd.choice("Placement", policies[0], policies...)),
+		PartMemory:    rd.duration("PartMemory", placement.DefaultPartMemory, time.Second, mostSpan),
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
 		RetrySlack:    rd.ratio("RetrySlack", 100, 0, mostSlack),
 		RetryWindow:   rd.duration("RetryWindow", 10*time.Second, time.Second, mostSpan),
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -94,4 +94,4 @@
 }
 
 const entryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory Grace " +
-	"Drain CapFactor Placement RetryRatio RetrySlack RetryWindow LogLevel "
+	"Drain CapFactor Placement PartMemory RetryRatio RetrySlack RetryWindow LogLevel "
--- a/internal/siblings/datagram.go
+++ b/internal/siblings/datagram.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 )
 
@@ -28,6 +30,31 @@
 	// Size and NoticeSize are the numbers of counts and notices when they are packed; zero when they are not.
 	Size       int `json:",omitempty"`
 	NoticeSize int `json:",omitempty"`
+	// Parts are the residences: the hash of the part and of the target, one after the other.
+	Parts []byte `json:",omitempty"`
+}
+
+// residenceSize is the number of bytes of a residence in a datagram.
+const residenceSize = 12
+
+func packResidences(residences []chestnutroad.Residence) []byte {
+	data := make([]byte, 0, residenceSize*len(residences))
+	for _, rd := range residences {
+		data = binary.BigEndian.AppendUint64(data, uint64(rd.Part))
+		data = binary.BigEndian.AppendUint32(data, uint32(rd.Target))
+	}
+	return data
+}
+
+func unpackResidences(data []byte) []chestnutroad.Residence {
+	var residences []chestnutroad.Residence
+	for ; len(data) >= residenceSize; data = data[residenceSize:] {
+		residences = append(residences, chestnutroad.Residence{
+			Part:   chestnutroad.PartHash(binary.BigEndian.Uint64(data)),
+			Target: chestnutroad.TargetHash(binary.BigEndian.Uint32(data[8:])),
+		})
+	}
+	return residences
 }
 
 // Socket sends and receives the datagrams between hosts; one goroutine may send while another one receives.
@@ -104,6 +131,7 @@
 	dg := datagram{Message: *message}
 	dg.Counts, dg.Size = sk.pack(message.Counts)
 	dg.Notices, dg.NoticeSize = sk.pack(message.Notices)
+	dg.Parts = packResidences(message.Residences)
 	data, err := json.Marshal(&dg)
 	return data, errors.Wrap(err, "datagram")
 }
@@ -153,6 +181,7 @@
 	if dg.Notices, err = sk.unpack(dg.Notices, dg.NoticeSize); err != nil {
 		return nil, err
 	}
+	dg.Residences = unpackResidences(dg.Parts)
 	return &dg.Message, nil
 }
 
--- a/internal/siblings/datagram_test.go
+++ b/internal/siblings/datagram_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 
+	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 	"github.com/chestnutroad/chestnutroad/internal/siblings"
 )
@@ -42,6 +44,7 @@
 					notices[index] = relay.Leaving
 				}
 			}
+			residences := []chestnutroad.Residence{{Part: 1<<63 + 5, Target: 1<<31 + 9}, {Part: 3, Target: 4}}
 			receiver, err := siblings.ListenDatagrams(netip.MustParseAddrPort("127.0.0.1:0"))
 			if err != nil {
 				t.Fatal(err)
@@ -56,7 +59,7 @@
 			for range 2 {
 				size, err := sender.Send([]relay.Send{{Address: receiver.Address().String(), Message: relay.Message{
 					Kind: relay.Report, From: "host-1", DataCentre: "dc-a", Version: 12, Offset: 100_000, Counts: counts,
-					Notices: notices,
+					Notices: notices, Residences: residences,
 				}}})
 				if err != nil || size > tc.most {
 					t.Fatalf("%d bytes, %v", size, err)
@@ -65,7 +68,8 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if !bytes.Equal(message.Counts, counts) || !bytes.Equal(message.Notices, notices) || message.Offset != 100_000 {
+				if !bytes.Equal(message.Counts, counts) || !bytes.Equal(message.Notices, notices) ||
+					!slices.Equal(message.Residences, residences) || message.Offset != 100_000 {
 					t.Errorf("got %+v", message)
 				}
 			}
