--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
@@ -277,6 +278,9 @@
 
 // readsStore reports whether this host has to read the store itself, and how long it should pause after a failed read.
 func (en *Entry) readsStore() (needed bool, pause time.Duration) {
+	if en.settings.Without.Off(mechanism.Relay) {
+		return true, longestPause
+	}
 	fresh, found := en.link.following()
 	if !en.state.ready() {
 		return true, longestPause
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 )
@@ -114,7 +115,7 @@
 		}
 		ex.ask.Standing = en.standing(ex)
 		if spec := ex.table.Service(ex.service); spec != nil && spec.Engine != nil {
-			ex.ask.Places = true
+			ex.ask.Places = !en.settings.Without.Off(mechanism.Places)
 		}
 		return next(ex)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -13,6 +13,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 	"github.com/chestnutroad/chestnutroad/internal/target"
@@ -190,6 +191,9 @@
 // overloaded refuses a request that its service has no room for.
 func (en *Entry) overloaded(ex *exchange, message string) error {
 	wait := overloadReturn
+	if en.settings.Without.Off(mechanism.Returns) {
+		return chestnutroad.Refuse(chestnutroad.Overloaded, message).After(wait)
+	}
 	en.state.withPacing(ex.rule.Name, func(pc *pacing) {
 		wait = pc.returns.After(en.now(), ex.left(en.now()), draw(ex.facts.ID))
 	})
--- a/internal/entry/pacing.go
+++ b/internal/entry/pacing.go
@@ -5,6 +5,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/patience"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
@@ -73,6 +74,9 @@
 // standing returns the standing of a request among those of its rank.
 func (en *Entry) standing(ex *exchange) admission.Standing {
 	standing := admission.Usual
+	if en.settings.Without.Off(mechanism.Standing) {
+		return standing
+	}
 	en.state.withPacing(ex.rule.Name, func(pc *pacing) {
 		standing = pc.attempts.Standing(ex.facts.Budget, pc.returns.Shortest(ex.started, ex.facts.Budget))
 	})
@@ -108,6 +112,9 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	use := st.pool.Use(now, ask)
+	if st.off.Off(mechanism.Admission) {
+		return true
+	}
 	return st.throttle(ask.Service).Admit(now, ask.Rank, ask.Standing, use, draw(ask.Request))
 }
 
--- a/internal/entry/patience.go
+++ b/internal/entry/patience.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 )
 
 // silenceTimer gives a send up when a target stays silent; a nil one waits until the deadline.
@@ -65,6 +66,9 @@
 		return en.eventWait(ex)
 	}
 	wait := firstEventTargets * ex.rule.LatencyTarget
+	if en.settings.Without.Off(mechanism.Patience) {
+		return min(wait, ex.left(now)/2)
+	}
 	en.state.withPacing(ex.rule.Name, func(pc *pacing) { wait = max(wait, pc.first.Usual()) })
 	return min(wait, ex.left(now)/2)
 }
@@ -72,6 +76,9 @@
 // eventWait returns how long a stream that may be resumed may pause before it is resumed elsewhere.
 func (en *Entry) eventWait(ex *exchange) time.Duration {
 	wait := eventGaps * ex.rule.EventGapTarget
+	if en.settings.Without.Off(mechanism.Patience) {
+		return wait
+	}
 	en.state.withPacing(ex.rule.Name, func(pc *pacing) { wait = max(wait, pc.gap.Usual()) })
 	return wait
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
@@ -34,8 +35,10 @@
 	teams         map[chestnutroad.ServiceID]*admission.Teams
 	// throttles decide which requests of a service are admitted.
 	throttles map[chestnutroad.ServiceID]*admission.Throttle
-	ratio     float64
-	window    time.Duration
+	// off are the mechanisms that are switched off.
+	off    mechanism.Set
+	ratio  float64
+	window time.Duration
 	// slack is the whole installation's retries beyond the ratio, of which this host takes an equal part.
 	slack float64
 	hosts int
@@ -52,6 +55,7 @@
 		pacings:   map[chestnutroad.RouteID]*pacing{},
 		teams:     map[chestnutroad.ServiceID]*admission.Teams{},
 		throttles: map[chestnutroad.ServiceID]*admission.Throttle{},
+		off:       set.Without,
 		ratio:     set.RetryRatio,
 		window:    set.RetryWindow,
 		slack:     set.RetrySlack,
@@ -63,6 +67,7 @@
 func poolOptions(set *settings.Entry) []placement.Option {
 	return []placement.Option{
 		placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement), placement.WithPartMemory(set.PartMemory),
+		placement.WithoutMechanisms(set.Without),
 	}
 }
 
@@ -148,6 +153,9 @@
 func (st *state) takeRetry(now time.Time, service chestnutroad.ServiceID) bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	if st.off.Off(mechanism.RetryBudget) {
+		return true
+	}
 	return st.budget(service).Retry(now, st.slack/float64(max(1, st.hosts)))
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 )
 
 // Ask is what a choice depends on.
@@ -97,7 +98,7 @@
 // homeOf returns the target at which the request's shared part resides; nil when it has none or the policy is a baseline.
 // A request that is sent again is not counted as another use.
 func (pl *Pool) homeOf(now time.Time, usable []*target, ask *Ask) *target {
-	if ask.Affinity == "" || baselines[pl.policy] != nil {
+	if ask.Affinity == "" || baselines[pl.policy] != nil || pl.off.Off(mechanism.Residence) {
 		return nil
 	}
 	if len(ask.Excluded) > 0 {
@@ -114,8 +115,11 @@
 		tg := choose(now, sound, ask)
 		return Choice{Entry: tg.entry, Load: tg.load(now), Bound: bound, Suspect: suspect}
 	}
-	if ask.Affinity != "" {
+	if ask.Affinity != "" && !pl.off.Off(mechanism.Affinity) {
 		lim := limits{bound: bound, margin: pl.margin(ask.Service).width, spread: pl.spread(now, ask, mean, count)}
+		if pl.off.Off(mechanism.Margin) {
+			lim.margin = 0
+		}
 		return preferCached(now, newRanking(now, sound, ask.Affinity, home), ask, &lim, suspect)
 	}
 	return pl.preferNear(now, sound, ask, bound, suspect)
@@ -129,6 +133,9 @@
 // that can't be reached don't count: in a data centre that is cut off they would lower the mean, and with it the bound of
 // the targets that have to take over.
 func (pl *Pool) bound(now time.Time, targets []*target) (bound int, mean float64) {
+	if pl.off.Off(mechanism.Bound) {
+		return math.MaxInt32, 0
+	}
 	reached := slices.DeleteFunc(slices.Clone(targets), func(tg *target) bool { return pl.closed(now, tg) })
 	return pl.boundOf(reached, func(tg *target) int { return tg.load(now) })
 }
@@ -155,6 +162,9 @@
 // many of the requests that its first target would be far over the bound before any count shows it.
 func (pl *Pool) spread(now time.Time, ask *Ask, mean float64, count int) int {
 	share := pl.popular.note(now, ask.Affinity)
+	if pl.off.Off(mechanism.Spread) {
+		return 1
+	}
 	room := spreadRoom * (mean*(pl.capFactor-1) + boundSlack)
 	return max(1, int(math.Ceil(share*mean*float64(count)/room)))
 }
@@ -293,6 +303,10 @@
 // requests in proportion to its free places: if all hosts took the one that has most of them by the same old counts, they
 // would flood one after the other.
 func (pl *Pool) preferNear(now time.Time, targets []*target, ask *Ask, bound int, suspect bool) Choice {
+	if pl.off.Off(mechanism.Near) {
+		least := leastLoaded(now, targets, ask)
+		return Choice{Entry: least.entry, Load: least.load(now), Bound: bound, Suspect: suspect}
+	}
 	best := pl.nearest(now, targets, ask)
 	if best == nil || float64(best.load(now)) >= quietShare*float64(best.entry.Slots) {
 		best = pl.byRoom(now, targets, ask)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 )
 
 // Pool holds the targets of all services of an installation. It is not safe for concurrent use.
@@ -13,6 +14,7 @@
 	dataCentre chestnutroad.DataCentreID
 	capFactor  float64
 	policy     Policy
+	off        mechanism.Set
 	targets    map[chestnutroad.TargetID]*target
 	services   map[chestnutroad.ServiceID][]*target
 	centres    map[chestnutroad.DataCentreID]*centre
@@ -36,6 +38,9 @@
 	boundSlack = 3
 )
 
+// WithoutMechanisms switches mechanisms off; the default has all on.
+func WithoutMechanisms(off mechanism.Set) Option { return func(pl *Pool) { pl.off = off } }
+
 // NewPool returns an empty pool for a host of the data centre.
 func NewPool(dataCentre chestnutroad.DataCentreID, opts ...Option) *Pool {
 	pl := &Pool{
@@ -150,6 +155,9 @@
 func (pl *Pool) SetOthers(counts map[chestnutroad.TargetID]int) {
 	for id, tg := range pl.targets {
 		tg.others = counts[id]
+		if pl.off.Off(mechanism.Counts) {
+			tg.others = 0
+		}
 	}
 	for service, targets := range pl.services {
 		bound, _ := pl.boundOf(targets, func(tg *target) int { return tg.own + tg.others })
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 )
 
 const (
@@ -88,12 +89,17 @@
 
 // closed reports whether the target or its data centre could not be reached lately.
 func (pl *Pool) closed(now time.Time, tg *target) bool {
+	if pl.off.Off(mechanism.Reach) {
+		return false
+	}
 	known := pl.centres[tg.entry.DataCentre]
 	return tg.reach.closed(now) || known != nil && known.reach.closed(now)
 }
 
 // suspect reports whether requests go elsewhere while there is another target.
-func (pl *Pool) suspect(now time.Time, tg *target) bool { return pl.closed(now, tg) || tg.suspect(now) }
+func (pl *Pool) suspect(now time.Time, tg *target) bool {
+	return pl.closed(now, tg) || tg.paused(now) || !pl.off.Off(mechanism.Ejection) && tg.failing(now)
+}
 
 // try notes that a request is sent to the target and reports whether it is a trial.
 func (pl *Pool) try(now time.Time, tg *target) bool {
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -67,11 +67,13 @@
 	tg.bad *= keep
 }
 
-// suspect reports whether requests go elsewhere while there is another target.
-func (tg *target) suspect(now time.Time) bool {
-	if now.Before(tg.pausedUntil) || now.Before(tg.othersUntil) || tg.reach.closed(now) {
-		return true
-	}
+// paused reports whether the target wants no requests for now.
+func (tg *target) paused(now time.Time) bool {
+	return now.Before(tg.pausedUntil) || now.Before(tg.othersUntil)
+}
+
+// failing reports whether so many of this host's requests failed that others go elsewhere while there is another target.
+func (tg *target) failing(now time.Time) bool {
 	tg.fade(now)
 	return tg.bad >= 2 && tg.good+tg.bad >= ejectAfter && tg.bad/(tg.good+tg.bad) >= ejectShare
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -1,10 +1,13 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
 
@@ -37,6 +40,8 @@
 	CapFactor float64
 	// Placement names how targets are chosen; all but the default are baselines for comparisons.
 	Placement placement.Policy
+	// Without are mechanisms that are switched off, to measure what they are worth.
+	Without mechanism.Set
 	// PartMemory is how long after its last use a prompt part stays with the target where it was used.
 	PartMemory time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the retry budget that all hosts share for each service.
@@ -104,6 +109,7 @@
 		Grace:         rd.duration("Grace", 8*time.Second, 0, mostSpan),
 		CapFactor:     rd.ratio("CapFactor", 2, 1, mostFactor),
 		Placement:     placement.Policy(rd.choice("Placement", policies[0], policies...)),
+		Without:       rd.mechanisms("Without"),
 		PartMemory:    rd.duration("PartMemory", placement.DefaultPartMemory, time.Second, mostSpan),
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
 		RetrySlack:    rd.ratio("RetrySlack", 100, 0, mostSlack),
@@ -112,6 +118,21 @@
 	}
 }
 
+// mechanisms reads a list of the mechanisms that are off.
+func (rd *reader) mechanisms(key string) mechanism.Set {
+	off := mechanism.Set{}
+	names := rd.texts(key, func(text string) string {
+		if slices.Contains(mechanism.Names(), mechanism.Name(text)) {
+			return ""
+		}
+		return fmt.Sprintf("%q is not a mechanism; they are %v", text, mechanism.Names())
+	})
+	for _, name := range names {
+		off[mechanism.Name(name)] = true
+	}
+	return off
+}
+
 // needPort reads a port that has no default.
 func (rd *reader) needPort(key string) int {
 	if rd.tb.entries[key] == nil {
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -38,6 +38,8 @@
 		{"wrong type", entryFile + "CapFactor = \"two\"\n", "Entry.CapFactor"},
 		{"out of range", entryFile + "RetryRatio = 1.5\n", "Entry.RetryRatio"},
 		{"no unit", entryFile + "Grace = 8\n", "Entry.Grace"},
+		{"a mechanism off", entryFile + "Without = [\"Residence\"]\n", ""},
+		{"unknown mechanism", entryFile + "Without = [\"Luck\"]\n", "Entry.Without"},
 		{"unknown policy", entryFile + "Placement = \"Best\"\n", "Entry.Placement"},
 	}
 	for _, tc := range cases {
@@ -94,4 +96,4 @@
 }
 
 const entryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory Grace " +
-	"Drain CapFactor Placement PartMemory RetryRatio RetrySlack RetryWindow LogLevel "
+	"Drain CapFactor Placement Without PartMemory RetryRatio RetrySlack RetryWindow LogLevel "
