--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -77,7 +77,8 @@
 			"Trial", ex.choice.Trial)
 	}
 	if ex.census != nil {
-		fields = append(fields, "Known", ex.census.Known, "Leaving", ex.census.Leaving, "Closed", ex.census.Closed)
+		fields = append(fields, "Known", ex.census.Known, "Leaving", ex.census.Leaving, "Closed", ex.census.Closed,
+			"Held", ex.census.Held)
 	}
 	if err != nil {
 		fields = append(fields, "Error", err)
