--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -104,7 +104,7 @@
 	if len(ask.Excluded) > 0 {
 		return pl.residents.find(now, partHash(ask.Affinity))
 	}
-	return pl.reside(now, usable, ask.Affinity)
+	return pl.reside(now, usable, ask)
 }
 
 // pick takes one of the targets by the policy and the kind of request.
--- a/internal/placement/residence.go
+++ b/internal/placement/residence.go
@@ -39,6 +39,8 @@
 	last   place
 	usedAt time.Time
 	toldAt time.Time
+	// checkedAt is when it was last seen whether the part resides by its hash, which takes a look at all targets.
+	checkedAt time.Time
 }
 
 // residents follow where parts are in use. A part that nobody used for the memory's time is forgotten and goes where its
@@ -47,8 +49,8 @@
 	memory  time.Duration
 	targets map[chestnutroad.TargetID]*target
 	parts   map[chestnutroad.PartHash]*resident
-	// due are the parts whose residence is told to other hosts next.
-	due []chestnutroad.PartHash
+	// queue are the parts whose residence is told to other hosts next.
+	queue []chestnutroad.PartHash
 }
 
 func newResidents(targets map[chestnutroad.TargetID]*target) *residents {
@@ -92,12 +94,17 @@
 	if known.home != placeOf(home) {
 		*known = resident{home: placeOf(home)}
 	}
-	known.usedAt = now
+	known.usedAt, known.checkedAt = now, now
 	if home != byHash && now.Sub(known.toldAt) >= tellInterval {
 		rs.tell(now, part)
 	}
 }
 
+// due reports whether other hosts may have to be told of the part.
+func (rs *residents) due(now time.Time, part chestnutroad.PartHash) bool {
+	return now.Sub(rs.parts[part].checkedAt) >= tellInterval
+}
+
 // strayed notes that a request with the part went to another target than home, which had no room or could not be reached.
 // If the hash prefers that one to home, the part moves there: else targets that join stay empty while the parts crowd at
 // the others.
@@ -113,7 +120,7 @@
 
 func (rs *residents) tell(now time.Time, part chestnutroad.PartHash) {
 	rs.parts[part].toldAt = now
-	rs.due = append(rs.due, part)
+	rs.queue = append(rs.queue, part)
 }
 
 // makeRoom drops what is forgotten once the memory is full.
@@ -148,9 +155,9 @@
 func (pl *Pool) Residences(now time.Time) []chestnutroad.Residence {
 	rs := pl.residents
 	var told []chestnutroad.Residence
-	for len(rs.due) > 0 && len(told) < maxDue {
-		part := rs.due[0]
-		rs.due = rs.due[1:]
+	for len(rs.queue) > 0 && len(told) < maxDue {
+		part := rs.queue[0]
+		rs.queue = rs.queue[1:]
 		if home := rs.find(now, part); home != nil {
 			told = append(told, chestnutroad.Residence{Part: part, Target: home.shortHash()})
 		}
@@ -183,12 +190,19 @@
 	}
 }
 
-// reside returns the target at which a prompt part resides among the usable ones, and notes the use.
-func (pl *Pool) reside(now time.Time, usable []*target, affinity string) *target {
-	part := partHash(affinity)
-	firstByHash := first(now, usable, part)
+// reside returns the target at which the prompt part of a request resides among the usable ones, and notes the use.
+func (pl *Pool) reside(now time.Time, usable []*target, ask *Ask) *target {
+	part := partHash(ask.Affinity)
 	home := pl.residents.find(now, part)
-	if home == nil || home.entry.Service != firstByHash.entry.Service {
+	if home != nil && home.entry.Service != ask.Service {
+		home = nil
+	}
+	if home != nil && !pl.residents.due(now, part) {
+		pl.residents.parts[part].usedAt = now
+		return home
+	}
+	firstByHash := first(now, usable, part)
+	if home == nil {
 		home = firstByHash
 	}
 	pl.residents.use(now, part, home, firstByHash)
