Have hosts that start take a long list of targets from other hosts

The time is that of a page now. After the first page a host that is not among the first two of its data centre waits for up to 2 s for another one that holds all targets, and asks one at random.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -265,7 +265,10 @@
 	}
 	targets := &follower{
 		store: en.store, stream: chestnutroad.KeyedTargets, interval: targetInterval, logger: en.logger,
-		needed: en.readsStore, reset: en.resetTargets, apply: en.applyTargets,
+		needed: en.readsStore, goOn: en.readOn(), apply: en.applyTargets,
+		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+			en.resetTargets(records, next, "store")
+		},
 		reached: en.noteRead,
 	}
 	go configuration.run(ctx)
@@ -293,6 +296,31 @@
 	return !fresh || en.within(&en.fetchTrouble, fetchMemory), longestPause
 }
 
+// firstPatience is how long a host waits once, after the first page of the targets, for another host to hand over all.
+const firstPatience = 2 * time.Second
+
+// readOn decides between two pages of the targets whether this host reads on. Only the first hosts of a data centre do at
+// once, and the others get the targets packed from hosts that hold them: at 300 hosts and 3,000 targets the store would hand
+// out 0.5 GB whenever all hosts start, which takes it 6 s.
+func (en *Entry) readOn() func(ctx context.Context) error {
+	waited := false
+	return func(ctx context.Context) error {
+		if waited {
+			return nil
+		}
+		waited = true
+		for end := en.elapsed() + firstPatience; en.elapsed() < end && !en.link.amongFirst(); {
+			if !sleep(ctx, neededInterval) {
+				return ctx.Err()
+			}
+			if en.state.listed.Load() {
+				return errHeldElsewhere
+			}
+		}
+		return nil
+	}
+}
+
 func (en *Entry) applyConfiguration(records []chestnutroad.KeyedRecord, source string) {
 	for _, record := range records {
 		if record.Key != en.decoder.ConfigurationKey() || len(record.Value) == 0 {
@@ -311,7 +339,7 @@
 }
 
 // resetTargets takes in the newest record of each target up to next; a target without one is gone.
-func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset, source string) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
 		listed[record.Key] = true
@@ -325,7 +353,9 @@
 	}
 	en.state.mu.Unlock()
 	en.takeTargets(all, next, en.state.replaceRecords)
-	en.state.listed.Store(true)
+	if !en.state.listed.Swap(true) {
+		en.logger.Info("targets listed", "Count", len(records), "Offset", next, "Source", source)
+	}
 }
 
 // applyTargets takes in the changes of targets up to next.
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -30,6 +31,8 @@
 	mu    sync.Mutex
 	node  *relay.Node
 	hosts []relay.Host
+	// listRead is true once the list of hosts was read from the store.
+	listRead bool
 }
 
 // fetchInterval is the least time between two state calls of a host.
@@ -160,6 +163,16 @@
 	return fresh, found
 }
 
+// firstHosts is the number of hosts of a data centre that read all targets from the store at a start.
+const firstHosts = 2
+
+// amongFirst reports whether this host is known to be one of the first of its data centre.
+func (ln *link) amongFirst() bool {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.listRead && ln.node.Rank() < firstHosts
+}
+
 // State returns what this host holds beyond the request.
 func (ln *link) State(request *siblings.StateRequest) *siblings.State {
 	answer := ln.entry.state.beyond(request)
@@ -205,12 +218,22 @@
 		ln.mu.Lock()
 		newer := ln.node.Newer(ln.entry.now(), &held)
 		ln.mu.Unlock()
-		if len(newer) > 0 && !ln.fetchFrom(ctx, newer[0].Address) {
+		if len(newer) > 0 && !ln.fetchFrom(ctx, ln.anyNear(newer).Address) {
 			ln.entry.fetchTrouble.Store(int64(ln.entry.elapsed()))
 		}
 	}
 }
 
+// anyNear returns one of the hosts of the own data centre, or of all when there is none there, drawn at random: asked by all
+// hosts that start, a single one would need seconds to send them all targets.
+func (ln *link) anyNear(hosts []relay.Host) relay.Host {
+	near := slices.DeleteFunc(slices.Clone(hosts), func(hs relay.Host) bool { return hs.DataCentre != ln.self.DataCentre })
+	if len(near) == 0 {
+		near = hosts
+	}
+	return near[rand.IntN(len(near))]
+}
+
 // fetchFrom fetches what the host at the address holds beyond this one, and reports whether it answered.
 func (ln *link) fetchFrom(ctx context.Context, address string) bool {
 	held := ln.entry.held()
@@ -297,7 +320,7 @@
 func (ln *link) readHosts(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	batch, err := ln.entry.store.Newest(ctx, chestnutroad.KeyedHosts)
+	batch, err := ln.entry.store.Newest(ctx, chestnutroad.KeyedHosts, chestnutroad.Pages{})
 	if err != nil {
 		ln.entry.logger.Warn("the list of hosts was not read", "Error", err)
 		return false
@@ -314,6 +337,9 @@
 		listed = listed || hs == ln.self
 	}
 	ln.addHosts(hosts)
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	ln.listRead = true
 	return listed
 }
 
@@ -345,7 +371,7 @@
 			en.logger.Error("targets can't be read", "Source", "host "+from, "Error", err)
 			return
 		}
-		en.resetTargets(records, answer.Offset)
+		en.resetTargets(records, answer.Offset, "host "+from)
 	default:
 		en.applyTargets(answer.Targets, answer.Offset)
 	}
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -1,8 +1,11 @@
 package entry_test
 
 import (
+	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -64,3 +67,26 @@
 		})
 	}
 }
+
+// TestManyTargetsComeFromAnotherHost guards against hosts that all read a long list of targets from the store when they
+// start: at 300 hosts and 3,000 targets that took 6 s, and each began anew when its time was over.
+func TestManyTargetsComeFromAnotherHost(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	// The store's pages are short, so that five targets take two.
+	for index := range 5 {
+		st.runner(fmt.Sprintf("i-%d", index), "desk")
+	}
+	hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+	hosts[1].eventually(5*time.Second, "a host relays", func() bool {
+		return strings.Contains(hosts[0].log.String()+hosts[1].log.String(), `"Relaying":true`)
+	})
+	last := st.start("host-3", true, func(set *settings.Entry) { set.Processors = 0.1 })
+	if text := last.log.String(); !strings.Contains(text, `"Message":"targets listed"`) || !strings.Contains(text, `"Source":"host `) {
+		t.Errorf("the targets did not come from another host\n%s", text)
+	}
+	if got := stockStatus(last, "k-1"); got != http.StatusOK {
+		t.Errorf("got %d", got)
+	}
+}
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -29,6 +29,9 @@
 	neededInterval = 100 * time.Millisecond
 )
 
+// errHeldElsewhere ends a read of the store whose records another host holds already.
+var errHeldElsewhere = errors.New("another host holds the records")
+
 // follower reads one keyed stream: the newest record of each key first, then all that follow.
 type follower struct {
 	store    chestnutroad.KeyedStore
@@ -38,6 +41,8 @@
 	logger   *log.Logger
 	// needed reports whether this host has to read the store itself, and how long it pauses at most after failures.
 	needed func() (bool, time.Duration)
+	// goOn is asked between the pages of a read of all newest records.
+	goOn func(ctx context.Context) error
 	// reset takes in the newest record of each key, apply the records of a later read; next is the offset after them.
 	reset func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset)
 	apply func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset)
@@ -61,6 +66,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errHeldElsewhere) {
+			fl.reached(true)
+			pause = fl.interval
+			continue
+		}
 		gone := errors.Is(err, chestnutroad.ErrRecordsGone)
 		fl.reached(err == nil || gone)
 		if err != nil {
@@ -85,11 +95,12 @@
 func (fl *follower) step(
 	ctx context.Context, next chestnutroad.Offset, known bool,
 ) (chestnutroad.KeyedBatch, error) {
-	ctx, cancel := context.WithTimeout(ctx, fl.wait+readSlack)
-	defer cancel()
+	timeout := fl.wait + readSlack
 	if !known {
-		return fl.store.Newest(ctx, fl.stream)
+		return fl.store.Newest(ctx, fl.stream, chestnutroad.Pages{Timeout: timeout, GoOn: fl.goOn})
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	return fl.store.Read(ctx, fl.stream, next, fl.wait)
 }
 
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -157,6 +157,11 @@
 // Hosts returns the number of hosts, the own one included.
 func (nd *Node) Hosts() int { return len(nd.peers) + 1 }
 
+// Rank returns the place of this host in the order in which the hosts of its data centre relay, from 0.
+func (nd *Node) Rank() int {
+	return slices.IndexFunc(nd.local, func(hs Host) bool { return hs.ID == nd.self.ID })
+}
+
 // Relaying reports whether this host relays.
 func (nd *Node) Relaying() bool { return nd.relaying }
 
@@ -249,7 +254,7 @@
 	if held.Leaving {
 		return false
 	}
-	rank := slices.IndexFunc(nd.local, func(hs Host) bool { return hs.ID == nd.self.ID })
+	rank := nd.Rank()
 	relay, fresh, found := nd.Relay(now)
 	if found && fresh != held.Fresh {
 		return held.Fresh
--- a/keyed.go
+++ b/keyed.go
@@ -35,10 +35,18 @@
 	Unreadable int
 }
 
+// Pages says how the pages of a read of all newest records are read; the zero value reads them all without a limit.
+type Pages struct {
+	// Timeout bounds the time of each page; zero for none.
+	Timeout time.Duration
+	// GoOn is asked before each page but the first, and its error ends the read.
+	GoOn func(ctx context.Context) error
+}
+
 // KeyedStore is the platform's store of keyed streams.
 type KeyedStore interface {
 	// Newest returns the newest record of each key.
-	Newest(ctx context.Context, stream KeyedStream) (KeyedBatch, error)
+	Newest(ctx context.Context, stream KeyedStream, pages Pages) (KeyedBatch, error)
 	// Read returns the records from the offset on, or ErrRecordsGone; it waits up to wait for the first record.
 	Read(ctx context.Context, stream KeyedStream, from Offset, wait time.Duration) (KeyedBatch, error)
 	// Put writes the newest value of a key; after an error the write may still take effect.
