Open new connections to a data centre at which a kept one had ended

When a data centre is cut off with resets, each kept connection of a host to each target there loses the request that is sent on it next: it may have run, so that an order ends with 502, and a lookup goes to a second target behind the same cut.

TestCutThatResetsKeptConnections fails before (3 of 8 orders lost, 1 allowed).

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -265,6 +265,7 @@
 	ex.stream.heardAt, ex.stream.begun = en.now(), false
 	defer en.countSilence(ex, silence)
 	request := en.targetRequest(ex, entry)
+	request.Fresh = ex.choice.Fresh
 	if ex.choice.Trial {
 		request.Fresh, request.DialTimeout = true, trialDialTimeout
 	}
@@ -300,6 +301,9 @@
 	if errors.As(err, &notSent) {
 		res.end, res.outcome = attempt.NotSent, placement.Unreachable
 	}
+	if errors.Is(err, targetconn.ErrDropped) {
+		res.outcome = placement.Dropped
+	}
 	if callerGone {
 		res.outcome = placement.Unknown
 	}
--- a/internal/entry/reach_test.go
+++ b/internal/entry/reach_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
@@ -41,3 +43,41 @@
 		}
 	}
 }
+
+// TestCutThatResetsKeptConnections guards against orders that are lost one after the other when a data centre is cut off:
+// each was sent on a kept connection to the next target, where it may have run (incident inc-1c27).
+func TestCutThatResetsKeptConnections(t *testing.T) {
+	t.Parallel()
+	const count = 4
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	runners := make([]*standin.Runner, 0, count)
+	for index := range count {
+		rn := st.runner(fmt.Sprintf("i-%d", index), "desk")
+		st.store.PutTarget(rn.ID, rn.Entry("desk", "dc-b", "ready"))
+		rn.Gap = 50 * time.Millisecond
+		runners = append(runners, rn)
+	}
+	ht := st.start("host-1", true)
+	order := func(id string) reply {
+		return ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: id, Key: "k-1", Body: "b"})
+	}
+	var group sync.WaitGroup
+	for index := range 10 * count {
+		group.Go(func() { order(fmt.Sprintf("warm-%d", index)) })
+	}
+	group.Wait()
+	for _, rn := range runners {
+		if rn.Opened() == 0 {
+			t.Fatalf("%s has no connection", rn.ID)
+		}
+		rn.Drop()
+	}
+	statuses := map[int]int{}
+	for index := range 2 * count {
+		statuses[order(fmt.Sprintf("cut-%d", index)).status]++
+	}
+	if statuses[http.StatusBadGateway] > 1 || statuses[http.StatusServiceUnavailable] < 2*count-1 {
+		t.Errorf("got %v\n%s", statuses, ht.log)
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -44,6 +44,8 @@
 	Suspect bool
 	// Trial is true when the request finds out whether the target can be reached again.
 	Trial bool
+	// Fresh is true when the request should open a new connection.
+	Fresh bool
 	// Full is true when no target was chosen since none that may be used has a place.
 	Full bool
 	// Wait is set when no target was chosen since all that may be used turned requests away for a time: the least of them.
@@ -91,6 +93,7 @@
 	if home != nil && choice.Entry.ID != home.entry.ID {
 		pl.residents.strayed(now, partHash(ask.Affinity), home, pl.targets[choice.Entry.ID])
 	}
+	choice.Fresh = pl.doubted(now, pl.targets[choice.Entry.ID])
 	choice.Trial = pl.try(now, pl.targets[choice.Entry.ID])
 	return choice, true
 }
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -196,6 +196,8 @@
 	Served Outcome = iota
 	// Failed means that the target broke off, answered with bytes that are no answer, or failed the request.
 	Failed
+	// Dropped means that a kept connection had ended when the request was sent on it.
+	Dropped
 	// Unreachable means that no connection to the target could be opened, or that it went silent.
 	Unreachable
 	// Replaced means that another target answered at the address.
@@ -221,6 +223,9 @@
 	case Served:
 		tg.good++
 		change = pl.reached(tg)
+	case Dropped:
+		tg.bad++
+		pl.centre(tg.entry.DataCentre).doubt(now)
 	case Failed:
 		tg.bad++
 		change.TargetBack = tg.reach.pause > 0
--- a/internal/placement/reach.go
+++ b/internal/placement/reach.go
@@ -54,6 +54,18 @@
 	reach reach
 	// missed are the targets that could not be reached since one was.
 	missed map[chestnutroad.TargetID]bool
+	// doubtedUntil is the end of the time in which kept connections to the targets are not used.
+	doubtedUntil time.Time
+}
+
+// doubt notes that a kept connection had ended. When a data centre is cut off, those to all of its targets have, and each
+// request that is sent on one may have run and is lost; a new connection fails before the request is sent.
+func (cn *centre) doubt(now time.Time) { cn.doubtedUntil = now.Add(firstPause) }
+
+// doubted reports whether a request to the target should open a new connection.
+func (pl *Pool) doubted(now time.Time, tg *target) bool {
+	known := pl.centres[tg.entry.DataCentre]
+	return known != nil && now.Before(known.doubtedUntil)
 }
 
 func (cn *centre) miss(now time.Time, id chestnutroad.TargetID) bool {
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -56,6 +56,10 @@
 // ErrBadAnswer says that the target sent bytes that are no answer to the request.
 var ErrBadAnswer = errors.New("the target sent bytes that are no answer")
 
+// ErrDropped marks the failure of a request that was sent on a kept connection which ended before an answer: something
+// between the two ends may have lost track of it, and of others.
+var ErrDropped = errors.New("the kept connection had ended")
+
 // Answer is a target's answer; it must be closed.
 type Answer struct {
 	Status int
@@ -102,6 +106,10 @@
 	}
 	if err := an.readHead(rq); err != nil {
 		an.Close()
+		if an.Reused && ctx.Err() == nil && !errors.Is(err, ErrBadAnswer) {
+			pl.Forget(rq.Address)
+			err = errors.Mark(err, ErrDropped)
+		}
 		return nil, err
 	}
 	return an, nil
