--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -59,12 +59,9 @@
 // targets of a service: each request waited there for two connections before it was refused.
 func (pl *Pool) Choose(now time.Time, ask *Ask) (Choice, bool) {
 	all := pl.services[ask.Service]
-	usable := make([]*target, 0, len(all))
-	for _, tg := range all {
-		if tg.usable() && hasModel(&tg.entry, ask.Model) {
-			usable = append(usable, tg)
-		}
-	}
+	usable := slices.DeleteFunc(slices.Clone(all), func(tg *target) bool {
+		return !tg.usable() || !hasModel(&tg.entry, ask.Model)
+	})
 	candidates := slices.DeleteFunc(slices.Clone(usable), func(tg *target) bool {
 		return slices.Contains(ask.Excluded, tg.entry.ID)
 	})
@@ -72,15 +69,9 @@
 	if len(candidates) == 0 {
 		return Choice{Wait: wait}, false
 	}
-	sound := slices.DeleteFunc(slices.Clone(candidates), func(tg *target) bool { return pl.suspect(now, tg) })
-	suspect := len(sound) == 0
-	if suspect {
-		candidates = slices.DeleteFunc(candidates, func(tg *target) bool { return pl.closed(now, tg) })
-		if len(candidates) == 0 {
-			return Choice{}, false
-		}
-		// A pool whose targets all failed is still tried: all may have failed for one passing cause.
-		sound = candidates
+	sound, suspect := pl.sound(now, candidates)
+	if len(sound) == 0 {
+		return Choice{}, false
 	}
 	bound, mean := pl.bound(now, all)
 	pl.margin(ask.Service).follow(now)
@@ -98,6 +89,16 @@
 	return choice, true
 }
 
+// sound returns the targets that are not suspect. With none left it returns those that may be reached, and that they are
+// suspect: all may have failed for one passing cause.
+func (pl *Pool) sound(now time.Time, targets []*target) (sound []*target, suspect bool) {
+	sound = slices.DeleteFunc(slices.Clone(targets), func(tg *target) bool { return pl.suspect(now, tg) })
+	if len(sound) > 0 {
+		return sound, false
+	}
+	return slices.DeleteFunc(slices.Clone(targets), func(tg *target) bool { return pl.closed(now, tg) }), true
+}
+
 // homeOf returns the target at which the request's shared part resides; nil when it has none or the policy is a baseline.
 // A request that is sent again is not counted as another use.
 func (pl *Pool) homeOf(now time.Time, usable []*target, ask *Ask) *target {
