Count sends to targets over their bound by service

The load bound incident names no service, and no metric tells whether a plain service or the engines went over the bound. The counter is by what the host believed at the choice.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
 
 // counters are the host's metrics; their labels are services, kinds and reasons, which stay few.
@@ -54,6 +56,13 @@
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
 }
 
+// chosen counts a request that is sent to a target believed to hold more than its bound.
+func (cn *counters) chosen(service string, choice *placement.Choice) {
+	if choice.Load > choice.Bound {
+		cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_sends_over_bound_total{service=%q}", service)).Inc()
+	}
+}
+
 // sent counts the end of a send to a target.
 func (cn *counters) sent(service string, reason error) {
 	text := "Answered"
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -58,6 +58,7 @@
 			return en.noTarget(ex, &choice)
 		}
 		ex.choice = choice
+		en.counters.chosen(string(ex.service), &choice)
 		sent := en.now()
 		res := en.send(ex, &choice.Entry)
 		en.logReach(&choice.Entry, en.state.finish(en.now(), choice.Entry.ID, res.outcome), res.err)
