Keep plain requests from crowding a near target that usually holds more than the others

Callers of a plain service whose data centre has most of the callers met a target far over twice the mean + 3, while the other data centres' targets had room (LIMIT of the installation).

Cause: a plain request goes to the near target up to half of its places by counts that are 0.2 to 0.35 s old, and runs for 15 ms. The counts say nothing of the load that it meets, and the mean was not looked at. Half of six places is three, which the rule's bound is for an idle service.

A host now smooths the counts of each target over about 1.5 s and sends fewer requests to the near one for being near the more it usually holds.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -126,7 +126,7 @@
 		}
 		return preferCached(now, newRanking(now, sound, ask.Affinity, home), ask, &lim, suspect)
 	}
-	return pl.preferNear(now, sound, ask, bound, suspect)
+	return pl.preferNear(now, sound, ask, bound, mean, suspect)
 }
 
 func hasModel(entry *chestnutroad.TargetEntry, model string) bool {
@@ -291,58 +291,3 @@
 	mixed = (mixed ^ mixed>>27) * 0x94d049bb133111eb
 	return mixed ^ mixed>>31
 }
-
-const (
-	// quietShare is the share of a near target's places up to which it gets all plain requests of its data centre: hosts
-	// that send at the same time, by counts that are some hundred ms old, don't fill the rest.
-	quietShare = 0.5
-	// nearRoom is what a near target counts for beyond its free places; a message to another data centre and back takes
-	// up to a tenth of the time of a plain request.
-	nearRoom = 1.5
-	// leastRoom is what a full target still counts for: its count may be old.
-	leastRoom = 0.5
-)
-
-// preferNear takes the least loaded target of the own data centre while most of its places are free. Else each target gets
-// requests in proportion to its free places: if all hosts took the one that has most of them by the same old counts, they
-// would flood one after the other.
-func (pl *Pool) preferNear(now time.Time, targets []*target, ask *Ask, bound int, suspect bool) Choice {
-	if pl.off.Off(mechanism.Near) {
-		least := leastLoaded(now, targets, ask)
-		return Choice{Entry: least.entry, Load: least.load(now), Bound: bound, Suspect: suspect}
-	}
-	best := pl.nearest(now, targets, ask)
-	if best == nil || float64(best.load(now)) >= quietShare*float64(best.entry.Slots) {
-		best = pl.byRoom(now, targets, ask)
-	}
-	return Choice{Entry: best.entry, Load: best.load(now), Bound: bound, Suspect: suspect}
-}
-
-// nearest returns the least loaded target of the own data centre, or nil.
-func (pl *Pool) nearest(now time.Time, targets []*target, ask *Ask) *target {
-	near := slices.DeleteFunc(slices.Clone(targets), func(tg *target) bool { return tg.entry.DataCentre != pl.dataCentre })
-	if len(near) == 0 {
-		return nil
-	}
-	return leastLoaded(now, near, ask)
-}
-
-// byRoom draws a target with a chance in proportion to its free places.
-func (pl *Pool) byRoom(now time.Time, targets []*target, ask *Ask) *target {
-	rooms := make([]float64, len(targets))
-	total := 0.0
-	for index, tg := range targets {
-		rooms[index] = max(leastRoom, float64(tg.entry.Slots-tg.load(now)))
-		if tg.entry.DataCentre == pl.dataCentre {
-			rooms[index] += nearRoom
-		}
-		total += rooms[index]
-	}
-	left := draw(ask.Request, "") * total
-	for index, room := range rooms {
-		if left -= room; left < 0 {
-			return targets[index]
-		}
-	}
-	return targets[len(targets)-1]
-}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -158,6 +158,7 @@
 		if pl.off.Off(mechanism.Counts) {
 			tg.others = 0
 		}
+		tg.usual += usualStep * (float64(tg.own+tg.others) - tg.usual)
 	}
 	for service, targets := range pl.services {
 		bound, _ := pl.boundOf(targets, func(tg *target) int { return tg.own + tg.others })
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -32,6 +32,8 @@
 	own int
 	// others is the number of requests that other hosts reported there.
 	others int
+	// usual is the smoothed number of requests of all hosts, by the counts of others as they came.
+	usual float64
 	// counted is the number of requests of all hosts when the counts of others last came.
 	counted int
 	// reported is the target's own count of running and waiting requests, with the own requests subtracted.
