Match counts of requests by the list of targets that they are of, and read them across changes

Cause: counts were matched by the offset of the target records. The relays of the data centres read records at different moments, and a message at another offset was left out of the sums. A release writes several records a second, most of which leave the list of targets as it is.

Messages name the digest of their list. A host knows its last eight lists and reads counts in the order of any of them; of a list that it never held it goes on with what the sender said before, for up to a second. chestnutroad_counts_unmatched counts such messages.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -43,6 +43,7 @@
 		}
 		return 0
 	})
+	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
 	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
 		set.NewGauge(fmt.Sprintf("chestnutroad_targets{state=%q}", state), func() float64 {
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -89,7 +89,7 @@
 		}
 		ln.mu.Lock()
 		known := ln.node.Receive(ln.entry.now(), message)
-		others := ln.others(ln.entry.now(), message.Offset)
+		others := ln.node.Others(ln.entry.now())
 		ln.mu.Unlock()
 		if !known {
 			ln.askUnknown(from.String())
@@ -97,20 +97,11 @@
 		}
 		ln.entry.state.setResidences(ln.entry.now(), message.Residences)
 		if message.Kind == relay.Beacon && others != nil {
-			ln.entry.state.setOthers(ln.entry.now(), message.Offset, others)
+			ln.entry.state.setOthers(ln.entry.now(), others)
 		}
 	}
 }
 
-// others returns what other hosts said last of the targets, or nil when that is too old; ln.mu must be held.
-func (ln *link) others(now time.Time, offset chestnutroad.Offset) *othersView {
-	counts := ln.node.Others(now, offset)
-	if counts == nil {
-		return nil
-	}
-	return &othersView{counts: counts, notices: ln.node.OthersNotices(now, offset)}
-}
-
 // askUnknown has the state of a host fetched that is not in the list, which names it.
 func (ln *link) askUnknown(address string) {
 	select {
@@ -128,10 +119,10 @@
 		ln.mu.Lock()
 		sends := ln.node.Tick(now, &held)
 		relaying := ln.node.Relaying()
-		others := ln.others(now, held.Offset)
+		others := ln.node.Others(now)
 		ln.mu.Unlock()
 		if relaying && others != nil {
-			ln.entry.state.setOthers(now, held.Offset, others)
+			ln.entry.state.setOthers(now, others)
 		}
 		if relaying != wasRelaying {
 			ln.entry.logger.Info("relaying changed", "Relaying", relaying, "Version", held.Version, "Fresh", held.Fresh)
@@ -152,6 +143,13 @@
 	return ln.node.Relaying()
 }
 
+// unmatched returns the number of messages with counts of a list of targets that this host never held.
+func (ln *link) unmatched() int {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.node.Unmatched()
+}
+
 // following reports whether another host reads the store for this one.
 func (ln *link) following() (fresh, found bool) {
 	ln.mu.Lock()
--- a/internal/entry/records.go
+++ b/internal/entry/records.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/relay"
 )
 
 // maxGone bounds the keys without a record that are remembered; a host that holds less than that gets all records.
@@ -20,6 +21,8 @@
 	// sorted are the keys of live in order, or nil after one came or went: they are asked for with each message to other
 	// hosts.
 	sorted []string
+	// list is the list of the sorted keys, or nil with them.
+	list *relay.TargetList
 	// gone holds the offset at which a key lost its record.
 	gone map[string]chestnutroad.Offset
 	next chestnutroad.Offset
@@ -35,10 +38,24 @@
 func (rs *records) keys() []string {
 	if rs.sorted == nil {
 		rs.sorted = slices.Sorted(maps.Keys(rs.live))
+		rs.list = nil
 	}
 	return rs.sorted
 }
 
+// targetList returns the list of the targets that have a record.
+func (rs *records) targetList() *relay.TargetList {
+	keys := rs.keys()
+	if rs.list == nil {
+		ids := make([]chestnutroad.TargetID, 0, len(keys))
+		for _, key := range keys {
+			ids = append(ids, chestnutroad.TargetID(key))
+		}
+		rs.list = relay.NewTargetList(ids)
+	}
+	return rs.list
+}
+
 func (rs *records) has(key string) bool {
 	_, found := rs.live[key]
 	return found
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -166,34 +166,19 @@
 	st.hosts = count
 }
 
-// othersView is what other hosts said last of the targets, in the order of the ids that were listed at an offset.
-type othersView struct {
-	counts []byte
-	// notices are nil when no target said anything.
-	notices []relay.Notice
-}
-
-// setOthers takes in what other hosts said of the targets that were listed at offset.
-func (st *state) setOthers(now time.Time, offset chestnutroad.Offset, view *othersView) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	if offset != st.records.next {
-		return
-	}
-	keys := st.records.keys()
-	if len(keys) != len(view.counts) {
-		return
-	}
-	counts := make(map[chestnutroad.TargetID]int, len(keys))
+// setOthers takes in what other hosts said of the targets.
+func (st *state) setOthers(now time.Time, view *relay.View) {
+	counts := make(map[chestnutroad.TargetID]int, len(view.Counts))
 	notices := map[chestnutroad.TargetID]placement.Notice{}
-	for index, key := range keys {
-		id := chestnutroad.TargetID(key)
-		counts[id] = int(view.counts[index])
-		if index < len(view.notices) && view.notices[index] > 0 {
-			notice := view.notices[index]
+	for index, id := range view.List.IDs[:min(len(view.Counts), len(view.List.IDs))] {
+		counts[id] = int(view.Counts[index])
+		if index < len(view.Notices) && view.Notices[index] > 0 {
+			notice := view.Notices[index]
 			notices[id] = placement.Notice{Leaving: notice == relay.Leaving, Hold: relay.Hold(notice)}
 		}
 	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	st.pool.SetOthers(counts)
 	st.pool.SetOthersNotices(now, notices)
 }
@@ -223,42 +208,31 @@
 func (st *state) held(now time.Time) relay.Held {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	held := relay.Held{Offset: st.records.next, Own: st.ownCounts(), Notices: st.ownNotices(now)}
+	held := relay.Held{Offset: st.records.next, Own: st.ownView(now)}
 	if tb := st.table.Load(); tb != nil {
 		held.Version = tb.Version()
 	}
 	return held
 }
 
-// ownCounts returns the own requests at each target in the order of the records' keys, which is the same on all hosts
-// that hold the records up to one offset.
-func (st *state) ownCounts() []byte {
-	own := st.pool.Own()
-	keys := st.records.keys()
-	counts := make([]byte, 0, len(keys))
-	for _, key := range keys {
-		counts = append(counts, byte(min(relay.MaxCount, own[chestnutroad.TargetID(key)])))
+// ownView returns the own requests at each target, and what targets said to this host, in the order of the list of targets.
+func (st *state) ownView(now time.Time) relay.View {
+	list := st.records.targetList()
+	view := relay.View{List: list, Counts: make([]byte, 0, len(list.IDs))}
+	own, said := st.pool.Own(), st.pool.Notices(now)
+	for _, id := range list.IDs {
+		view.Counts = append(view.Counts, byte(min(relay.MaxCount, own[id])))
 	}
-	return counts
-}
-
-// ownNotices returns what targets said to this host in the order of the records' keys, or nil when none said anything.
-func (st *state) ownNotices(now time.Time) []relay.Notice {
-	own := st.pool.Notices(now)
-	if len(own) == 0 {
-		return nil
+	if len(said) == 0 {
+		return view
 	}
-	keys := st.records.keys()
-	notices := make([]relay.Notice, len(keys))
-	for index, key := range keys {
-		switch said := own[chestnutroad.TargetID(key)]; {
-		case said.Leaving:
-			notices[index] = relay.Leaving
-		default:
-			notices[index] = relay.NewNotice(said.Hold)
+	view.Notices = make([]relay.Notice, len(list.IDs))
+	for index, id := range list.IDs {
+		if view.Notices[index] = relay.NewNotice(said[id].Hold); said[id].Leaving {
+			view.Notices[index] = relay.Leaving
 		}
 	}
-	return notices
+	return view
 }
 
 // replaceRecords takes in the newest record of each target up to next, and the ends of targets that have none any more.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -42,9 +42,11 @@
 	Fresh bool
 	// Leaving is true once the sender was asked to stop.
 	Leaving bool `json:",omitempty"`
-	// Counts are the requests at each target, in the order of the ids that were listed at Offset; at most 255 each.
+	// List is the digest of the list in whose order Counts and Notices are.
+	List uint64 `json:",omitempty"`
+	// Counts are the requests at each target; at most 255 each.
 	Counts []byte
-	// Notices are what the targets said of themselves, in the same order; left out when none said anything.
+	// Notices are what the targets said of themselves; left out when none said anything.
 	Notices []Notice `json:",omitempty"`
 	// Residences say where prompt parts are in use; they are encoded apart.
 	Residences []chestnutroad.Residence `json:"-"`
@@ -64,10 +66,8 @@
 	Fresh bool
 	// Leaving is true once the host was asked to stop.
 	Leaving bool
-	// Own are the host's own requests at each target in order of their ids.
-	Own []byte
-	// Notices are what targets said to the host itself in that order; nil when none said anything.
-	Notices []Notice
+	// Own are the host's own requests at each target, and what targets said to the host itself.
+	Own View
 	// Residences are what other hosts are to be told of prompt parts, once.
 	Residences []chestnutroad.Residence
 }
@@ -91,6 +91,9 @@
 	last   Message
 	heard  time.Time
 	beacon time.Time
+	// view is what the host last said of the targets in the order of a list that is known here.
+	view   *View
+	viewAt time.Time
 }
 
 // Node is one host's part. It is not safe for concurrent use.
@@ -100,13 +103,14 @@
 	peers map[chestnutroad.HostID]*peer
 	// local are the hosts of the own data centre in the order in which they relay, the own one included.
 	local []Host
-	// reported are the own counts in the last message to a relay.
-	reported       []byte
-	reportedOffset chestnutroad.Offset
-	total          []byte
-	totalNotices   []Notice
-	totalOffset    chestnutroad.Offset
-	totalAt        time.Time
+	// lists are the lists of targets that this host held last.
+	lists lists
+	// reported is the host's own part of the last message to a relay, total what all hosts said last.
+	reported *View
+	total    *View
+	totalAt  time.Time
+	// unmatched counts the messages in the order of a list that is not known here.
+	unmatched int
 	relaying       bool
 	// local and remote residences arrived since the last tick and are passed on with the next one.
 	localResidences  []chestnutroad.Residence
@@ -221,6 +225,14 @@
 	}
 	pr.last = *message
 	pr.heard = now
+	view := nd.read(message)
+	switch {
+	case message.Kind == Beacon:
+		// A beacon has the sums of all hosts, which are not its sender's own part.
+		pr.view = nil
+	case view != nil:
+		pr.view, pr.viewAt = view, now
+	}
 	switch message.Kind {
 	case Report:
 		nd.localResidences = passOn(nd.localResidences, message.Residences)
@@ -231,15 +243,30 @@
 	case Beacon:
 	}
 	pr.beacon = now
-	if relay, _, found := nd.Relay(now); found && relay.ID == message.From {
-		nd.total, nd.totalOffset, nd.totalAt = message.Counts, message.Offset, now
-		nd.totalNotices = message.Notices
+	if relay, _, found := nd.Relay(now); found && relay.ID == message.From && view != nil {
+		nd.total, nd.totalAt = view, now
 	}
 	return true
 }
 
+// read returns what a message says of the targets, or nil when it is in the order of a list that this host never held. What
+// its sender said before is believed until then: without it, the sums would lack all requests of a data centre that has read
+// another record.
+func (nd *Node) read(message *Message) *View {
+	list := nd.lists.find(message.List)
+	if list == nil {
+		nd.unmatched++
+		return nil
+	}
+	return &View{List: list, Counts: message.Counts, Notices: message.Notices}
+}
+
+// Unmatched returns the number of messages in the order of a list that this host never held.
+func (nd *Node) Unmatched() int { return nd.unmatched }
+
 // Tick returns the messages that are due; it is due every Interval.
 func (nd *Node) Tick(now time.Time, held *Held) []Send {
+	nd.lists.add(held.Own.List)
 	nd.relaying = nd.shouldRelay(now, held)
 	if !nd.relaying {
 		nd.localResidences, nd.remoteResidences = nil, nil
@@ -276,11 +303,11 @@
 	return last
 }
 
-func (nd *Node) message(kind Kind, held *Held, counts []byte, notices []Notice) Message {
+func (nd *Node) message(kind Kind, held *Held, view *View) Message {
 	return Message{
 		Kind: kind, From: nd.self.ID, DataCentre: nd.self.DataCentre,
-		Version: held.Version, Offset: held.Offset, Fresh: held.Fresh, Leaving: held.Leaving, Counts: counts,
-		Notices: notices,
+		Version: held.Version, Offset: held.Offset, Fresh: held.Fresh, Leaving: held.Leaving,
+		List: view.List.Digest, Counts: view.Counts, Notices: view.Notices,
 	}
 }
 
@@ -302,40 +329,34 @@
 	if !found {
 		return nil
 	}
-	nd.reported, nd.reportedOffset = held.Own, held.Offset
-	report := nd.message(Report, held, held.Own, held.Notices)
+	nd.reported = &held.Own
+	report := nd.message(Report, held, &held.Own)
 	report.Residences = held.Residences
 	return []Send{{Address: relay.Address, Message: report}}
 }
 
 func (nd *Node) relay(now time.Time, held *Held) []Send {
-	nd.reported, nd.reportedOffset = held.Own, held.Offset
-	sum := slices.Clone(held.Own)
-	total := slices.Clone(held.Own)
-	notices, allNotices := held.Notices, held.Notices
+	nd.reported = &held.Own
+	centre, all := held.Own.clone(), held.Own.clone()
 	for _, pr := range nd.peers {
-		if now.Sub(pr.heard) >= countsAge || pr.last.Offset != held.Offset {
+		if pr.view == nil || now.Sub(pr.viewAt) >= countsAge {
 			continue
 		}
 		if pr.DataCentre == nd.self.DataCentre && pr.last.Kind == Report {
-			addCounts(sum, pr.last.Counts)
-			addCounts(total, pr.last.Counts)
-			notices = mergeNotices(notices, pr.last.Notices)
-			allNotices = mergeNotices(allNotices, pr.last.Notices)
+			centre.add(pr.view)
+			all.add(pr.view)
 		}
 		if pr.DataCentre != nd.self.DataCentre && pr.last.Kind == Exchange {
-			addCounts(total, pr.last.Counts)
-			allNotices = mergeNotices(allNotices, pr.last.Notices)
+			all.add(pr.view)
 		}
 	}
-	nd.total, nd.totalOffset, nd.totalAt = total, held.Offset, now
-	nd.totalNotices = allNotices
+	nd.total, nd.totalAt = all, now
 	nd.turn += remoteCandidates
 	sends := make([]Send, 0, len(nd.peers))
 	local := passOn(nd.localResidences, held.Residences)
 	remote := nd.remoteResidences
 	nd.localResidences, nd.remoteResidences = nil, nil
-	beacon, exchange := nd.message(Beacon, held, total, allNotices), nd.message(Exchange, held, sum, notices)
+	beacon, exchange := nd.message(Beacon, held, all), nd.message(Exchange, held, centre)
 	beacon.Residences, exchange.Residences = passOn(slices.Clone(local), remote), local
 	for _, hs := range nd.local {
 		if hs.ID != nd.self.ID {
@@ -391,31 +412,18 @@
 	return some
 }
 
-func addCounts(to, from []byte) {
-	for index := range min(len(to), len(from)) {
-		to[index] = byte(min(MaxCount, int(to[index])+int(from[index])))
-	}
-}
-
-// Others returns the requests of all other hosts at each target in order of their ids, or nil when they are not known.
-func (nd *Node) Others(now time.Time, offset chestnutroad.Offset) []byte {
-	if now.Sub(nd.totalAt) >= countsAge || nd.totalOffset != offset {
+// Others returns what all other hosts said last of the targets, or nil when that is too old. What targets said to this host
+// is among the notices.
+func (nd *Node) Others(now time.Time) *View {
+	if nd.total == nil || now.Sub(nd.totalAt) >= countsAge {
 		return nil
 	}
-	others := slices.Clone(nd.total)
-	if nd.reportedOffset == offset {
-		for index := range min(len(others), len(nd.reported)) {
-			others[index] -= min(others[index], nd.reported[index])
+	others := nd.total.clone()
+	if nd.reported != nil {
+		own := nd.reported.in(others.List).Counts
+		for index := range min(len(others.Counts), len(own)) {
+			others.Counts[index] -= min(others.Counts[index], own[index])
 		}
 	}
 	return others
 }
-
-// OthersNotices returns what targets said to any host, in order of their ids; nil when nothing is known. What they said
-// to this host is among it.
-func (nd *Node) OthersNotices(now time.Time, offset chestnutroad.Offset) []Notice {
-	if now.Sub(nd.totalAt) >= countsAge || nd.totalOffset != offset {
-		return nil
-	}
-	return nd.totalNotices
-}
