--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -38,8 +38,8 @@
 	if list == nil || len(*ls) > 0 && (*ls)[len(*ls)-1].Digest == list.Digest {
 		return
 	}
-	known := slices.DeleteFunc(*ls, func(one *TargetList) bool { return one.Digest == list.Digest })
-	*ls = append(known[max(0, len(known)+1-keptLists):], list)
+	*ls = append(slices.DeleteFunc(*ls, func(one *TargetList) bool { return one.Digest == list.Digest }), list)
+	*ls = (*ls)[max(0, len(*ls)-keptLists):]
 }
 
 // find returns the list with the digest, or nil when this host never held it.
--- a/internal/relay/list_test.go
+++ b/internal/relay/list_test.go
@@ -22,16 +22,22 @@
 		want   map[chestnutroad.TargetID]int
 	}{
 		{
-			"the same targets at other offsets", [3]*relay.TargetList{old, old, old},
-			[3][]byte{{1, 0, 2}, {1, 0, 2}, {1, 0, 2}}, map[chestnutroad.TargetID]int{"a": 11, "b": 0, "c": 22},
+			"the same targets at other offsets",
+			[3]*relay.TargetList{old, old, old},
+			[3][]byte{{1, 0, 2}, {1, 0, 2}, {1, 0, 2}},
+			map[chestnutroad.TargetID]int{"a": 11, "b": 0, "c": 22},
 		},
 		{
-			"one has read that a target joined", [3]*relay.TargetList{old, joined, old},
-			[3][]byte{{1, 0, 2}, {1, 5, 0, 2}, {1, 0, 2}}, map[chestnutroad.TargetID]int{"a": 11, "b": 0, "c": 22},
+			"one has read that a target joined",
+			[3]*relay.TargetList{old, joined, old},
+			[3][]byte{{1, 0, 2}, {1, 5, 0, 2}, {1, 0, 2}},
+			map[chestnutroad.TargetID]int{"a": 11, "b": 0, "c": 22},
 		},
 		{
-			"one has not read it yet", [3]*relay.TargetList{joined, old, joined},
-			[3][]byte{{1, 5, 0, 2}, {1, 0, 2}, {1, 5, 0, 2}}, map[chestnutroad.TargetID]int{"a": 11, "aa": 35, "b": 0, "c": 22},
+			"one has not read it yet",
+			[3]*relay.TargetList{joined, old, joined},
+			[3][]byte{{1, 5, 0, 2}, {1, 0, 2}, {1, 5, 0, 2}},
+			map[chestnutroad.TargetID]int{"a": 11, "aa": 35, "b": 0, "c": 22},
 		},
 	}
 	for _, tc := range cases {
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -111,7 +111,7 @@
 	totalAt  time.Time
 	// unmatched counts the messages in the order of a list that is not known here.
 	unmatched int
-	relaying       bool
+	relaying  bool
 	// local and remote residences arrived since the last tick and are passed on with the next one.
 	localResidences  []chestnutroad.Residence
 	remoteResidences []chestnutroad.Residence
