Order what the store tells by its era and offset, and keep ends across its return from a copy

In a drill the store may come back from a copy some seconds old. It gives offsets out again, states a higher Store-Era in each answer, and operators and targets write again what it lost.

What callers saw with the stand-in's drill on the code before (TestOffsetsGivenOutAgain, with and without a host that follows a relay): a target that joined was never used, one that left went on getting requests, and a key that was taken away worked for over 4 s. Hosts went on from the offset that they held, below which the new records stood, and compared offsets between hosts as if they only rose. TestTargetsOfACopy: a target that had gone before the drill got 140 requests after it, and one that had said that it leaves got 61, since the copy lists both as ready.

A position is an era and an offset, ordered by era first, in reads, between hosts and in what a host holds. A read whose answer is of a later era begins anew with the newest records; an answer of an earlier era, or with an era that is no number, gets an error line and is not used. Entries that a copy brings back are held against what the host has seen of each life: what left stays leaving, what went stays gone, and a target that joined since the copy is kept until it can have registered again. A record never replaces a later one of the same key, so that an answer that is behind takes nothing back.

chestnutroad_store_era and chestnutroad_store_eras_met_total tell of it.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -37,6 +37,8 @@
 	set.NewGauge("chestnutroad_store_read_age_seconds", func() float64 {
 		return (en.elapsed() - time.Duration(en.lastRead.Load())).Seconds()
 	})
+	set.NewGauge("chestnutroad_store_era", func() float64 { return float64(en.eras.current()) })
+	set.NewGauge("chestnutroad_store_eras_met_total", func() float64 { return float64(en.eras.count()) })
 	set.NewGauge("chestnutroad_relaying", func() float64 {
 		if en.link.relaying() {
 			return 1
--- /dev/null
+++ b/internal/entry/drill_test.go
@@ -0,0 +1,194 @@
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+const (
+	// settled is the time in which hosts have read all records.
+	settled = time.Second
+	// away is how long the store is away in a drill.
+	away = 100 * time.Millisecond
+	// copyAge is more than settled, so that the copy lacks what was written last.
+	copyAge = 1200 * time.Millisecond
+)
+
+// TestOffsetsGivenOutAgain guards against records that are never read since the store gave their offsets out again below the
+// one that a host goes on from: a target that joined is unknown, one that left stays, and a key that was taken away works.
+func TestOffsetsGivenOutAgain(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// write writes so many records before the drill that the copy lacks, and more than those after it.
+		before, after func(st *site, rn *standin.Runner)
+		holds         func(ht *host) bool
+	}{
+		{
+			"a target that joined",
+			func(st *site, rn *standin.Runner) { st.beat(rn, "desk", 3) },
+			func(st *site, rn *standin.Runner) {
+				st.runner("i-2", "model").Events = 2
+				st.beat(rn, "desk", 3)
+			},
+			func(ht *host) bool {
+				return ht.call(ht.t.Context(), standin.Call{Method: http.MethodPost, Path: "/chat/x", ID: "c", Key: "k-1"}).status == http.StatusOK
+			},
+		},
+		{
+			"a target that left",
+			func(st *site, rn *standin.Runner) { st.beat(rn, "desk", 3) },
+			func(st *site, rn *standin.Runner) {
+				st.store.PutTarget(rn.ID, "")
+				st.beat(st.runner("i-2", "model"), "model", 3)
+			},
+			func(ht *host) bool { return stockStatus(ht, "k-1") == http.StatusServiceUnavailable },
+		},
+		{
+			"a key that was taken away",
+			func(st *site, _ *standin.Runner) {
+				for version := 4; version < 7; version++ {
+					st.store.Configure(version, 1, "k-1", "k-2")
+				}
+			},
+			func(st *site, _ *standin.Runner) {
+				for version := 6; version < 9; version++ {
+					st.store.Configure(version, 1, "k-2")
+				}
+			},
+			func(ht *host) bool { return stockStatus(ht, "k-1") == http.StatusUnauthorized },
+		},
+	}
+	for _, tc := range cases {
+		for _, followers := range []int{0, 1} {
+			t.Run(fmt.Sprintf("%s, %d followers", tc.name, followers), func(t *testing.T) {
+				t.Parallel()
+				st := newSite(t)
+				st.store.Configure(3, 1, "k-1", "k-2")
+				rn := st.runner("i-1", "desk")
+				hosts := []*host{st.start("host-1", true)}
+				for index := range followers {
+					hosts = append(hosts, st.start(fmt.Sprintf("follower-%d", index), true))
+				}
+				time.Sleep(copyAge)
+				tc.before(st, rn)
+				time.Sleep(settled)
+				st.store.Run(standin.Drill{Back: copyAge, Away: away, Rewrite: -1})
+				tc.after(st, rn)
+				for _, ht := range hosts {
+					ht.eventually(2*applyWithin, "the record is read", func() bool { return tc.holds(ht) })
+				}
+			})
+		}
+	}
+}
+
+// beat has a runner write its entry so many times.
+func (st *site) beat(rn *standin.Runner, service string, times int) {
+	for range times {
+		st.store.PutTarget(rn.ID, rn.Entry(service, "dc-a", "ready"))
+	}
+}
+
+// TestTargetsOfACopy guards against requests to a target that left or went before the drill, which the store's copy holds as
+// ready, and against a service without targets since those that joined after the copy are missing in it.
+func TestTargetsOfACopy(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		state string
+		// joins has the second target register after the copy.
+		joins   bool
+		rewrite time.Duration
+		// starts has another host start right after the drill; one that does learns of a target that has gone only when its
+		// entry lapses.
+		starts bool
+	}{
+		{"left", "draining", false, -1, true},
+		{"gone", "", false, -1, false},
+		{"joined", "draining", true, time.Second, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			one := st.runner("i-1", "desk")
+			register := func() *standin.Runner { return st.runner("i-2", "desk") }
+			var two *standin.Runner
+			if !tc.joins {
+				two = register()
+			}
+			hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+			time.Sleep(copyAge)
+			if tc.joins {
+				two = register()
+			}
+			entry := ""
+			if tc.state != "" {
+				entry = one.Entry("desk", "dc-a", tc.state)
+			}
+			st.store.PutTarget("i-1", entry)
+			time.Sleep(settled)
+			st.store.Run(standin.Drill{Back: copyAge, Away: away, Rewrite: tc.rewrite})
+			if tc.starts {
+				hosts = append(hosts, st.start("host-3", true))
+				time.Sleep(settled)
+			}
+			before := len(one.Runs())
+			for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				for _, ht := range hosts {
+					if got := stockStatus(ht, "k-1"); got != http.StatusOK {
+						t.Fatalf("%s answers %d\n%s", ht.settings.ID, got, ht.log)
+					}
+				}
+			}
+			if again := len(one.Runs()) - before; again > 0 {
+				t.Errorf("the target got %d requests after its end\n%s", again, hosts[0].log)
+			}
+			if len(two.Runs()) == 0 {
+				t.Error("the other target got no request")
+			}
+		})
+	}
+}
+
+// TestErasOfNoUse guards against answers that are used although their era is no number or an earlier one, and against
+// hosts that say nothing of it.
+func TestErasOfNoUse(t *testing.T) {
+	t.Parallel()
+	cases := []struct{ name, era, line string }{
+		{"no number", "x", "the store states the era"},
+		{"below zero", "-1", "the store states the era"},
+		{"an earlier one", "0", "the store's answer is of an earlier era"},
+		{"left out", "", "the store's answer is of an earlier era"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			st.runner("i-1", "desk")
+			time.Sleep(settled)
+			st.store.Run(standin.Drill{Back: settled / 2, Rewrite: -1})
+			ht := st.start("host-1", true)
+			st.store.SetEra(tc.era)
+			time.Sleep(settled)
+			st.store.Configure(5, 1, "k-2")
+			time.Sleep(2 * settled)
+			if got := stockStatus(ht, "k-1"); got != http.StatusOK {
+				t.Errorf("an answer of no use was used: %d", got)
+			}
+			if text := ht.log.String(); !strings.Contains(text, tc.line) || !strings.Contains(text, `"Level":"error"`) {
+				t.Errorf("no line on it\n%s", text)
+			}
+			st.store.SetEra("1")
+			ht.eventually(applyWithin, "the key is refused", func() bool { return stockStatus(ht, "k-1") == http.StatusUnauthorized })
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,10 @@
 	// lastRead and lastTrouble are when the last read of the targets succeeded and failed, by elapsed; zero for never.
 	lastRead    atomic.Int64
 	lastTrouble atomic.Int64
+	// copiedAt is when the targets were last read from a store that had come back from an older copy.
+	copiedAt atomic.Int64
+	// eras are the eras of the store that the host has met.
+	eras *eras
 	// fetchTrouble is when the last call to another host for its state failed.
 	fetchTrouble atomic.Int64
 	now          func() time.Time
@@ -85,6 +89,7 @@
 		state:    newState(set),
 		targets:  targetconn.NewPool(),
 		counters: newCounters(),
+		eras:     &eras{},
 		callers:  newCallerConns(),
 		buffered: &buffered{limit: int64(set.Memory) / bufferShare},
 		now:      time.Now,
@@ -253,20 +258,20 @@
 
 func (en *Entry) follow(ctx context.Context) {
 	configuration := &follower{
-		store: en.store, stream: chestnutroad.KeyedConfiguration, wait: readWait, logger: en.logger,
+		store: en.store, stream: chestnutroad.KeyedConfiguration, wait: readWait, logger: en.logger, eras: en.eras,
 		needed: en.readsStore,
-		reset: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Offset) {
+		reset: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Position) {
 			en.applyConfiguration(records, "store")
 		},
-		apply: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Offset) {
+		apply: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Position) {
 			en.applyConfiguration(records, "store")
 		},
 		reached: func(bool) {},
 	}
 	targets := &follower{
-		store: en.store, stream: chestnutroad.KeyedTargets, interval: targetInterval, logger: en.logger,
+		store: en.store, stream: chestnutroad.KeyedTargets, interval: targetInterval, logger: en.logger, eras: en.eras,
 		needed: en.readsStore, goOn: en.readOn(), apply: en.applyTargets,
-		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 			en.resetTargets(records, next, "store")
 		},
 		reached: en.noteRead,
@@ -328,7 +333,7 @@
 		}
 		cf, err := en.decoder.Configuration(record.Value)
 		if err != nil {
-			en.logger.Error("configuration can't be read", "Offset", record.Offset, "Source", source, "Error", err)
+			en.logger.Error("configuration can't be read", "Position", record.Position, "Source", source, "Error", err)
 			continue
 		}
 		if en.state.offer(cf, record.Value) {
@@ -338,69 +343,97 @@
 	}
 }
 
-// resetTargets takes in the newest record of each target up to next; a target without one is gone.
-func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset, source string) {
+// resetTargets takes in the newest record of each target up to next; a target without one is gone, unless the store came
+// back from an older copy, in which targets that joined since are missing until they register again.
+func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Position, source string) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
 		listed[record.Key] = true
 	}
-	all := slices.Clone(records)
+	var missing []chestnutroad.KeyedRecord
 	en.state.mu.Lock()
+	held := en.state.records.next
 	for _, key := range en.state.records.keys() {
 		if !listed[key] {
-			all = append(all, chestnutroad.KeyedRecord{Key: key})
+			missing = append(missing, chestnutroad.KeyedRecord{Key: key, Position: next})
 		}
 	}
 	en.state.mu.Unlock()
-	en.takeTargets(all, next, en.state.replaceRecords)
+	fromCopy := en.state.listed.Load() && next.Era > held.Era
+	if fromCopy {
+		en.copiedAt.Store(int64(en.elapsed()))
+	}
+	recalled := en.takeTargets(slices.Concat(records, missing), next, en.state.replaceRecords)
+	if fromCopy {
+		en.logger.Warn("the store came back from an older copy", "Held", held, "Position", next, "Source", source,
+			"Targets", len(records), "Missing", len(missing), "Recalled", recalled, "Version", en.held().Version)
+	}
 	if !en.state.listed.Swap(true) {
-		en.logger.Info("targets listed", "Count", len(records), "Offset", next, "Source", source)
+		en.logger.Info("targets listed", "Count", len(records), "Position", next, "Source", source)
 	}
 }
 
 // applyTargets takes in the changes of targets up to next.
-func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 	en.takeTargets(records, next, en.state.applyRecords)
 }
 
-// takeTargets has records of targets take effect, and then keeps them for other hosts.
+// takeTargets has records of targets take effect, and then keeps them for other hosts. It returns the number of records that
+// only an older copy of the store brought back.
 func (en *Entry) takeTargets(
-	records []chestnutroad.KeyedRecord, next chestnutroad.Offset, keep func([]chestnutroad.KeyedRecord, chestnutroad.Offset),
-) {
-	for _, record := range records {
-		en.applyTarget(&record)
+	records []chestnutroad.KeyedRecord, next chestnutroad.Position,
+	keep func([]chestnutroad.KeyedRecord, chestnutroad.Position),
+) (recalled int) {
+	en.state.mu.Lock()
+	current := en.state.records.current(records)
+	en.state.mu.Unlock()
+	kept := make([]chestnutroad.KeyedRecord, 0, len(current))
+	for _, record := range current {
+		said := en.applyTarget(&record)
+		if said != recallsNothing {
+			recalled++
+		}
+		if said != recallsGone {
+			kept = append(kept, record)
+		}
 	}
-	keep(records, next)
+	keep(kept, next)
+	return recalled
 }
 
-func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) {
+// applyTarget has a record take effect unless it only recalls what the host has seen the end of.
+func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) recall {
 	id := chestnutroad.TargetID(record.Key)
 	if len(record.Value) == 0 {
 		en.removeLater(id)
-		return
+		return recallsNothing
 	}
 	entry, err := en.decoder.Target(record.Key, record.Value)
 	if err != nil {
-		en.logger.Warn("target entry can't be used", "Target", id, "Offset", record.Offset, "Error", err)
+		en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", err)
 		en.removeTarget(id, "unreadable")
-		return
+		return recallsNothing
 	}
-	en.state.mu.Lock()
-	before, known := en.state.pool.Entry(id)
-	if en.state.pool.Set(&entry) {
-		en.state.pool.Joined(en.now(), id)
+	said, before, known := en.state.setTarget(en.now(), &entry, record.Position.Era)
+	if said != recallsNothing {
+		en.logger.Info("target entry is older than what was seen", "Target", id, "Position", record.Position,
+			"Leaving", said == recallsLeaving, "Gone", said == recallsGone)
+		return said
 	}
-	en.state.mu.Unlock()
 	if !known || !before.SameLife(&entry) || before.Leaving != entry.Leaving {
 		en.logger.Info("target changed", "Target", id, "Service", entry.Service, "Address", entry.Address,
-			"Leaving", entry.Leaving, "Started", entry.Started, "Offset", record.Offset)
+			"Leaving", entry.Leaving, "Started", entry.Started, "Position", record.Position)
 	}
+	return recallsNothing
 }
 
 const (
 	// troubleMemory is the time after a failed read of the store in which a removal may have been made by the outage; the
 	// first reads after it show those.
 	troubleMemory = time.Second
+	// copyMemory is the time after the store came back from an older copy in which a target that is missing may have joined
+	// since that copy.
+	copyMemory = 500 * time.Millisecond
 	// returnTime is how long targets take to register again after the store has returned.
 	returnTime = 2200 * time.Millisecond
 	// drainMargin keeps the end of the wait before the time at which a target that left must get no requests.
@@ -413,7 +446,8 @@
 	en.state.mu.Lock()
 	entry, known := en.state.pool.Entry(id)
 	en.state.mu.Unlock()
-	if !known || entry.Leaving || !en.within(&en.lastTrouble, troubleMemory) {
+	returns := en.within(&en.lastTrouble, troubleMemory) || en.within(&en.copiedAt, copyMemory)
+	if !known || entry.Leaving || !returns {
 		en.removeTarget(id, "removed")
 		return
 	}
@@ -448,6 +482,7 @@
 	en.state.mu.Lock()
 	before, known := en.state.pool.Entry(id)
 	en.state.pool.Remove(id)
+	en.state.lives.end(en.now(), id)
 	en.state.mu.Unlock()
 	if known {
 		en.targets.Forget(before.Address)
--- /dev/null
+++ b/internal/entry/eras_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// TestErasOnlyRise guards against an answer of an earlier era that is used since it arrives late or on another connection,
+// and against a read that goes on from an offset of an earlier era.
+func TestErasOnlyRise(t *testing.T) {
+	t.Parallel()
+	type read struct {
+		from, next chestnutroad.Position
+		known      bool
+		want       error
+	}
+	cases := []struct {
+		name  string
+		reads []read
+		met   uint64
+	}{
+		{"a store without eras", []read{{at(0), at(5), false, nil}, {at(5), at(9), true, nil}}, 0},
+		{"the first era met is not counted", []read{{at(0), in(3, 5), false, nil}, {in(3, 5), in(3, 9), true, nil}}, 0},
+		{
+			"back from a copy", []read{{at(0), in(1, 9), false, nil}, {in(1, 9), in(2, 9), true, errNewEra}, {at(0), in(2, 7), false, nil}}, 1,
+		},
+		{
+			"late answers", []read{
+				{at(0), in(2, 9), false, nil},
+				{in(1, 9), in(1, 12), true, errEarlierEra},
+				{at(0), in(1, 12), false, errEarlierEra},
+				{in(2, 9), in(2, 10), true, nil},
+			}, 0,
+		},
+		{
+			"two drills in a row", []read{{at(0), in(1, 9), false, nil}, {in(1, 9), in(3, 9), true, errNewEra}, {at(0), in(2, 9), false, errEarlierEra}}, 1,
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			er := &eras{}
+			for index, rd := range tc.reads {
+				if err := er.check(rd.from, rd.next, rd.known); !errors.Is(err, rd.want) || (err == nil) != (rd.want == nil) {
+					t.Errorf("read %d: %v, want %v", index, err, rd.want)
+				}
+			}
+			if er.count() != tc.met {
+				t.Errorf("%d eras met, want %d", er.count(), tc.met)
+			}
+		})
+	}
+}
+
+// in returns a position of an era.
+func in(era chestnutroad.Era, offset chestnutroad.Offset) chestnutroad.Position {
+	return chestnutroad.Position{Era: era, Offset: offset}
+}
+
+// TestRecordsOfEras guards against a list of an earlier era that passes for a newer one, or that changes are added to, since
+// its offset is higher.
+func TestRecordsOfEras(t *testing.T) {
+	t.Parallel()
+	rs := newRecords()
+	rs.apply([]chestnutroad.KeyedRecord{keyed(1, "a", "1"), keyed(8, "b", "1")}, at(9))
+	fresh := chestnutroad.KeyedRecord{Position: in(1, 2), Key: "a", Value: []byte("2")}
+	rs.jump(in(1, 3))
+	rs.apply(rs.current([]chestnutroad.KeyedRecord{fresh, {Position: in(1, 3), Key: "b"}}), in(1, 3))
+	if rs.next != in(1, 3) || !rs.has("a") || rs.has("b") {
+		t.Errorf("up to %s: %v", rs.next, rs.keys())
+	}
+	if _, all := lacking(rs, at(9)); !all {
+		t.Error("a host of the earlier era gets changes only")
+	}
+	late := []chestnutroad.KeyedRecord{keyed(9, "a", "3"), keyed(10, "b", "3")}
+	if current := rs.current(late); len(current) > 0 {
+		t.Errorf("records of the earlier era are taken in: %v", current)
+	}
+	rs.apply(nil, at(20))
+	if rs.next != in(1, 3) {
+		t.Errorf("the position went back to %s", rs.next)
+	}
+}
+
+// TestStaleReadTakesNothingBack guards against an answer that is some seconds behind and takes back what another host told.
+func TestStaleReadTakesNothingBack(t *testing.T) {
+	t.Parallel()
+	rs := newRecords()
+	rs.apply([]chestnutroad.KeyedRecord{keyed(1, "a", "ready"), keyed(6, "a", "leaving"), keyed(7, "b", "1"), keyed(8, "c", "")}, at(9))
+	stale := []chestnutroad.KeyedRecord{keyed(1, "a", "ready"), {Position: at(5), Key: "b"}}
+	rs.apply(rs.current(stale), at(5))
+	if got := string(rs.live["a"].Value); got != "leaving" || !rs.has("b") {
+		t.Errorf("a is %q, keys %v", got, rs.keys())
+	}
+}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -236,7 +236,7 @@
 func (ln *link) fetchFrom(ctx context.Context, address string) bool {
 	held := ln.entry.held()
 	ln.mu.Lock()
-	request := &siblings.StateRequest{Version: held.Version, Offset: held.Offset, HostList: ln.listHash()}
+	request := &siblings.StateRequest{Version: held.Version, Position: held.Position, HostList: ln.listHash()}
 	ln.mu.Unlock()
 	answer, err := siblings.Fetch(ctx, address, request)
 	if err != nil {
@@ -362,15 +362,18 @@
 		en.applyConfiguration([]chestnutroad.KeyedRecord{{Key: en.decoder.ConfigurationKey(), Value: text}}, "host "+from)
 	}
 	switch {
-	case answer.Offset <= en.state.held(en.now()).Offset:
+	case !answer.Position.After(en.state.held(en.now()).Position):
+	case en.eras.meet(answer.Position.Era):
+		en.logger.Warn("targets of an earlier era of the store were not taken from another host", "Address", from,
+			"Position", answer.Position)
 	case len(answer.AllTargets) > 0:
 		records, err := siblings.UnpackRecords(answer.AllTargets)
 		if err != nil {
 			en.logger.Error("targets can't be read", "Source", "host "+from, "Error", err)
 			return
 		}
-		en.resetTargets(records, answer.Offset, "host "+from)
+		en.resetTargets(records, answer.Position, "host "+from)
 	default:
-		en.applyTargets(answer.Targets, answer.Offset)
+		en.applyTargets(answer.Targets, answer.Position)
 	}
 }
--- /dev/null
+++ b/internal/entry/lives.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// goneMemory is how long the end of a target's life is remembered: copies of the store are some seconds old.
+const goneMemory = 10 * time.Minute
+
+// life is what the host has seen of the latest life of a target.
+type life struct {
+	started chestnutroad.Incarnation
+	written uint64
+	// era is that of the record which told of it last.
+	era           chestnutroad.Era
+	leaving, gone bool
+	goneAt        time.Time
+}
+
+// lives are what a host has seen of the targets, across eras of the store. A copy of the store holds again what was true
+// some seconds before: a target that left is ready in it, one that is gone is listed, and one that started anew under its id
+// has its former life.
+type lives struct {
+	byID map[chestnutroad.TargetID]life
+}
+
+func newLives() *lives { return &lives{byID: map[chestnutroad.TargetID]life{}} }
+
+// see takes in an entry that the host believes, from a record of the era.
+func (ls *lives) see(entry *chestnutroad.TargetEntry, era chestnutroad.Era) {
+	ls.byID[entry.ID] = life{started: entry.Started, written: entry.Written, era: era, leaving: entry.Leaving}
+}
+
+// end takes in that the target's entry is gone.
+func (ls *lives) end(now time.Time, id chestnutroad.TargetID) {
+	for other, known := range ls.byID {
+		if known.gone && now.Sub(known.goneAt) > goneMemory {
+			delete(ls.byID, other)
+		}
+	}
+	if known, found := ls.byID[id]; found && !known.gone {
+		known.gone, known.goneAt = true, now
+		ls.byID[id] = known
+	}
+}
+
+// recall is what an entry of a later era says against what was seen before it.
+type recall int
+
+const (
+	// recallsNothing is an entry that tells something new, or of an era in which the target was seen.
+	recallsNothing recall = iota
+	// recallsGone, recallsLeaving and recallsLive are entries that were written before the host saw that the target went, left,
+	// or goes on.
+	recallsGone
+	recallsLeaving
+	recallsLive
+)
+
+// recall reports whether the entry, from a record of the era, is one that the store's copy brought back.
+func (ls *lives) recall(entry *chestnutroad.TargetEntry, era chestnutroad.Era) recall {
+	known, found := ls.byID[entry.ID]
+	if !found || era <= known.era || entry.Started > known.started {
+		return recallsNothing
+	}
+	earlier := entry.Started < known.started
+	switch {
+	case known.gone && (earlier || entry.Written <= known.written):
+		return recallsGone
+	case known.leaving && (earlier || !entry.Leaving):
+		return recallsLeaving
+	case !known.gone && (earlier || entry.Written < known.written):
+		return recallsLive
+	}
+	return recallsNothing
+}
--- /dev/null
+++ b/internal/entry/lives_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// TestLivesOfACopy guards against an end, a leaving or a restart that the host has seen and that an older copy of the store
+// takes back, and against a target that is not used although it registered after the drill.
+func TestLivesOfACopy(t *testing.T) {
+	t.Parallel()
+	entry := func(started chestnutroad.Incarnation, written uint64, leaving bool) *chestnutroad.TargetEntry {
+		return &chestnutroad.TargetEntry{ID: "i-1", Started: started, Written: written, Leaving: leaving}
+	}
+	now := time.Unix(1_000_000, 0)
+	cases := []struct {
+		name string
+		seen *chestnutroad.TargetEntry
+		gone bool
+		era  chestnutroad.Era
+		told *chestnutroad.TargetEntry
+		want recall
+	}{
+		{"never seen", nil, false, 1, entry(1, 1, false), recallsNothing},
+		{"unchanged", entry(1, 5, false), false, 1, entry(1, 5, false), recallsNothing},
+		{"written again", entry(1, 5, false), false, 1, entry(1, 6, false), recallsNothing},
+		{"not written again yet", entry(1, 5, false), false, 1, entry(1, 3, false), recallsLive},
+		{"leaving, ready in the copy", entry(1, 5, true), false, 1, entry(1, 4, false), recallsLeaving},
+		{"leaving, and says so again", entry(1, 5, true), false, 1, entry(1, 5, true), recallsNothing},
+		{"gone, ready in the copy", entry(1, 5, false), true, 1, entry(1, 5, false), recallsGone},
+		{"gone after it left", entry(1, 5, true), true, 1, entry(1, 4, false), recallsGone},
+		{"lapsed in the outage, registered again", entry(1, 5, false), true, 1, entry(1, 9, false), recallsNothing},
+		{"former life in the copy", entry(2, 1, false), false, 1, entry(1, 9, false), recallsLive},
+		{"former life of one that is gone", entry(2, 1, false), true, 1, entry(1, 9, false), recallsGone},
+		{"started anew", entry(1, 5, true), true, 1, entry(2, 1, false), recallsNothing},
+		{"same era", entry(1, 5, false), true, 0, entry(1, 5, false), recallsNothing},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			ls := newLives()
+			if tc.seen != nil {
+				ls.see(tc.seen, 0)
+			}
+			if tc.gone {
+				ls.end(now, "i-1")
+			}
+			if got := ls.recall(tc.told, tc.era); got != tc.want {
+				t.Errorf("got %d, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestLivesAreForgotten guards against memory that grows with all targets that ever were.
+func TestLivesAreForgotten(t *testing.T) {
+	t.Parallel()
+	ls := newLives()
+	now := time.Unix(1_000_000, 0)
+	for _, id := range []chestnutroad.TargetID{"i-1", "i-2", "i-3"} {
+		ls.see(&chestnutroad.TargetEntry{ID: id}, 0)
+		ls.end(now, id)
+		now = now.Add(goneMemory)
+	}
+	if len(ls.byID) > 2 {
+		t.Errorf("%d lives are remembered", len(ls.byID))
+	}
+}
--- a/internal/entry/records_test.go
+++ b/internal/entry/records_test.go
@@ -13,7 +13,12 @@
 )
 
 func keyed(offset chestnutroad.Offset, key, value string) chestnutroad.KeyedRecord {
-	return chestnutroad.KeyedRecord{Offset: offset, Key: key, Value: []byte(value)}
+	return chestnutroad.KeyedRecord{Position: at(offset), Key: key, Value: []byte(value)}
+}
+
+// at returns a position of the first era.
+func at(offset chestnutroad.Offset) chestnutroad.Position {
+	return chestnutroad.Position{Offset: offset}
 }
 
 // TestRecordsSince guards against a change that a host which fetches the others' is not told, and against one that is told
@@ -21,9 +26,9 @@
 func TestRecordsSince(t *testing.T) {
 	t.Parallel()
 	rs := newRecords()
-	rs.apply([]chestnutroad.KeyedRecord{keyed(0, "a", "1"), keyed(1, "b", "1"), keyed(2, "c", "1")}, 3)
-	rs.apply([]chestnutroad.KeyedRecord{keyed(3, "b", "2"), keyed(4, "a", "")}, 5)
-	rs.apply([]chestnutroad.KeyedRecord{keyed(6, "d", "1"), keyed(7, "a", "")}, 9)
+	rs.apply([]chestnutroad.KeyedRecord{keyed(0, "a", "1"), keyed(1, "b", "1"), keyed(2, "c", "1")}, at(3))
+	rs.apply([]chestnutroad.KeyedRecord{keyed(3, "b", "2"), keyed(4, "a", "")}, at(5))
+	rs.apply([]chestnutroad.KeyedRecord{keyed(6, "d", "1"), keyed(7, "a", "")}, at(9))
 	cases := []struct {
 		held chestnutroad.Offset
 		want string
@@ -38,7 +43,7 @@
 		{9, "", false},
 	}
 	for _, tc := range cases {
-		changes, all := lacking(rs, tc.held)
+		changes, all := lacking(rs, at(tc.held))
 		var names []string
 		for _, record := range changes {
 			name := record.Key
@@ -53,8 +58,8 @@
 	}
 }
 
-// lacking returns what a host is told that holds the records below the offset.
-func lacking(rs *records, held chestnutroad.Offset) (changes []chestnutroad.KeyedRecord, all bool) {
+// lacking returns what a host is told that holds the records below the position.
+func lacking(rs *records, held chestnutroad.Position) (changes []chestnutroad.KeyedRecord, all bool) {
 	if rs.needsAll(held) {
 		return rs.all(), true
 	}
@@ -67,12 +72,12 @@
 	rs := newRecords()
 	for index := range chestnutroad.Offset(2 * maxGone) {
 		key := fmt.Sprint(index)
-		rs.apply([]chestnutroad.KeyedRecord{keyed(2*index, key, "1"), keyed(2*index+1, key, "")}, 2*index+2)
+		rs.apply([]chestnutroad.KeyedRecord{keyed(2*index, key, "1"), keyed(2*index+1, key, "")}, at(2*index+2))
 	}
-	if _, all := lacking(rs, 10); !all {
+	if _, all := lacking(rs, at(10)); !all {
 		t.Error("a host that holds old records is not told to replace all")
 	}
-	changes, all := lacking(rs, rs.next-2)
+	changes, all := lacking(rs, rs.next.Plus(-2))
 	if all || !slices.ContainsFunc(changes, func(record chestnutroad.KeyedRecord) bool { return len(record.Value) == 0 }) {
 		t.Errorf("a host that holds nearly all got %d records, all %t", len(changes), all)
 	}
@@ -88,9 +93,9 @@
 	for index := range chestnutroad.Offset(targets) {
 		all = append(all, keyed(index, fmt.Sprintf("i-%d", index), strings.Repeat("x", 300)))
 	}
-	st.records.apply(all, 140)
+	st.records.apply(all, at(140))
 	st.listed.Store(true)
-	st.records.apply([]chestnutroad.KeyedRecord{all[3], keyed(141, "i-7", strings.Repeat("y", 300)), keyed(142, "i-9", "")}, 143)
+	st.records.apply([]chestnutroad.KeyedRecord{all[3], keyed(141, "i-7", strings.Repeat("y", 300)), keyed(142, "i-9", "")}, at(143))
 	cases := []struct {
 		held        chestnutroad.Offset
 		least, most int
@@ -100,7 +105,7 @@
 		{143, 0, 200},
 	}
 	for _, tc := range cases {
-		text, err := json.Marshal(st.beyond(&siblings.StateRequest{Offset: tc.held}))
+		text, err := json.Marshal(st.beyond(&siblings.StateRequest{Position: at(tc.held)}))
 		if err != nil || len(text) < tc.least || len(text) > tc.most {
 			t.Errorf("a host that holds %d gets %d bytes, want %d to %d: %v", tc.held, len(text), tc.least, tc.most, err)
 		}
@@ -117,9 +122,9 @@
 	t.Parallel()
 	st := newState(&settings.Entry{CapFactor: 2})
 	st.listed.Store(true)
-	st.applyRecords([]chestnutroad.KeyedRecord{keyed(1, "i-1", "x"), keyed(2, "i-2", "x")}, 3)
+	st.applyRecords([]chestnutroad.KeyedRecord{keyed(1, "i-1", "x"), keyed(2, "i-2", "x")}, at(3))
 	st.beyond(&siblings.StateRequest{})
-	st.applyRecords([]chestnutroad.KeyedRecord{keyed(2, "i-2", "")}, 3)
+	st.applyRecords([]chestnutroad.KeyedRecord{keyed(2, "i-2", "")}, at(3))
 	records, err := siblings.UnpackRecords(st.beyond(&siblings.StateRequest{}).AllTargets)
 	if err != nil || len(records) != 1 || records[0].Key != "i-1" {
 		t.Errorf("got %+v, %v", records, err)
@@ -150,10 +155,10 @@
 			t.Parallel()
 			st := newState(&settings.Entry{CapFactor: 2})
 			st.listed.Store(true)
-			st.applyRecords(tc.before, tc.beforeNext)
-			st.replaceRecords([]chestnutroad.KeyedRecord{keyed(1, "b", "x")}, 10)
-			st.applyRecords([]chestnutroad.KeyedRecord{keyed(10, "c", "x")}, 11)
-			answer := st.beyond(&siblings.StateRequest{Offset: tc.held})
+			st.applyRecords(tc.before, at(tc.beforeNext))
+			st.replaceRecords([]chestnutroad.KeyedRecord{keyed(1, "b", "x")}, at(10))
+			st.applyRecords([]chestnutroad.KeyedRecord{keyed(10, "c", "x")}, at(11))
+			answer := st.beyond(&siblings.StateRequest{Position: at(tc.held)})
 			if all := len(answer.AllTargets) > 0; all != tc.all {
 				t.Errorf("all targets: %t, want %t", all, tc.all)
 			}
--- a/internal/entry/slowrelay_test.go
+++ b/internal/entry/slowrelay_test.go
@@ -54,7 +54,7 @@
 			case <-time.After(relay.Interval):
 			}
 			_, _ = socket.Send([]relay.Send{{Address: peer, Message: relay.Message{
-				Kind: relay.Beacon, From: slow.ID, DataCentre: "dc-a", Version: version, Offset: 1, Fresh: true,
+				Kind: relay.Beacon, From: slow.ID, DataCentre: "dc-a", Version: version, Position: chestnutroad.Position{Offset: 1}, Fresh: true,
 			}}})
 		}
 	}()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -27,6 +27,8 @@
 	configuration *siblings.Packed
 	// records are the targets' records.
 	records *records
+	// lives are what the host has seen of the targets.
+	lives *lives
 	// packedRecords are all records, for hosts that start; nil after a change until one asks for them.
 	packedRecords *siblings.Packed
 	pool          *placement.Pool
@@ -50,6 +52,7 @@
 func newState(set *settings.Entry) *state {
 	return &state{
 		records:   newRecords(),
+		lives:     newLives(),
 		pool:      placement.NewPool(set.DataCentre, poolOptions(set)...),
 		budgets:   map[chestnutroad.ServiceID]*retrybudget.Budget{},
 		pacings:   map[chestnutroad.RouteID]*pacing{},
@@ -208,7 +211,7 @@
 func (st *state) held(now time.Time) relay.Held {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	held := relay.Held{Offset: st.records.next, Own: st.ownView(now)}
+	held := relay.Held{Position: st.records.next, Own: st.ownView(now)}
 	if tb := st.table.Load(); tb != nil {
 		held.Version = tb.Version()
 	}
@@ -236,7 +239,7 @@
 }
 
 // replaceRecords takes in the newest record of each target up to next, and the ends of targets that have none any more.
-func (st *state) replaceRecords(records []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+func (st *state) replaceRecords(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 	st.mu.Lock()
 	st.records.jump(next)
 	st.mu.Unlock()
@@ -244,7 +247,7 @@
 }
 
 // applyRecords takes in the changes of targets up to next.
-func (st *state) applyRecords(changes []chestnutroad.KeyedRecord, next chestnutroad.Offset) {
+func (st *state) applyRecords(changes []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.records.apply(changes, next)
@@ -253,6 +256,28 @@
 	}
 }
 
+// setTarget takes in a target's entry from a record of the era, unless it only recalls an earlier state of the target. It
+// returns what it recalls, and the entry before it.
+func (st *state) setTarget(
+	now time.Time, entry *chestnutroad.TargetEntry, era chestnutroad.Era,
+) (said recall, before chestnutroad.TargetEntry, known bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	before, known = st.pool.Entry(entry.ID)
+	if said = st.lives.recall(entry, era); said != recallsNothing {
+		if said == recallsLeaving && known {
+			// Hosts that start meanwhile read the older entry, and are told that the target leaves.
+			st.pool.Noted(now, &before, placement.Notice{Leaving: true})
+		}
+		return said, before, known
+	}
+	st.lives.see(entry, era)
+	if st.pool.Set(entry) {
+		st.pool.Joined(now, entry.ID)
+	}
+	return recallsNothing, before, known
+}
+
 // beyond returns what the host holds beyond what another one does.
 func (st *state) beyond(request *siblings.StateRequest) *siblings.State {
 	answer, newer, all := st.beyondRecords(request)
@@ -271,16 +296,16 @@
 func (st *state) beyondRecords(request *siblings.StateRequest) (answer *siblings.State, newer, all *siblings.Packed) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	answer = &siblings.State{Offset: st.records.next}
+	answer = &siblings.State{Position: st.records.next}
 	if tb := st.table.Load(); tb != nil && tb.Version() > request.Version {
 		answer.Version = tb.Version()
 		newer = st.configuration
 	}
-	if !st.listed.Load() || st.records.next <= request.Offset {
+	if !st.listed.Load() || !st.records.next.After(request.Position) {
 		return answer, newer, nil
 	}
-	if !st.records.needsAll(request.Offset) {
-		answer.Targets = st.records.since(request.Offset)
+	if !st.records.needsAll(request.Position) {
+		answer.Targets = st.records.since(request.Position)
 		return answer, newer, nil
 	}
 	if st.packedRecords == nil {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad"
 )
@@ -43,16 +43,18 @@
 	needed func() (bool, time.Duration)
 	// goOn is asked between the pages of a read of all newest records.
 	goOn func(ctx context.Context) error
-	// reset takes in the newest record of each key, apply the records of a later read; next is the offset after them.
-	reset func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset)
-	apply func(records []chestnutroad.KeyedRecord, next chestnutroad.Offset)
+	// eras are what the host knows of the store's eras from all streams and from other hosts.
+	eras *eras
+	// reset takes in the newest record of each key, apply the records of a later read; next is the position after them.
+	reset func(records []chestnutroad.KeyedRecord, next chestnutroad.Position)
+	apply func(records []chestnutroad.KeyedRecord, next chestnutroad.Position)
 	// reached is told whether each call reached the store.
 	reached func(ok bool)
 }
 
 // run follows the stream until ctx ends.
 func (fl *follower) run(ctx context.Context) {
-	next, known := chestnutroad.Offset(0), false
+	next, known := chestnutroad.Position{}, false
 	pause := time.Duration(0)
 	for sleep(ctx, pause) {
 		needed, most := fl.needed()
@@ -71,11 +73,15 @@
 			pause = fl.interval
 			continue
 		}
-		gone := errors.Is(err, chestnutroad.ErrRecordsGone)
-		fl.reached(err == nil || gone)
+		if err == nil {
+			err = fl.eras.check(next, batch.Next, known)
+		}
+		// Records that the store no longer has, or has given other offsets to, are in the newest of each key.
+		anew := errors.Is(err, chestnutroad.ErrRecordsGone) || errors.Is(err, errNewEra)
+		fl.reached(err == nil || anew)
 		if err != nil {
-			fl.logger.Warn("read of the store failed", "Stream", fl.stream, "Offset", next, "Error", err)
-			known = known && !gone
+			fl.logFailure(next, err)
+			known = known && !anew
 			pause = min(most, max(firstPause, 2*pause))
 			continue
 		}
@@ -92,8 +98,18 @@
 	}
 }
 
+// logFailure writes a line on a read that failed. An era that can't be read or goes down is a fault of the store rather than
+// a passing one of the connection.
+func (fl *follower) logFailure(next chestnutroad.Position, err error) {
+	level := log.WarnLevel
+	if errors.Is(err, chestnutroad.ErrBadEra) || errors.Is(err, errEarlierEra) {
+		level = log.ErrorLevel
+	}
+	fl.logger.Log(level, "read of the store failed", "Stream", fl.stream, "Position", next, "Error", err)
+}
+
 func (fl *follower) step(
-	ctx context.Context, next chestnutroad.Offset, known bool,
+	ctx context.Context, next chestnutroad.Position, known bool,
 ) (chestnutroad.KeyedBatch, error) {
 	timeout := fl.wait + readSlack
 	if !known {
--- a/internal/relay/list_test.go
+++ b/internal/relay/list_test.go
@@ -47,7 +47,7 @@
 			wd.run(6 * time.Second)
 			for index, hs := range wd.hosts {
 				centre := index / 4
-				wd.held[hs.ID].Offset += chestnutroad.Offset(centre)
+				wd.held[hs.ID].Position.Offset += chestnutroad.Offset(centre)
 				wd.held[hs.ID].Own = relay.View{List: tc.lists[centre], Counts: tc.counts[centre]}
 			}
 			// Counts in the order of a list that a host has not read are kept back for less than a second.
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -35,9 +35,9 @@
 	Kind       Kind
 	From       chestnutroad.HostID
 	DataCentre chestnutroad.DataCentreID
-	// Version and Offset are the configuration and the end of the targets' records that the sender holds.
-	Version chestnutroad.Version
-	Offset  chestnutroad.Offset
+	// Version and Position are the configuration and the end of the targets' records that the sender holds.
+	Version  chestnutroad.Version
+	Position chestnutroad.Position
 	// Fresh is true while the sender reads the store itself.
 	Fresh bool
 	// Leaving is true once the sender was asked to stop.
@@ -60,8 +60,8 @@
 
 // Held is what the node's own host holds.
 type Held struct {
-	Version chestnutroad.Version
-	Offset  chestnutroad.Offset
+	Version  chestnutroad.Version
+	Position chestnutroad.Position
 	// Fresh is true while the host's own reads of the store succeed.
 	Fresh bool
 	// Leaving is true once the host was asked to stop.
@@ -195,7 +195,7 @@
 func (nd *Node) Newer(now time.Time, held *Held) []Host {
 	var hosts []Host
 	for _, pr := range nd.peers {
-		if now.Sub(pr.heard) < countsAge && (pr.last.Version > held.Version || pr.last.Offset > held.Offset) {
+		if now.Sub(pr.heard) < countsAge && (pr.last.Version > held.Version || pr.last.Position.After(held.Position)) {
 			hosts = append(hosts, pr.Host)
 		}
 	}
@@ -306,7 +306,7 @@
 func (nd *Node) message(kind Kind, held *Held, view *View) Message {
 	return Message{
 		Kind: kind, From: nd.self.ID, DataCentre: nd.self.DataCentre,
-		Version: held.Version, Offset: held.Offset, Fresh: held.Fresh, Leaving: held.Leaving,
+		Version: held.Version, Position: held.Position, Fresh: held.Fresh, Leaving: held.Leaving,
 		List: view.List.Digest, Counts: view.Counts, Notices: view.Notices,
 	}
 }
--- a/internal/relay/node_test.go
+++ b/internal/relay/node_test.go
@@ -49,7 +49,7 @@
 	nd.SetHosts(wd.hosts)
 	wd.nodes[hs.ID] = nd
 	wd.held[hs.ID] = &relay.Held{
-		Version: 1, Offset: 5, Fresh: true, Own: relay.View{List: targets("a", "b", "c"), Counts: []byte{1, 0, 2}},
+		Version: 1, Position: chestnutroad.Position{Offset: 5}, Fresh: true, Own: relay.View{List: targets("a", "b", "c"), Counts: []byte{1, 0, 2}},
 	}
 }
 
@@ -188,6 +188,31 @@
 	}
 }
 
+// TestNewerEra guards against a host that fetches targets from one which is still in an earlier era of the store, since its
+// offset is higher, and against one that does not fetch those of the new era.
+func TestNewerEra(t *testing.T) {
+	t.Parallel()
+	wd := newWorld(2, 3)
+	wd.run(4 * time.Second)
+	self := wd.relays("dc-0")[0]
+	for id, held := range wd.held {
+		held.Position = chestnutroad.Position{Offset: 100}
+		if id == self {
+			held.Position = chestnutroad.Position{Era: 1, Offset: 40}
+		}
+	}
+	wd.run(time.Second)
+	for _, hs := range wd.hosts {
+		newer := wd.nodes[hs.ID].Newer(wd.now, wd.held[hs.ID])
+		switch {
+		case hs.ID == self && len(newer) > 0:
+			t.Errorf("the host of the new era fetches from %v", newer)
+		case hs.DataCentre == "dc-0" && hs.ID != self && (len(newer) != 1 || newer[0].ID != self):
+			t.Errorf("%s fetches from %v", hs.ID, newer)
+		}
+	}
+}
+
 // TestUnknownHost guards against messages of hosts that are not in the list.
 func TestUnknownHost(t *testing.T) {
 	t.Parallel()
--- a/internal/siblings/datagram_test.go
+++ b/internal/siblings/datagram_test.go
@@ -17,6 +17,7 @@
 func TestDatagrams(t *testing.T) {
 	t.Parallel()
 	rng := rand.New(rand.NewPCG(1, 1))
+	position := chestnutroad.Position{Era: 3, Offset: 100_000}
 	cases := []struct {
 		name    string
 		targets int
@@ -58,7 +59,7 @@
 			// A second message shows that nothing is left over from the first.
 			for range 2 {
 				size, err := sender.Send([]relay.Send{{Address: receiver.Address().String(), Message: relay.Message{
-					Kind: relay.Report, From: "host-1", DataCentre: "dc-a", Version: 12, Offset: 100_000, List: 1<<64 - 1, Counts: counts,
+					Kind: relay.Report, From: "host-1", DataCentre: "dc-a", Version: 12, Position: position, List: 1<<64 - 1, Counts: counts,
 					Notices: notices, Residences: residences,
 				}}})
 				if err != nil || size > tc.most {
@@ -69,7 +70,7 @@
 					t.Fatal(err)
 				}
 				if !bytes.Equal(message.Counts, counts) || !bytes.Equal(message.Notices, notices) ||
-					!slices.Equal(message.Residences, residences) || message.Offset != 100_000 {
+					!slices.Equal(message.Residences, residences) || message.Position != position {
 					t.Errorf("got %+v", message)
 				}
 			}
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -21,7 +21,8 @@
 // StateRequest says what the asking host holds.
 type StateRequest struct {
 	Version chestnutroad.Version
-	Offset  chestnutroad.Offset
+	// Position is the end of the records of the targets that it holds.
+	Position chestnutroad.Position
 	// HostList is a hash of the list of hosts.
 	HostList uint64
 }
@@ -31,10 +32,10 @@
 	Version chestnutroad.Version
 	// Configuration is the packed text.
 	Configuration []byte `json:",omitempty"`
-	// Offset is the end of the records that Targets results from.
-	Offset  chestnutroad.Offset
+	// Position is the end of the records that Targets results from.
+	Position chestnutroad.Position
 	Targets []chestnutroad.KeyedRecord `json:",omitempty"`
-	// AllTargets are all records, packed, in place of the changes since the asking host's offset.
+	// AllTargets are all records, packed, in place of the changes since the asking host's position.
 	AllTargets []byte `json:",omitempty"`
 	// Hosts is left out when the asking host has the same list.
 	Hosts []relay.Host `json:",omitempty"`
--- a/keyed.go
+++ b/keyed.go
@@ -19,18 +19,21 @@
 // ErrRecordsGone says that records after the asked offset were deleted, so that the newest of each key must be read.
 var ErrRecordsGone = errors.New("the records were deleted")
 
+// ErrBadEra says that an answer of the store states its era in a form that can't be read, or more than one era.
+var ErrBadEra = errors.New("the era of the store can't be read")
+
 // KeyedRecord is a record of a keyed stream; an empty value drops the key.
 type KeyedRecord struct {
-	Offset Offset
-	Key    string
-	Value  []byte
+	Position Position
+	Key      string
+	Value    []byte
 }
 
 // KeyedBatch is the answer to a read of a keyed stream.
 type KeyedBatch struct {
 	Records []KeyedRecord
-	// Next is the offset to read on from.
-	Next Offset
+	// Next is the position to read on from, in the era that the store stated.
+	Next Position
 	// Unreadable is the number of records that were passed over because they have no key.
 	Unreadable int
 }
@@ -47,8 +50,9 @@
 type KeyedStore interface {
 	// Newest returns the newest record of each key.
 	Newest(ctx context.Context, stream KeyedStream, pages Pages) (KeyedBatch, error)
-	// Read returns the records from the offset on, or ErrRecordsGone; it waits up to wait for the first record.
-	Read(ctx context.Context, stream KeyedStream, from Offset, wait time.Duration) (KeyedBatch, error)
+	// Read returns the records from the position's offset on, or ErrRecordsGone when the store does not have it; it waits up
+	// to wait for the first record. The answer may be of another era than the position.
+	Read(ctx context.Context, stream KeyedStream, from Position, wait time.Duration) (KeyedBatch, error)
 	// Put writes the newest value of a key; after an error the write may still take effect.
 	Put(ctx context.Context, stream KeyedStream, key string, value []byte) error
 }
--- a/routing.go
+++ b/routing.go
@@ -93,6 +93,8 @@
 	Leaving bool
 	// Started tells apart the lives of a target that restarts under its id.
 	Started Incarnation
+	// Written counts what this life of the target has written of itself; a later entry has a higher count.
+	Written uint64
 	// WarmUp is how much longer the target stays slow after its start.
 	WarmUp time.Duration
 	// Models are the names of the models that an engine has loaded; empty for plain services.
