Ask other hosts for the configuration before one of a store's copy is put in force at a start

A host that started after the store had come back from a copy served a key that had been taken away, until the operator wrote the newer version again (TestConfigurationOfACopy on the code before: host-3). Hosts that were up kept the newer version.

--- a/internal/entry/drill_test.go
+++ b/internal/entry/drill_test.go
@@ -95,6 +95,35 @@
 	}
 }
 
+// TestConfigurationOfACopy guards against a host, or one that starts meanwhile, which goes back to the configuration of an
+// older copy of the store: a key that was taken away works again until the operator has written the newer one.
+func TestConfigurationOfACopy(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	st.runner("i-1", "desk")
+	hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+	time.Sleep(copyAge)
+	st.store.Configure(5, 1, "k-2")
+	for _, ht := range hosts {
+		ht.eventually(applyWithin, "the key is refused", func() bool { return stockStatus(ht, "k-1") == http.StatusUnauthorized })
+	}
+	st.store.Run(standin.Drill{Back: copyAge, Away: away, Rewrite: -1})
+	hosts = append(hosts, st.start("host-3", false))
+	served := false
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		for _, ht := range hosts {
+			if got := stockStatus(ht, "k-1"); got == http.StatusOK {
+				t.Fatalf("%s serves a key that was taken away\n%s", ht.settings.ID, ht.log)
+			}
+		}
+		served = served || stockStatus(hosts[2], "k-2") == http.StatusOK
+	}
+	if !served {
+		t.Errorf("the host that started does not serve\n%s", hosts[2].log)
+	}
+}
+
 // TestTargetsOfACopy guards against requests to a target that left or went before the drill, which the store's copy holds as
 // ready, and against a service without targets since those that joined after the copy are missing in it.
 func TestTargetsOfACopy(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -260,7 +260,8 @@
 	configuration := &follower{
 		store: en.store, stream: chestnutroad.KeyedConfiguration, wait: readWait, logger: en.logger, eras: en.eras,
 		needed: en.readsStore,
-		reset: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Position) {
+		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
+			en.confirm(ctx, next.Era)
 			en.applyConfiguration(records, "store")
 		},
 		apply: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Position) {
