--- a/internal/entry/drill_test.go
+++ b/internal/entry/drill_test.go
@@ -187,6 +187,28 @@
 	}
 }
 
+// TestRegisteredAgain guards against a host that is missing in the list of hosts for good after the store lost its entry, and
+// against one that registers again and again.
+func TestRegisteredAgain(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	st.runner("i-1", "desk")
+	time.Sleep(copyAge)
+	hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+	time.Sleep(settled)
+	st.store.Run(standin.Drill{Back: 2 * copyAge, Away: away, Rewrite: 0})
+	for _, ht := range hosts {
+		ht.eventually(4*time.Second, "the host is registered", func() bool { return st.store.Registrations(string(ht.settings.ID)) > 0 })
+	}
+	time.Sleep(2 * time.Second)
+	for _, ht := range hosts {
+		if count := st.store.Registrations(string(ht.settings.ID)); count > 2 {
+			t.Errorf("%s registered %d times", ht.settings.ID, count)
+		}
+	}
+}
+
 // TestErasOfNoUse guards against answers that are used although their era is no number or an earlier one, and against
 // hosts that say nothing of it.
 func TestErasOfNoUse(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -363,6 +363,7 @@
 	fromCopy := en.state.listed.Load() && next.Era > held.Era
 	if fromCopy {
 		en.copiedAt.Store(int64(en.elapsed()))
+		en.link.registerAgain()
 	}
 	recalled := en.takeTargets(slices.Concat(records, missing), next, en.state.replaceRecords)
 	if fromCopy {
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -27,6 +27,8 @@
 	seeds   []string
 	socket  *siblings.Socket
 	unknown chan string
+	// lost has the pause after which the host registers again.
+	lost chan time.Duration
 
 	mu    sync.Mutex
 	node  *relay.Node
@@ -44,6 +46,7 @@
 	ln := &link{
 		entry:   en,
 		unknown: make(chan string, 1),
+		lost:    make(chan time.Duration, 1),
 		self: relay.Host{
 			ID: en.settings.ID, DataCentre: en.settings.DataCentre, Address: address, Processors: en.settings.Processors,
 		},
@@ -70,6 +73,7 @@
 	context.AfterFunc(ctx, func() { _ = ln.socket.Close() })
 	go ln.receive()
 	go ln.register(ctx)
+	go ln.keepRegistered(ctx)
 	go ln.askSeeds(ctx)
 	go ln.fetch(ctx)
 	go ln.tick(ctx)
