Use a target again whose entry a copy of the store lacked for long

An entry that was only missing in a copy tells nothing of the target's end, so the life is forgotten.

--- a/internal/entry/drill_test.go
+++ b/internal/entry/drill_test.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// TestTargetWrittenAgainLate guards against a target that is never used again, since its entry was missing in the store's copy
+// for longer than hosts wait and is then written again as it was.
+func TestTargetWrittenAgainLate(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	hosts := []*host{st.start("host-1", false), st.start("host-2", false)}
+	time.Sleep(copyAge)
+	st.runner("i-1", "desk")
+	for _, ht := range hosts {
+		ht.eventually(applyWithin, "the target is used", func() bool { return stockStatus(ht, "k-1") == http.StatusOK })
+	}
+	st.store.Run(standin.Drill{Back: copyAge, Away: away, Rewrite: 5 * time.Second})
+	for _, ht := range hosts {
+		ht.eventually(4*time.Second, "the target is gone", func() bool { return stockStatus(ht, "k-1") == http.StatusServiceUnavailable })
+	}
+	for _, ht := range hosts {
+		ht.eventually(5*time.Second, "the target is used again", func() bool { return stockStatus(ht, "k-1") == http.StatusOK })
+	}
+}
+
 // TestRegisteredAgain guards against a host that is missing in the list of hosts for good after the store lost its entry, and
 // against one that registers again and again.
 func TestRegisteredAgain(t *testing.T) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -448,8 +448,8 @@
 	en.state.mu.Lock()
 	entry, known := en.state.pool.Entry(id)
 	en.state.mu.Unlock()
-	returns := en.within(&en.lastTrouble, troubleMemory) || en.within(&en.copiedAt, copyMemory)
-	if !known || entry.Leaving || !returns {
+	copied := en.within(&en.copiedAt, copyMemory)
+	if !known || entry.Leaving || !copied && !en.within(&en.lastTrouble, troubleMemory) {
 		en.removeTarget(id, "removed")
 		return
 	}
@@ -461,6 +461,9 @@
 		en.state.mu.Unlock()
 		if !back {
 			en.removeTarget(id, "did not come back")
+			if copied {
+				en.state.forgetLife(id)
+			}
 		}
 	})
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -278,6 +278,14 @@
 	return recallsNothing, before, known
 }
 
+// forgetLife has the next entry of a target believed, whatever it says: its entry was only missing in a copy of the store,
+// which tells nothing of its end.
+func (st *state) forgetLife(id chestnutroad.TargetID) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	delete(st.lives.byID, id)
+}
+
 // beyond returns what the host holds beyond what another one does.
 func (st *state) beyond(request *siblings.StateRequest) *siblings.State {
 	answer, newer, all := st.beyondRecords(request)
