Play the store's return from a copy in the soak, with targets that come and go and keys taken away

The soak's faults include drills alone and two in a row, with hosts that are killed or start, a host that is cut off from the store, and a change of the keys or the targets just before. It checks that no process goes back to a configuration with a key that it refused, that no valid key is refused, and that 3.5 s after the last fault no key that was taken away is served and no target that left gets a request. A failed run shows the hosts' logs without the lines of requests.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,7 +29,10 @@
 	seedsVariable = "SOAK_SEEDS"
 	playTime      = 6 * time.Second
 	// calmTime lets the hosts come back before the last checks.
-	calmTime    = 4 * time.Second
+	calmTime = 6 * time.Second
+	// followTime is the time after the last fault in which hosts follow the store, with the entries that operators and targets
+	// write again after a drill.
+	followTime  = 3500 * time.Millisecond
 	callerCount = 6
 	callTimeout = 5 * time.Second
 )
@@ -41,6 +45,12 @@
 	answers string
 	body    string
 	err     error
+	// key is the key that was sent, host the process that was called and life which of its lives; life is zero when it did
+	// not last through the call.
+	key            string
+	host           int
+	life           int64
+	started, ended time.Time
 }
 
 // TestSoak guards against broken promises under faults that come in series and overlap: an order that runs twice, a
@@ -83,7 +93,7 @@
 	t.Helper()
 	wd := newWorld(t, binary, number)
 	wd.awaitReady()
-	ctx, cancel := context.WithTimeout(t.Context(), playTime+calmTime)
+	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var mu sync.Mutex
 	var exchanges []exchange
@@ -98,8 +108,13 @@
 		})
 	}
 	wd.disturb(rand.New(rand.NewPCG(seed, 1)))
+	calm := time.Now()
+	time.Sleep(calmTime)
+	cancel()
 	running.Wait()
 	wd.check(exchanges)
+	wd.checkKeys(exchanges, calm.Add(followTime))
+	wd.checkRetired(calm.Add(followTime))
 	wd.checkAfterwards()
 }
 
@@ -127,15 +142,25 @@
 	var exchanges []exchange
 	for index := 0; ctx.Err() == nil; index++ {
 		kind := kinds[rnd.IntN(len(kinds))]
-		pr := wd.hosts[rnd.IntN(len(wd.hosts))]
-		exchanges = append(exchanges, wd.send(ctx, client, pr, kind, fmt.Sprintf("c%d-%d", caller, index), "k-1"))
+		host, key := rnd.IntN(len(wd.hosts)), "k-1"
+		if rnd.IntN(4) == 0 {
+			key = revocableKey(rnd.IntN(revocable))
+		}
+		pr := wd.hosts[host]
+		life := pr.lives.Load()
+		ex := wd.send(ctx, client, pr, kind, fmt.Sprintf("c%d-%d", caller, index), key)
+		if ex.host = host; pr.lives.Load() == life {
+			ex.life = life
+		}
+		exchanges = append(exchanges, ex)
 		time.Sleep(time.Duration(rnd.IntN(30)) * time.Millisecond)
 	}
 	return exchanges
 }
 
-func (wd *world) send(ctx context.Context, client *http.Client, pr *process, kind, id, key string) exchange {
-	ex := exchange{id: id, kind: kind}
+func (wd *world) send(ctx context.Context, client *http.Client, pr *process, kind, id, key string) (ex exchange) {
+	ex = exchange{id: id, kind: kind, key: key, started: time.Now()}
+	defer func() { ex.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", pr.address, callerPort), &standin.Call{
@@ -175,6 +200,10 @@
 		span := time.Duration(200+rnd.IntN(1300)) * time.Millisecond
 		behaviour, fault := behaviours[rnd.IntN(len(behaviours))], storeFaults[rnd.IntN(len(storeFaults))]
 		runner := wd.runners[rnd.IntN(len(wd.runners))]
+		drill := standin.Drill{
+			Back: time.Duration(300+rnd.IntN(3000)) * time.Millisecond, Away: time.Duration(rnd.IntN(400)) * time.Millisecond,
+			Rewrite: time.Duration(rnd.IntN(1200)) * time.Millisecond,
+		}
 		faults := []func(){
 			func() { pr.signal(syscall.SIGKILL, true) },
 			func() { pr.signal(syscall.SIGTERM, true) },
@@ -187,7 +216,18 @@
 			func() { link.set(50*time.Millisecond, false); time.Sleep(span); link.set(0, false) },
 			func() { link.set(0, true); time.Sleep(span); link.set(0, false); link.reset() },
 			link.reset,
-			wd.link.reset,
+			pr.link.reset,
+			func() { pr.link.set(0, true); time.Sleep(span); pr.link.set(0, false); pr.link.reset() },
+			wd.revoke,
+			func() { wd.replace(span, span/2) },
+			func() { wd.store.Run(drill) },
+			func() { wd.revoke(); wd.store.Run(drill); wd.store.Run(drill) },
+			func() { lasting.Go(func() { wd.store.Run(drill) }); pr.signal(syscall.SIGKILL, true) },
+			func() {
+				lasting.Go(func() { wd.replace(span/4, span/4) })
+				time.Sleep(span / 2)
+				wd.store.Run(drill)
+			},
 			func() { wd.store.SetFault(fault); time.Sleep(span); wd.store.SetFault(standin.Healthy) },
 			func() { wd.store.Forget() },
 			func() { runner.Always(behaviour); time.Sleep(span); runner.Always(standin.Serve) },
@@ -206,7 +246,7 @@
 func (wd *world) check(exchanges []exchange) {
 	wd.t.Helper()
 	runs := map[string]int{}
-	for _, rn := range wd.runners {
+	for _, rn := range wd.all {
 		for _, run := range rn.Runs() {
 			runs[run.ID]++
 			if run.Body != run.ID {
@@ -246,11 +286,54 @@
 	}
 }
 
+// rollbackSlack is how long after it refused a key a process may still have calls that it let in before.
+const rollbackSlack = 250 * time.Millisecond
+
+// checkKeys holds processes to never going back to a configuration with a key that they refused, to refusing no key that was
+// never taken away, and to refusing all that were from a time on.
+func (wd *world) checkKeys(exchanges []exchange, from time.Time) {
+	wd.t.Helper()
+	type process struct {
+		host int
+		life int64
+		key  string
+	}
+	refused := map[process]time.Time{}
+	slices.SortFunc(exchanges, func(one, two exchange) int { return one.ended.Compare(two.ended) })
+	for _, ex := range exchanges {
+		pr := process{ex.host, ex.life, ex.key}
+		served := ex.err == nil && ex.status == http.StatusOK
+		switch first, known := refused[pr]; {
+		case ex.status == http.StatusUnauthorized && wd.keys[ex.key]:
+			wd.t.Errorf("%s was refused with the valid key %s", ex.id, ex.key)
+		case ex.status == http.StatusUnauthorized && !known && ex.life > 0:
+			refused[pr] = ex.ended
+		case served && known && ex.life > 0 && ex.started.After(first.Add(rollbackSlack)):
+			wd.t.Errorf("%s was served with the key %s %s after host %d had refused it", ex.id, ex.key, ex.started.Sub(first), ex.host)
+		}
+		if served && !wd.keys[ex.key] && ex.started.After(from) {
+			wd.t.Errorf("%s was served by host %d with the key %s that was taken away", ex.id, ex.host, ex.key)
+		}
+	}
+}
+
+// checkRetired holds the hosts to sending nothing to runners that have left, from a time on.
+func (wd *world) checkRetired(from time.Time) {
+	wd.t.Helper()
+	for _, rn := range wd.retired {
+		for _, at := range rn.Arrivals() {
+			if at.After(from) {
+				wd.t.Errorf("%s got a request %s after the last fault had ended", rn.ID, at.Sub(from)+followTime)
+			}
+		}
+	}
+}
+
 // checkAfterwards holds the calm fleet to serving and to a key that is taken away.
 func (wd *world) checkAfterwards() {
 	wd.t.Helper()
 	wd.awaitReady()
-	wd.configure("k-2")
+	wd.configure(func(keys map[string]bool) { keys["k-1"] = false })
 	time.Sleep(2 * time.Second)
 	for _, pr := range wd.hosts {
 		if ex := wd.send(wd.t.Context(), http.DefaultClient, pr, "stock", "late-"+pr.address.String(), "k-1"); ex.status != http.StatusUnauthorized {
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -29,11 +32,17 @@
 	t       *testing.T
 	binary  string
 	store   *standin.Store
-	link    *proxy
 	runners []*standin.Runner
 	links   []*proxy
 	hosts   []*process
+
+	mu      sync.Mutex
 	version int
+	// keys are the team's keys by whether they are valid.
+	keys map[string]bool
+	// all are the runners that ever were, retired those that have left; joined counts those that joined later.
+	all, retired []*standin.Runner
+	joined       int
 }
 
 // process is an entry host that is started again when it ends.
@@ -43,6 +52,10 @@
 	settings string
 	binary   string
 	log      string
+	// link is the way to the store.
+	link *proxy
+	// lives counts the processes that were started.
+	lives atomic.Int64
 
 	// restarting is held from a signal that ends the process to the start of the next one: two of them at once started
 	// two processes, of which one was lost sight of and kept the address after the test.
@@ -54,15 +67,12 @@
 
 func newWorld(t *testing.T, binary string, number byte) *world {
 	t.Helper()
-	wd := &world{t: t, binary: binary, store: standin.NewStore()}
+	wd := &world{t: t, binary: binary, store: standin.NewStore(), keys: map[string]bool{"k-1": true, "k-2": true}}
 	t.Cleanup(wd.store.Close)
-	var err error
-	wd.link, err = newProxy(wd.store.Address())
-	if err != nil {
-		t.Fatal(err)
+	for index := range revocable {
+		wd.keys[revocableKey(index)] = true
 	}
-	t.Cleanup(wd.link.close)
-	wd.configure("k-1", "k-2")
+	wd.configure(func(map[string]bool) {})
 	for index, service := range []string{"desk", "desk", "model", "model"} {
 		wd.addRunner(fmt.Sprintf("i-%d", index), service)
 	}
@@ -76,15 +86,64 @@
 	return wd
 }
 
-func (wd *world) configure(keys ...string) {
+// configure writes a configuration with the keys that are valid after the change.
+func (wd *world) configure(change func(keys map[string]bool)) {
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	change(wd.keys)
+	var valid []string
+	for _, key := range slices.Sorted(maps.Keys(wd.keys)) {
+		if wd.keys[key] {
+			valid = append(valid, key)
+		}
+	}
 	wd.version += 3
-	wd.store.Configure(wd.version, 2, keys...)
+	wd.store.Configure(wd.version, 2, valid...)
 }
 
-func (wd *world) addRunner(id, service string) {
+// revocable is the number of keys that are taken away one after the other.
+const revocable = 6
+
+func revocableKey(index int) string { return fmt.Sprintf("r-%d", index) }
+
+// revoke takes the next key away.
+func (wd *world) revoke() {
+	wd.configure(func(keys map[string]bool) {
+		for index := range revocable {
+			if key := revocableKey(index); keys[key] {
+				keys[key] = false
+				return
+			}
+		}
+	})
+}
+
+// replace has a further runner of the plain service join, and leave some time later.
+func (wd *world) replace(stay, drain time.Duration) {
+	wd.mu.Lock()
+	id := fmt.Sprintf("i-joined-%d", wd.joined)
+	wd.joined++
+	wd.mu.Unlock()
+	rn, _, write, err := wd.newRunner(id, "desk")
+	if err != nil {
+		wd.t.Error(err)
+		return
+	}
+	write("ready")
+	time.Sleep(stay)
+	write("draining")
+	time.Sleep(drain)
+	wd.store.PutTarget(id, "")
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.retired = append(wd.retired, rn)
+}
+
+// newRunner starts a runner behind a proxy and returns it with what it writes in the store for a state.
+func (wd *world) newRunner(id, service string) (*standin.Runner, *proxy, func(state string), error) {
 	rn, err := standin.NewRunner(id)
 	if err != nil {
-		wd.t.Fatal(err)
+		return nil, nil, nil, err
 	}
 	wd.t.Cleanup(rn.Close)
 	if service == "model" {
@@ -92,15 +151,34 @@
 	}
 	link, err := newProxy(rn.Address())
 	if err != nil {
-		wd.t.Fatal(err)
+		return nil, nil, nil, err
 	}
 	wd.t.Cleanup(link.close)
-	entry := strings.Replace(rn.Entry(service, "dc-a", "ready"), rn.Address().String(), link.address().String(), 1)
-	wd.store.PutTarget(id, entry)
+	wd.mu.Lock()
+	defer wd.mu.Unlock()
+	wd.all = append(wd.all, rn)
+	write := func(state string) {
+		entry := rn.Entry(service, "dc-a", state)
+		wd.store.PutTarget(id, strings.Replace(entry, rn.Address().String(), link.address().String(), 1))
+	}
+	return rn, link, write, nil
+}
+
+func (wd *world) addRunner(id, service string) {
+	rn, link, write, err := wd.newRunner(id, service)
+	if err != nil {
+		wd.t.Fatal(err)
+	}
+	write("ready")
 	wd.runners, wd.links = append(wd.runners, rn), append(wd.links, link)
 }
 
 func (wd *world) newProcess(address netip.Addr, index int) *process {
+	link, err := newProxy(wd.store.Address())
+	if err != nil {
+		wd.t.Fatal(err)
+	}
+	wd.t.Cleanup(link.close)
 	directory := wd.t.TempDir()
 	path := filepath.Join(directory, "settings.toml")
 	text := fmt.Sprintf(`[Entry]
@@ -112,12 +190,12 @@
 StoreAddress = "%s"
 Grace = "4s"
 RetrySlack = 300
-`, index, address, callerPort, address, readyPort, peerPort, wd.link.address())
+`, index, address, callerPort, address, readyPort, peerPort, link.address())
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		wd.t.Fatal(err)
 	}
 	return &process{
-		t: wd.t, address: address, settings: path, binary: wd.binary, log: filepath.Join(directory, "log"),
+		t: wd.t, address: address, settings: path, binary: wd.binary, log: filepath.Join(directory, "log"), link: link,
 	}
 }
 
@@ -139,6 +217,7 @@
 		pr.t.Error(err)
 		return
 	}
+	pr.lives.Add(1)
 	ended := make(chan struct{})
 	pr.command, pr.ended = command, ended
 	go func() {
@@ -172,8 +251,22 @@
 		pr.mu.Unlock()
 		<-ended
 		if wd.t.Failed() {
-			text, _ := os.ReadFile(pr.log)
-			wd.t.Logf("%s:\n%s", pr.address, text[max(0, len(text)-6000):])
+			wd.t.Logf("%s:\n%s", pr.address, pr.events())
+		}
+	}
+}
+
+// shownLog is the most bytes of a process's log that are shown.
+const shownLog = 30_000
+
+// events returns the end of the process's log without the lines of single requests.
+func (pr *process) events() string {
+	text, _ := os.ReadFile(pr.log)
+	var lines strings.Builder
+	for line := range strings.Lines(string(text)) {
+		if !strings.Contains(line, `"Message":"request"`) {
+			lines.WriteString(line)
 		}
 	}
+	return lines.String()[max(0, lines.Len()-shownLog):]
 }
