--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -87,6 +89,40 @@
 	}
 }
 
+// TestSlowTargetsKeepTheirStreams guards against streams of targets that are all slow, each of which is moved to another one
+// that is as slow, so that its prompt is read twice.
+func TestSlowTargetsKeepTheirStreams(t *testing.T) {
+	t.Parallel()
+	const callers = 4
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	runners := []*standin.Runner{st.runner("i-1", "model"), st.runner("i-2", "model")}
+	for _, rn := range runners {
+		// Twice the latency target of the rule's streams is 1 s.
+		rn.Events, rn.Gap = 1, 1200*time.Millisecond
+	}
+	ht := st.start("host-1", true)
+	runs := func() int { return len(runners[0].Runs()) + len(runners[1].Runs()) }
+	round := func(name string) {
+		var running sync.WaitGroup
+		for index := range callers {
+			running.Go(func() {
+				ht.call(t.Context(), standin.Call{
+					Method: http.MethodPost, Path: "/chat/x", ID: fmt.Sprintf("%s-%d", name, index), Key: "k-1", Body: "b",
+					Prefix: "a:10,b:20",
+				})
+			})
+		}
+		running.Wait()
+	}
+	round("first")
+	before := runs()
+	round("second")
+	if again := runs() - before; again != callers {
+		t.Errorf("%d streams ran %d times after the host had seen slow targets\n%s", callers, again, ht.log)
+	}
+}
+
 // TestCallerLeaves guards against targets that work on after their caller has left.
 func TestCallerLeaves(t *testing.T) {
 	t.Parallel()
