Refuse requests in a stop that its end would cut off

Cause: it came on a kept connection whose earlier answer, a stream of 6.6 s, had begun before the stop, so that its head did not close the connection. The host passed the request on although the rule's time was longer than what was left.

From when the host takes no more connections, a request that may last longer than what is left of the grace is refused as not run, with a return after 50 ms, and its answer closes the connection. TestLateRequestInTheDrain on the code before: the second stream ran and ended with an unexpected EOF.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -131,3 +131,31 @@
 		t.Errorf("%d runs are no load", len(runs))
 	}
 }
+
+// TestLateRequestInTheDrain guards against a request that is cut off at the end of a planned stop although it came long after
+// the stop had begun: on a connection whose answer, without word of the stop, had begun before it (kaffivakt-router
+// hunt-8101-27).
+func TestLateRequestInTheDrain(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	rn := st.runner("i-1", "model")
+	rn.Events, rn.Gap = 20, 140*time.Millisecond
+	st.runner("i-2", "desk")
+	ht := st.start("host-1", true)
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	call := func(path, id string) reply {
+		return ht.callWith(t.Context(), client, standin.Call{Method: http.MethodPost, Path: path, ID: id, Key: "k-1", Body: "b"})
+	}
+	time.AfterFunc(200*time.Millisecond, ht.stop)
+	if got := call("/once/x", "r-1"); got.err != nil || got.body != standin.Events(20) {
+		t.Fatalf("the stream ended with %q, %v", got.body, got.err)
+	}
+	got := call("/once/x", "r-2")
+	if got.err == nil && (got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "") {
+		t.Errorf("a stream that the stop would cut off got %d", got.status)
+	}
+	if len(rn.Runs()) != 1 {
+		t.Errorf("it ran: %q, %v", got.body, got.err)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,6 +55,8 @@
 	// elapsed is the time since the start, which goes on evenly when the host's clock is set.
 	elapsed  func() time.Duration
 	stopping atomic.Bool
+	// endsAt is when requests are cut off in a stop, by elapsed; zero until the host takes no more connections.
+	endsAt atomic.Int64
 	// grace is the time.Duration between the request to stop and the end of the process.
 	grace atomic.Int64
 	// drainTime is the time.Duration after which a target that left must get no requests.
@@ -221,6 +223,7 @@
 	en.logger.Info("draining", "Open", en.counters.open.Load())
 	time.Sleep(min(unreadyTime, grace/2))
 	_ = listener.Close()
+	en.endsAt.Store(int64(en.elapsed() + started.Add(grace-stopReserve).Sub(en.now())))
 	// A connection that was accepted just before the close is not among the open ones until the server has seen it.
 	<-accepting
 	for en.now().Before(started.Add(grace - stopReserve)) {
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -25,6 +25,7 @@
 		en.identifyTeam,
 		en.readBody,
 		en.setDeadline,
+		en.finishBeforeStop,
 	}
 	handler := filter(en.forward)
 	for index := len(filters) - 1; index >= 0; index-- {
@@ -121,6 +122,21 @@
 	}
 }
 
+// stoppingReturn is when a caller should come back, to another host, that sent its request too late in a stop.
+const stoppingReturn = 50 * time.Millisecond
+
+// finishBeforeStop refuses a request that the end of a stop may cut off. It answers callers whose last answer had begun
+// before the stop, so that it did not tell them to close the connection.
+func (en *Entry) finishBeforeStop(next filter) filter {
+	return func(ex *exchange) error {
+		ends := time.Duration(en.endsAt.Load())
+		if ends > 0 && ex.left(en.now()) > ends-en.elapsed() {
+			return chestnutroad.Refuse(chestnutroad.NotReady, "the host may stop before the answer has ended").After(stoppingReturn)
+		}
+		return next(ex)
+	}
+}
+
 // sharedPart returns the id of the last part that a prompt shares with other requests: the part before its own.
 func sharedPart(parts []chestnutroad.PromptPart) string {
 	switch len(parts) {
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -34,7 +34,7 @@
 	Configuration []byte `json:",omitempty"`
 	// Position is the end of the records that Targets results from.
 	Position chestnutroad.Position
-	Targets []chestnutroad.KeyedRecord `json:",omitempty"`
+	Targets  []chestnutroad.KeyedRecord `json:",omitempty"`
 	// AllTargets are all records, packed, in place of the changes since the asking host's position.
 	AllTargets []byte `json:",omitempty"`
 	// Hosts is left out when the asking host has the same list.
