--- a/internal/entry/drill_test.go
+++ b/internal/entry/drill_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,10 +32,10 @@
 	}{
 		{
 			"a target that joined",
-			func(st *site, rn *standin.Runner) { st.beat(rn, "desk", 3) },
+			func(st *site, rn *standin.Runner) { st.beat(rn, "desk") },
 			func(st *site, rn *standin.Runner) {
 				st.runner("i-2", "model").Events = 2
-				st.beat(rn, "desk", 3)
+				st.beat(rn, "desk")
 			},
 			func(ht *host) bool {
 				return ht.call(ht.t.Context(), standin.Call{Method: http.MethodPost, Path: "/chat/x", ID: "c", Key: "k-1"}).status == http.StatusOK
@@ -42,10 +43,10 @@
 		},
 		{
 			"a target that left",
-			func(st *site, rn *standin.Runner) { st.beat(rn, "desk", 3) },
+			func(st *site, rn *standin.Runner) { st.beat(rn, "desk") },
 			func(st *site, rn *standin.Runner) {
 				st.store.PutTarget(rn.ID, "")
-				st.beat(st.runner("i-2", "model"), "model", 3)
+				st.beat(st.runner("i-2", "model"), "model")
 			},
 			func(ht *host) bool { return stockStatus(ht, "k-1") == http.StatusServiceUnavailable },
 		},
@@ -88,9 +89,12 @@
 	}
 }
 
-// beat has a runner write its entry so many times.
-func (st *site) beat(rn *standin.Runner, service string, times int) {
-	for range times {
+// beats is the number of entries with which a runner moves the end of the records past what hosts have read.
+const beats = 3
+
+// beat has a runner write its entry some times.
+func (st *site) beat(rn *standin.Runner, service string) {
+	for range beats {
 		st.store.PutTarget(rn.ID, rn.Entry(service, "dc-a", "ready"))
 	}
 }
@@ -102,14 +106,14 @@
 	st := newSite(t)
 	st.store.Configure(3, 1, "k-1", "k-2")
 	st.runner("i-1", "desk")
-	hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+	before := []*host{st.start("host-1", true), st.start("host-2", true)}
 	time.Sleep(copyAge)
 	st.store.Configure(5, 1, "k-2")
-	for _, ht := range hosts {
+	for _, ht := range before {
 		ht.eventually(applyWithin, "the key is refused", func() bool { return stockStatus(ht, "k-1") == http.StatusUnauthorized })
 	}
 	st.store.Run(standin.Drill{Back: copyAge, Away: away, Rewrite: -1})
-	hosts = append(hosts, st.start("host-3", false))
+	hosts := slices.Concat(before, []*host{st.start("host-3", false)})
 	served := false
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		for _, ht := range hosts {
