--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -368,10 +368,10 @@
 		en.copiedAt.Store(int64(en.elapsed()))
 		en.link.registerAgain()
 	}
-	recalled := en.takeTargets(slices.Concat(records, missing), next, en.state.replaceRecords)
+	outdatedCount := en.takeTargets(slices.Concat(records, missing), next, en.state.replaceRecords)
 	if fromCopy {
 		en.logger.Warn("the store came back from an older copy", "Held", held, "Position", next, "Source", source,
-			"Targets", len(records), "Missing", len(missing), "Recalled", recalled, "Version", en.held().Version)
+			"Targets", len(records), "Missing", len(missing), "Outdated", outdatedCount, "Version", en.held().Version)
 	}
 	if !en.state.listed.Swap(true) {
 		en.logger.Info("targets listed", "Count", len(records), "Position", next, "Source", source)
@@ -388,48 +388,48 @@
 func (en *Entry) takeTargets(
 	records []chestnutroad.KeyedRecord, next chestnutroad.Position,
 	keep func([]chestnutroad.KeyedRecord, chestnutroad.Position),
-) (recalled int) {
+) (outdatedCount int) {
 	en.state.mu.Lock()
 	current := en.state.records.current(records)
 	en.state.mu.Unlock()
 	kept := make([]chestnutroad.KeyedRecord, 0, len(current))
 	for _, record := range current {
 		said := en.applyTarget(&record)
-		if said != recallsNothing {
-			recalled++
+		if said != notOutdated {
+			outdatedCount++
 		}
-		if said != recallsGone {
+		if said != outdatedGone {
 			kept = append(kept, record)
 		}
 	}
 	keep(kept, next)
-	return recalled
+	return outdatedCount
 }
 
-// applyTarget has a record take effect unless it only recalls what the host has seen the end of.
-func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) recall {
+// applyTarget has a record take effect unless it is older than what the host has seen.
+func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) outdated {
 	id := chestnutroad.TargetID(record.Key)
 	if len(record.Value) == 0 {
 		en.removeLater(id)
-		return recallsNothing
+		return notOutdated
 	}
 	entry, err := en.decoder.Target(record.Key, record.Value)
 	if err != nil {
 		en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", err)
 		en.removeTarget(id, "unreadable")
-		return recallsNothing
+		return notOutdated
 	}
 	said, before, known := en.state.setTarget(en.now(), &entry, record.Position.Era)
-	if said != recallsNothing {
+	if said != notOutdated {
 		en.logger.Info("target entry is older than what was seen", "Target", id, "Position", record.Position,
-			"Leaving", said == recallsLeaving, "Gone", said == recallsGone)
+			"Leaving", said == outdatedLeaving, "Gone", said == outdatedGone)
 		return said
 	}
 	if !known || !before.SameLife(&entry) || before.Leaving != entry.Leaving {
 		en.logger.Info("target changed", "Target", id, "Service", entry.Service, "Address", entry.Address,
 			"Leaving", entry.Leaving, "Started", entry.Started, "Position", record.Position)
 	}
-	return recallsNothing
+	return notOutdated
 }
 
 const (
--- a/internal/entry/lives.go
+++ b/internal/entry/lives.go
@@ -46,33 +46,33 @@
 	}
 }
 
-// recall is what an entry of a later era says against what was seen before it.
-type recall int
+// outdated says whether an entry of a later era is older than what was seen of its target in an earlier one.
+type outdated int
 
 const (
-	// recallsNothing is an entry that tells something new, or of an era in which the target was seen.
-	recallsNothing recall = iota
-	// recallsGone, recallsLeaving and recallsLive are entries that were written before the host saw that the target went, left,
+	// notOutdated is an entry that tells something new, or of an era in which the target was seen.
+	notOutdated outdated = iota
+	// outdatedGone, outdatedLeaving and outdatedLive are entries that were written before the host saw that the target went, left,
 	// or goes on.
-	recallsGone
-	recallsLeaving
-	recallsLive
+	outdatedGone
+	outdatedLeaving
+	outdatedLive
 )
 
-// recall reports whether the entry, from a record of the era, is one that the store's copy brought back.
-func (ls *lives) recall(entry *chestnutroad.TargetEntry, era chestnutroad.Era) recall {
+// outdated reports whether the entry, from a record of the era, is one that an older copy of the store brought back.
+func (ls *lives) outdated(entry *chestnutroad.TargetEntry, era chestnutroad.Era) outdated {
 	known, found := ls.byID[entry.ID]
 	if !found || era <= known.era || entry.Started > known.started {
-		return recallsNothing
+		return notOutdated
 	}
 	earlier := entry.Started < known.started
 	switch {
 	case known.gone && (earlier || entry.Written <= known.written):
-		return recallsGone
+		return outdatedGone
 	case known.leaving && (earlier || !entry.Leaving):
-		return recallsLeaving
+		return outdatedLeaving
 	case !known.gone && (earlier || entry.Written < known.written):
-		return recallsLive
+		return outdatedLive
 	}
-	return recallsNothing
+	return notOutdated
 }
--- a/internal/entry/lives_test.go
+++ b/internal/entry/lives_test.go
@@ -21,21 +21,21 @@
 		gone bool
 		era  chestnutroad.Era
 		told *chestnutroad.TargetEntry
-		want recall
+		want outdated
 	}{
-		{"never seen", nil, false, 1, entry(1, 1, false), recallsNothing},
-		{"unchanged", entry(1, 5, false), false, 1, entry(1, 5, false), recallsNothing},
-		{"written again", entry(1, 5, false), false, 1, entry(1, 6, false), recallsNothing},
-		{"not written again yet", entry(1, 5, false), false, 1, entry(1, 3, false), recallsLive},
-		{"leaving, ready in the copy", entry(1, 5, true), false, 1, entry(1, 4, false), recallsLeaving},
-		{"leaving, and says so again", entry(1, 5, true), false, 1, entry(1, 5, true), recallsNothing},
-		{"gone, ready in the copy", entry(1, 5, false), true, 1, entry(1, 5, false), recallsGone},
-		{"gone after it left", entry(1, 5, true), true, 1, entry(1, 4, false), recallsGone},
-		{"lapsed in the outage, registered again", entry(1, 5, false), true, 1, entry(1, 9, false), recallsNothing},
-		{"former life in the copy", entry(2, 1, false), false, 1, entry(1, 9, false), recallsLive},
-		{"former life of one that is gone", entry(2, 1, false), true, 1, entry(1, 9, false), recallsGone},
-		{"started anew", entry(1, 5, true), true, 1, entry(2, 1, false), recallsNothing},
-		{"same era", entry(1, 5, false), true, 0, entry(1, 5, false), recallsNothing},
+		{"never seen", nil, false, 1, entry(1, 1, false), notOutdated},
+		{"unchanged", entry(1, 5, false), false, 1, entry(1, 5, false), notOutdated},
+		{"written again", entry(1, 5, false), false, 1, entry(1, 6, false), notOutdated},
+		{"not written again yet", entry(1, 5, false), false, 1, entry(1, 3, false), outdatedLive},
+		{"leaving, ready in the copy", entry(1, 5, true), false, 1, entry(1, 4, false), outdatedLeaving},
+		{"leaving, and says so again", entry(1, 5, true), false, 1, entry(1, 5, true), notOutdated},
+		{"gone, ready in the copy", entry(1, 5, false), true, 1, entry(1, 5, false), outdatedGone},
+		{"gone after it left", entry(1, 5, true), true, 1, entry(1, 4, false), outdatedGone},
+		{"lapsed in the outage, registered again", entry(1, 5, false), true, 1, entry(1, 9, false), notOutdated},
+		{"former life in the copy", entry(2, 1, false), false, 1, entry(1, 9, false), outdatedLive},
+		{"former life of one that is gone", entry(2, 1, false), true, 1, entry(1, 9, false), outdatedGone},
+		{"started anew", entry(1, 5, true), true, 1, entry(2, 1, false), notOutdated},
+		{"same era", entry(1, 5, false), true, 0, entry(1, 5, false), notOutdated},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -47,7 +47,7 @@
 			if tc.gone {
 				ls.end(now, "i-1")
 			}
-			if got := ls.recall(tc.told, tc.era); got != tc.want {
+			if got := ls.outdated(tc.told, tc.era); got != tc.want {
 				t.Errorf("got %d, want %d", got, tc.want)
 			}
 		})
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -256,16 +256,16 @@
 	}
 }
 
-// setTarget takes in a target's entry from a record of the era, unless it only recalls an earlier state of the target. It
-// returns what it recalls, and the entry before it.
+// setTarget takes in a target's entry from a record of the era, unless it is older than what was seen. It
+// returns whether it is, and the entry before it.
 func (st *state) setTarget(
 	now time.Time, entry *chestnutroad.TargetEntry, era chestnutroad.Era,
-) (said recall, before chestnutroad.TargetEntry, known bool) {
+) (said outdated, before chestnutroad.TargetEntry, known bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	before, known = st.pool.Entry(entry.ID)
-	if said = st.lives.recall(entry, era); said != recallsNothing {
-		if said == recallsLeaving && known {
+	if said = st.lives.outdated(entry, era); said != notOutdated {
+		if said == outdatedLeaving && known {
 			// Hosts that start meanwhile read the older entry, and are told that the target leaves.
 			st.pool.Noted(now, &before, placement.Notice{Leaving: true})
 		}
@@ -275,7 +275,7 @@
 	if st.pool.Set(entry) {
 		st.pool.Joined(now, entry.ID)
 	}
-	return recallsNothing, before, known
+	return notOutdated, before, known
 }
 
 // forgetLife has the next entry of a target believed, whatever it says: its entry was only missing in a copy of the store,
