State why an answer ended without being complete

A request whose connection ended without a complete answer could not be told apart in logs and metrics: one that arrived on a connection that was being closed left no line at all, one that the end of the grace period cut off was CallerGone, and the number of those cut off had no ids.

The metric chestnutroad_answers_incomplete_total counts them by reason (ConnectionClosing, Stop, CallerGone, StreamBroken), the line of the request has the reason as Incomplete, and a stop logs each request that it cuts off with its id. The gauge of open requests now counts the exchanges that this log needs.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,8 +12,6 @@
 // counters holds the host's metrics. Their label values are services, kinds and reasons, whose numbers stay small.
 type counters struct {
 	set *metrics.Set
-	// open is the number of requests that are being handled.
-	open atomic.Int64
 	// controlBytes counts the bytes of datagrams sent to other hosts.
 	controlBytes *metrics.Counter
 }
@@ -22,7 +19,6 @@
 func newCounters() *counters {
 	cn := &counters{set: metrics.NewSet()}
 	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
-	cn.set.NewGauge("chestnutroad_requests_open", func() float64 { return float64(cn.open.Load()) })
 	return cn
 }
 
@@ -31,10 +27,11 @@
 	cn.set.NewGauge("chestnutroad_log_lines_dropped", func() float64 { return float64(count()) })
 }
 
-// registerStateGauges adds gauges of the configuration's version, the last read and the era of the store, the exchange
+// registerStateGauges adds gauges of the open requests, the configuration's version, the last read and the era of the store, the exchange
 // with other hosts, and the targets and connections to them.
 func (en *Entry) registerStateGauges() {
 	set := en.counters.set
+	set.NewGauge("chestnutroad_requests_open", func() float64 { return float64(en.open.count()) })
 	set.NewGauge("chestnutroad_configuration_version", func() float64 { return float64(en.state.localStatus(en.now()).Version) })
 	set.NewGauge("chestnutroad_store_read_age_seconds", func() float64 {
 		return (en.elapsed() - time.Duration(en.lastRead.Load())).Seconds()
@@ -77,6 +74,11 @@
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_sends_total{service=%q,end=%q}", service, end)).Inc()
 }
 
+// countIncomplete counts a request whose connection ends without a complete answer.
+func (cn *counters) countIncomplete(reason string) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_answers_incomplete_total{reason=%q}", reason)).Inc()
+}
+
 // countRequest counts a finished request and observes its duration.
 func (cn *counters) countRequest(ex *exchange, outcome string) {
 	service := string(ex.service)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,7 @@
 	targets      *targetconn.Pool
 	counters     *counters
 	callers      *callerConns
+	open         *openRequests
 	bufferBudget *bufferBudget
 	link         *link
 	// lastRead and lastReadFailure hold when a read of the targets last succeeded and last failed, as elapsed times; zero
@@ -57,6 +58,8 @@
 	// elapsed returns the time since the start, which does not jump when the host's clock is set.
 	elapsed  func() time.Duration
 	stopping atomic.Bool
+	// cutOff is set when a shutdown cuts off the open requests.
+	cutOff atomic.Bool
 	// cutOffAt holds the elapsed time at which a shutdown cuts off open requests; zero until the host accepts no more
 	// connections.
 	cutOffAt atomic.Int64
@@ -96,6 +99,7 @@
 		counters:     newCounters(),
 		eras:         &eraTracker{},
 		callers:      newCallerConns(),
+		open:         newOpenRequests(),
 		bufferBudget: &bufferBudget{limit: int64(set.Memory) / bufferMemoryDivisor},
 		now:          time.Now,
 		elapsed:      monotonicClock(),
@@ -225,7 +229,7 @@
 func (en *Entry) drain(listener net.Listener, accepting <-chan struct{}) {
 	started, grace := en.now(), time.Duration(en.grace.Load())
 	en.stopping.Store(true)
-	en.logger.Info("draining", "Open", en.counters.open.Load())
+	en.logger.Info("draining", "Open", en.open.count())
 	time.Sleep(min(balancerDelay, grace/2))
 	_ = listener.Close()
 	en.cutOffAt.Store(int64(en.elapsed() + started.Add(grace-stopReserve).Sub(en.now())))
@@ -237,7 +241,8 @@
 		}
 		time.Sleep(drainInterval)
 	}
-	en.logger.Warn("cutting off requests at the end of the grace period", "Open", en.counters.open.Load())
+	en.cutOff.Store(true)
+	en.logCutOff()
 }
 
 // sweepIdle closes idle connections to targets and from callers until ctx ends.
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -36,6 +36,8 @@
 	trail []string
 	// status is the status that was sent to the caller, zero before that.
 	status int
+	// incomplete is the reason for which the caller gets no complete answer, or empty.
+	incomplete string
 	// answerMetadata holds what the headers of the latest answer state.
 	answerMetadata chestnutroad.AnswerMetadata
 	stream         streamState
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -28,6 +28,9 @@
 	for _, reason := range sendReasons {
 		en.counters.countSend("service", reason.err)
 	}
+	for _, reason := range []string{incompleteClosing, incompleteStop, incompleteCallerGone, incompleteBroken} {
+		en.counters.countIncomplete(reason)
+	}
 	ex := &exchange{service: "service"}
 	en.counters.countRequest(ex, outcomeOf(ex, nil))
 	en.counters.countRequest(ex, outcomeOf(ex, errCallerGone))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -23,12 +23,14 @@
 
 // ServeHTTP handles one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
+	ex := &exchange{writer: writer, request: req, started: en.now(), callMetadata: en.wire.ReadCall(req.Header)}
 	if en.callers.closing(req.Context()) {
+		en.counters.countIncomplete(incompleteClosing)
+		en.logger.Warn("request arrived on a connection that was being closed", "Request", ex.callMetadata.ID)
 		panic(http.ErrAbortHandler)
 	}
-	en.counters.open.Add(1)
-	defer en.counters.open.Add(-1)
-	ex := &exchange{writer: writer, request: req, started: en.now(), callMetadata: en.wire.ReadCall(req.Header)}
+	en.open.add(ex)
+	defer en.open.remove(ex)
 	if en.stopping.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -36,6 +38,10 @@
 	ex.duration = en.now().Sub(ex.started)
 	outcome := outcomeOf(ex, err)
 	en.counters.countRequest(ex, outcome)
+	ex.incomplete = en.incompleteReason(ex, err)
+	if ex.incomplete != "" {
+		en.counters.countIncomplete(ex.incomplete)
+	}
 	en.logExchange(ex, outcome, err)
 	if err != nil {
 		en.writeRefusal(ex, err)
@@ -80,6 +86,9 @@
 		fields = append(fields, "Known", ex.targetCounts.Total, "Leaving", ex.targetCounts.Leaving, "Closed", ex.targetCounts.Unreachable,
 			"Held", ex.targetCounts.Held)
 	}
+	if ex.incomplete != "" {
+		fields = append(fields, "Incomplete", ex.incomplete)
+	}
 	if err != nil {
 		fields = append(fields, "Error", err)
 	}
@@ -101,7 +110,7 @@
 // writeRefusal answers with the refusal. It aborts the connection instead when a part of an answer was already sent, so
 // that no caller takes the part for a complete answer, or when the caller disconnected.
 func (en *Entry) writeRefusal(ex *exchange, err error) {
-	if ex.answerStarted() || errors.Is(err, errCallerGone) {
+	if ex.incomplete != "" {
 		panic(http.ErrAbortHandler)
 	}
 	refusal := chestnutroad.RefusalOf(err)
