Finish the drain of a host when a stop signal is repeated

Callers of a draining host lost all open requests when SIGTERM or SIGINT came a second time: main restores the default handling after the first signal, for all verbs, and the second one then ended the process. A supervisor that repeats its signal, or sends it to the process and its group, so cuts off every request.

serve now receives both signals itself until the process ends, so that no later one has its default action; it logs them. Other verbs still end at the second signal. SIGQUIT and SIGKILL end a host at once.

--- a/cmd/chestnutroad/main.go
+++ b/cmd/chestnutroad/main.go
@@ -16,7 +16,8 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// The first signal restores the default handling, so that a second one ends the process at once.
+	// The first signal restores the default handling, so that a second one ends the process at once. A host handles the signals
+	// itself and finishes its drain.
 	context.AfterFunc(ctx, stop)
 	return cli.New(verb.Options()...).Run(ctx, os.Args[1:])
 }
--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -19,8 +19,9 @@
 
 // serve runs a host until the context is cancelled. Without a host settings file it runs an entry host.
 func serve(ctx context.Context, env *cli.Environment, arguments *cli.Serve) error {
+	signals := notifySignals()
 	if arguments.Host == "" {
-		return serveEntry(ctx, env)
+		return serveEntry(ctx, env, signals)
 	}
 	set, err := settings.LoadHost(arguments.Host)
 	if err != nil {
@@ -33,6 +34,7 @@
 	if err != nil {
 		return err
 	}
+	go logSignals(signals, logger)
 	opts, finish, err := hostOptions(set, incarnation)
 	if err != nil {
 		return err
--- a/internal/verb/serve_entry.go
+++ b/internal/verb/serve_entry.go
@@ -32,7 +32,7 @@
 )
 
 // serveEntry runs an entry host with the settings file that the environment variable names.
-func serveEntry(ctx context.Context, env *cli.Environment) error {
+func serveEntry(ctx context.Context, env *cli.Environment, signals <-chan os.Signal) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return cli.Exit(cli.CodeUsage, errors.Newf("set --host, or set %s to the path of the settings file", platform.SettingsVariable))
@@ -58,6 +58,7 @@
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
+	go logSignals(signals, logging.For(logger, "signals"))
 	store := platform.NewStore(set.StoreAddress.String(), storeDialTimeout)
 	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger,
 		entry.WithRequestLog(requests), entry.WithDroppedLines(lines.Dropped))
--- /dev/null
+++ b/internal/verb/signals.go
@@ -0,0 +1,34 @@
+package verb
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+)
+
+// signalBacklog is the number of signals that may arrive before the logger of a host has been set up.
+const signalBacklog = 8
+
+// notifySignals returns a channel that receives the signals to stop, for the rest of the process. While it does, none of them
+// ends the process, so that a host finishes its drain however often it is told to stop: supervisors repeat a signal, and what
+// is sent to a process group arrives once more. SIGQUIT and SIGKILL end a host at once.
+func notifySignals() <-chan os.Signal {
+	signals := make(chan os.Signal, signalBacklog)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	return signals
+}
+
+// logSignals logs the signals of a host. The first one starts the drain by ending the context of main.
+func logSignals(signals <-chan os.Signal, logger *log.Logger) {
+	draining := false
+	for received := range signals {
+		if draining {
+			logger.Warn("received a signal during the drain, which goes on", "Signal", received)
+			continue
+		}
+		draining = true
+		logger.Info("received a signal to stop", "Signal", received)
+	}
+}
--- /dev/null
+++ b/test/soak/signals_test.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// TestMain handles SIGHUP, so that hosts start with its default action: an ignored signal, as under nohup, stays ignored in them.
+func TestMain(m *testing.M) {
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	m.Run()
+}
+
+// signalGap is the time between two signals of a case, long enough for the process to handle each.
+const signalGap = 20 * time.Millisecond
+
+// TestSignalsDuringDrain guards against a signal that ends a draining host before its open requests are answered.
+func TestSignalsDuringDrain(t *testing.T) {
+	t.Parallel()
+	binary := buildHost(t)
+	cases := []struct {
+		name    string
+		signals []syscall.Signal
+	}{
+		{"SIGTERM twice", []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM}},
+		{"SIGTERM many times", []syscall.Signal{
+			syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM, syscall.SIGTERM,
+		}},
+		{"SIGINT after SIGTERM", []syscall.Signal{syscall.SIGTERM, syscall.SIGINT}},
+		{"SIGTERM after SIGINT", []syscall.Signal{syscall.SIGINT, syscall.SIGTERM}},
+		{"SIGHUP after SIGTERM", []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}},
+		{"SIGHUP around SIGTERM", []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP}},
+	}
+	for index, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tb := newTestbed(t, binary, byte(200+index))
+			tb.awaitReady()
+			for _, rn := range tb.runners {
+				if rn.Events > 0 {
+					rn.Gap = 200 * time.Millisecond
+				}
+			}
+			pr := tb.hosts[0]
+			answered := make(chan exchange, 1)
+			go func() { answered <- tb.send(t.Context(), http.DefaultClient, pr, "once", "r-1", "k-1", longBudget) }()
+			tb.awaitRun("r-1")
+			for _, sig := range tc.signals {
+				pr.signal(sig, false)
+				time.Sleep(signalGap)
+			}
+			if ex := <-answered; ex.err != nil || ex.body != standin.Events(streamEvents) {
+				t.Errorf("the stream ended with %q, %v", ex.body, ex.err)
+			}
+			<-pr.exited
+			if status := pr.command.ProcessState; !status.Success() {
+				t.Errorf("the host ended with %s", status)
+			}
+		})
+	}
+}
+
+// buildHost builds the command and returns its path.
+func buildHost(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "chestnutroad")
+	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/chestnutroad").CombinedOutput()
+	if err != nil {
+		t.Fatalf("go build: %v\n%s", err, output)
+	}
+	return binary
+}
+
+// awaitRun waits until a runner runs the call with the id.
+func (tb *testbed) awaitRun(id string) {
+	tb.t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, rn := range tb.allRunners {
+			for _, run := range rn.Runs() {
+				if run.ID == id {
+					return
+				}
+			}
+		}
+	}
+	tb.t.Fatalf("no runner runs %s after 5 s", id)
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -7,8 +7,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,6 +33,9 @@
 	convergenceTime = 3500 * time.Millisecond
 	callerCount     = 6
 	callTimeout     = 5 * time.Second
+	// shortBudget is the time budget of calls that a fault may hold up, longBudget that of calls that must not end early.
+	shortBudget = 1500 * time.Millisecond
+	longBudget  = 3 * time.Second
 )
 
 // exchange is a call and its answer.
@@ -58,11 +59,7 @@
 // valid key that is refused, a revoked key that is accepted, requests to a removed runner, and hosts that do not recover.
 func TestSoak(t *testing.T) {
 	t.Parallel()
-	binary := filepath.Join(t.TempDir(), "chestnutroad")
-	output, err := exec.CommandContext(t.Context(), "go", "build", "-o", binary, "../../cmd/chestnutroad").CombinedOutput()
-	if err != nil {
-		t.Fatalf("go build: %v\n%s", err, output)
-	}
+	binary := buildHost(t)
 	for index, seed := range seeds(t) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
@@ -126,7 +123,7 @@
 	tb.t.Helper()
 	for _, pr := range tb.hosts {
 		for end := time.Now().Add(10 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-			ex := tb.send(tb.t.Context(), http.DefaultClient, pr, "stock", "ready-"+pr.address.String(), "k-1")
+			ex := tb.send(tb.t.Context(), http.DefaultClient, pr, "stock", "ready-"+pr.address.String(), "k-1", shortBudget)
 			if ex.status == http.StatusOK {
 				break
 			}
@@ -154,7 +151,7 @@
 		}
 		pr := tb.hosts[host]
 		incarnation := pr.incarnation.Load()
-		ex := tb.send(ctx, client, pr, kind, fmt.Sprintf("c%d-%d", caller, index), key)
+		ex := tb.send(ctx, client, pr, kind, fmt.Sprintf("c%d-%d", caller, index), key, shortBudget)
 		if ex.host = host; pr.incarnation.Load() == incarnation {
 			ex.incarnation = incarnation
 		}
@@ -165,14 +162,14 @@
 }
 
 // send sends one call to a host and returns it with its answer or error.
-func (tb *testbed) send(ctx context.Context, client *http.Client, pr *process, kind, id, key string) (ex exchange) {
+func (tb *testbed) send(ctx context.Context, client *http.Client, pr *process, kind, id, key string, budget time.Duration) (ex exchange) {
 	ex = exchange{id: id, kind: kind, key: key, started: time.Now()}
 	defer func() { ex.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", pr.address, callerPort), &standin.Call{
 		Method: http.MethodPost, Path: "/" + kind + "/x", ID: id, Key: key, Body: id,
-		Budget: 1500 * time.Millisecond, Prefix: "a:10,b:20",
+		Budget: budget, Prefix: "a:10,b:20",
 	})
 	if err != nil {
 		ex.err = err
@@ -360,7 +357,7 @@
 	time.Sleep(2 * time.Second)
 	for _, pr := range tb.hosts {
 		if ex := tb.send(
-			tb.t.Context(), http.DefaultClient, pr, "stock", "late-"+pr.address.String(), "k-1",
+			tb.t.Context(), http.DefaultClient, pr, "stock", "late-"+pr.address.String(), "k-1", shortBudget,
 		); ex.status != http.StatusUnauthorized {
 			tb.t.Errorf("%s answered %d to a key that was revoked 2 s before, want %d", pr.address, ex.status, http.StatusUnauthorized)
 		}
