Handle SIGHUP for the whole life of a host

Before: test/process TestHangupSignals: the chat ended after 205 bytes: unexpected EOF; the router ended with signal: hangup test/soak TestSignalBeforeStart: 127.107.210.1 does not serve after 10 s Both pass now, as do the cases of TestSignalsDuringDrain with SIGHUP.

--- a/internal/verb/serve.go
+++ b/internal/verb/serve.go
@@ -34,7 +34,9 @@
 	if err != nil {
 		return err
 	}
-	go logSignals(signals, logger)
+	go handleSignals(signals, logger, func() {
+		logger.Info("received SIGHUP, which changes nothing: the process settings are read at the start only")
+	})
 	opts, finish, err := hostOptions(set, incarnation)
 	if err != nil {
 		return err
--- a/internal/verb/serve_entry.go
+++ b/internal/verb/serve_entry.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -41,8 +39,6 @@
 	if err != nil {
 		return cli.Exit(cli.CodeFinding, err)
 	}
-	// Without this, a SIGHUP that arrives before reloadSettings handles the signal would end the process.
-	signal.Ignore(syscall.SIGHUP)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.Memory)))
 	fields := logging.Fields{
@@ -58,11 +54,18 @@
 	if err != nil {
 		return errors.Wrap(err, "log")
 	}
-	go logSignals(signals, logging.For(logger, "signals"))
 	store := platform.NewStore(set.StoreAddress.String(), storeDialTimeout)
 	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger,
 		entry.WithRequestLog(requests), entry.WithDroppedLines(lines.Dropped))
-	go reloadSettings(ctx, path, running, logging.For(logger, "settings"))
+	reload, settingsLog := make(chan struct{}, 1), logging.For(logger, "settings")
+	go handleSignals(signals, logging.For(logger, "signals"), func() {
+		settingsLog.Info("received SIGHUP, checking the settings file")
+		select {
+		case reload <- struct{}{}:
+		default:
+		}
+	})
+	go reloadSettings(ctx, path, running, reload, settingsLog)
 	return running.Run(ctx)
 }
 
@@ -79,11 +82,11 @@
 // reloadInterval is the time between two checks of the settings file, which may change without a signal.
 const reloadInterval = 2 * time.Second
 
-// reloadSettings applies the settings file whenever its text has changed. Invalid settings are logged and not applied.
-func reloadSettings(ctx context.Context, path string, running *entry.Entry, logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+// reloadSettings applies the settings file whenever its text has changed; it checks the file at regular intervals and when reload
+// receives. Invalid settings are logged and not applied.
+func reloadSettings(
+	ctx context.Context, path string, running *entry.Entry, reload <-chan struct{}, logger *log.Logger,
+) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	applied, failed := readSettings(path), ""
@@ -91,8 +94,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
-			logger.Info("received SIGHUP, checking the settings file")
+		case <-reload:
 		case <-ticker.C:
 		}
 		text := readSettings(path)
--- a/test/process/fleet_test.go
+++ b/test/process/fleet_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -33,6 +34,8 @@
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
+	// A command inherits an ignored signal, as under nohup; a handled one has its default action there.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	directory, err := os.MkdirTemp("", "chestnutroad")
 	if err != nil {
 		fmt.Println(err)
--- a/test/process/signals_test.go
+++ b/test/process/signals_test.go
@@ -25,6 +25,22 @@
 	}
 }
 
+// TestHangupSignals guards against a SIGHUP that ends a router with an open chat, before or in its drain.
+func TestHangupSignals(t *testing.T) {
+	fl := startFleet(t, 1)
+	rt := fl.routers[0]
+	answer := rt.startChat(t)
+	for _, sig := range []syscall.Signal{syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGHUP} {
+		rt.signal(sig)
+		time.Sleep(50 * time.Millisecond)
+	}
+	checkComplete(t, answer)
+	<-rt.exited
+	if !rt.command.ProcessState.Success() {
+		t.Errorf("the router ended with %s", rt.command.ProcessState)
+	}
+}
+
 // startChat sends a chat whose answer lasts about 2 s, and returns the body of the answer once its head has arrived.
 func (rt *router) startChat(t *testing.T) io.Reader {
 	t.Helper()
--- a/test/soak/signals_test.go
+++ b/test/soak/signals_test.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// TestSignalBeforeStart guards against a SIGHUP that ends a host while it reads its settings.
+func TestSignalBeforeStart(t *testing.T) {
+	t.Parallel()
+	tb := newTestbed(t, buildHost(t), 210)
+	pr := tb.hosts[0]
+	tb.awaitReady()
+	text, err := os.ReadFile(pr.settingsPath)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Remove(pr.settingsPath); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(pr.settingsPath, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	pr.signal(syscall.SIGKILL, true)
+	// Opening the pipe waits until the host reads its settings.
+	file, err := os.OpenFile(pr.settingsPath, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pr.signal(syscall.SIGHUP, false)
+	time.Sleep(signalGap)
+	_, _ = file.Write(text)
+	_ = file.Close()
+	tb.awaitReady()
+}
+
 // buildHost builds the command and returns its path.
 func buildHost(t *testing.T) string {
 	t.Helper()
