Serve on when the reader of the log is gone

A host ended with all open requests as soon as it wrote a line of its log after the reader of its standard output had closed the pipe, for example a log collector that restarts: Go ends a process by SIGPIPE when such a write is to standard output or standard error. serve ignores the signal, so that the write fails instead, which the log queue passes over.

Before, test/soak TestClosedOutput: 127.73.211.1 does not serve after 10 s. It passes now.

--- a/internal/verb/signals.go
+++ b/internal/verb/signals.go
@@ -15,6 +15,8 @@
 // of them ends the process, so that a host finishes its drain however often it is told to stop: supervisors repeat a signal, and
 // what is sent to a process group arrives once more. SIGQUIT and SIGKILL end a host at once.
 func notifySignals() <-chan os.Signal {
+	// A write to standard output or standard error whose reader is gone would end the process otherwise.
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, signalBacklog)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	return signals
--- a/test/soak/signals_test.go
+++ b/test/soak/signals_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
@@ -97,6 +98,29 @@
 	tb.awaitReady()
 }
 
+// TestClosedOutput guards against a host that ends when the reader of its log closes the pipe.
+func TestClosedOutput(t *testing.T) {
+	t.Parallel()
+	tb := newTestbed(t, buildHost(t), 211)
+	tb.awaitReady()
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	pr := tb.hosts[0]
+	pr.output = writer
+	pr.signal(syscall.SIGKILL, true)
+	_, _ = writer.Close(), reader.Close()
+	tb.awaitReady()
+	for index := range 10 {
+		id := fmt.Sprintf("r-%d", index)
+		if ex := tb.send(t.Context(), http.DefaultClient, pr, "stock", id, "k-1", longBudget); ex.status != http.StatusOK {
+			t.Errorf("%s got status %d, %v", id, ex.status, ex.err)
+		}
+		time.Sleep(signalGap)
+	}
+}
+
 // buildHost builds the command and returns its path.
 func buildHost(t *testing.T) string {
 	t.Helper()
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -55,6 +55,8 @@
 	logPath      string
 	// storeProxy is the proxy for the connections to the store.
 	storeProxy *proxy
+	// output replaces the log file as the standard output of the next start; nil means the log file.
+	output *os.File
 	// incarnation is the number of times that the process was started.
 	incarnation atomic.Int64
 
@@ -218,6 +220,9 @@
 	command := exec.Command(pr.binary, "serve") //nolint:noctx // Signals end the process, as on the platform.
 	command.Env = append(os.Environ(), platform.SettingsVariable+"="+pr.settingsPath)
 	command.Stdout, command.Stderr = file, file
+	if pr.output != nil {
+		command.Stdout = pr.output
+	}
 	// The kernel kills the process when the test process is killed and so can't stop it.
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
