Log an unusable entry of the runners' list once

A host that reads the whole list of runners again, because records were deleted or another host stopped relaying, logged each odd entry of another writer once more, and quoted a wrong value at any length: with twelve odd entries each read wrote twelve lines, one of them of 250 KB. So did each rewrite of such an entry.

The state now keeps which targets have an unusable entry; only the first one after a usable entry, or after a removal, is logged, with the first 200 bytes of the error.

TestOddEntries runs two hosts with odd entries in the list: nested too deeply, numbers too large, ports out of range, other types, bytes that are no text, 250 KB. It also shows that the hosts go on to follow the other entries, serve, and send nothing to the address of an odd entry. Before: --- FAIL: TestOddEntries 4 log lines about odd-array (and each of the eleven others) a log line has 250253 bytes After: ok, with -race.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -426,7 +426,10 @@
 	}
 	entry, err := en.decoder.Target(record.Key, record.Value)
 	if err != nil {
-		en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", err)
+		// An entry is read again whenever the host reads the whole list, and may be rewritten often.
+		if en.state.markUnusable(id) {
+			en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", quotable(err))
+		}
 		en.removeTarget(id, "unreadable")
 		return notOutdated
 	}
@@ -443,6 +446,15 @@
 	return notOutdated
 }
 
+// maxQuotedError is the number of bytes of an error that the log quotes; errors may quote an entry of any length.
+const maxQuotedError = 200
+
+// quotable returns the start of the error's text.
+func quotable(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxQuotedError)]
+}
+
 const (
 	// readFailureWindow is the time after a failed read of the store in which a removal may be a result of the outage; the
 	// first reads after the outage show such removals.
@@ -462,6 +474,7 @@
 func (en *Entry) handleRemoval(id chestnutroad.TargetID) {
 	en.state.mu.Lock()
 	entry, exists := en.state.pool.Entry(id)
+	delete(en.state.unusable, id)
 	en.state.mu.Unlock()
 	restored := en.isRecent(&en.storeRestoredAt, storeRestoreWindow)
 	if !exists || entry.Leaving || !restored && !en.isRecent(&en.lastReadFailure, readFailureWindow) {
--- /dev/null
+++ b/internal/entry/oddentry_test.go
@@ -0,0 +1,99 @@
+package entry_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// oddEntries returns entries that another writer may leave among those of the runners, by key.
+func oddEntries(address string) map[string]string {
+	entry := func(change ...string) string {
+		text := `{"service":"desk","address":"` + address + `","zone":"dc-a","slots":8,"state":"ready","sequence":1,"born":1}`
+		return strings.NewReplacer(change...).Replace(text)
+	}
+	return map[string]string{
+		"odd-array":     `[]`,
+		"odd-bytes":     "\xff\x00",
+		"odd-born":      entry(`"born":1`, `"born":9223372036854775807`),
+		"odd-duplicate": entry(`"born":1`, `"born":1,"slots":-1`),
+		"odd-float":     entry(`"sequence":1`, `"sequence":1e400`),
+		"odd-long":      entry(`"ready"`, `"`+strings.Repeat("ready", 50_000)+`"`),
+		"odd-nested":    entry(`"born":1`, `"x":`+strings.Repeat("[", 200_000)),
+		"odd-null":      `null`,
+		"odd-port":      entry(address, "127.0.0.1:70000"),
+		"odd-port-0":    entry(address, "127.0.0.1:0"),
+		"odd-slots":     entry(`"slots":8`, `"slots":1e19`),
+		"odd-slots-max": entry(`"slots":8`, `"slots":9223372036854775807`),
+	}
+}
+
+// TestOddEntries guards against an entry of another writer that ends the hosts, stops them from following the other entries,
+// gets requests, or is logged at each read of the list.
+func TestOddEntries(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	first := st.runner("i-1", "desk")
+	decoy, err := standin.NewRunner("decoy")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(decoy.Close)
+	odd := oddEntries(decoy.Address().String())
+	for key, text := range odd {
+		st.store.PutTarget(key, text)
+	}
+	hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+	for key, text := range odd {
+		st.store.PutTarget(key, text)
+	}
+	for round := range 3 {
+		id := fmt.Sprintf("i-%d", 10+round)
+		added := st.runner(id, "desk")
+		// The hosts read the whole list again, since the record that they lack is deleted.
+		st.store.Compact()
+		for _, ht := range hosts {
+			ht.eventually(applyTimeout, "the new target is used", func() bool {
+				sendLookups(ht, id, 2)
+				return len(added.Runs()) > 0
+			})
+		}
+	}
+	st.store.PutTarget("i-1", first.Entry("desk", "dc-a", "draining"))
+	time.Sleep(applyTimeout)
+	before := len(first.Arrivals())
+	for _, ht := range hosts {
+		if got := sendLookups(ht, "later", 30); got[200] != 30 {
+			t.Errorf("got statuses %v", got)
+		}
+		checkOddEntryLog(t, ht.log.String(), odd)
+	}
+	if later := len(first.Arrivals()) - before; later > 0 {
+		t.Errorf("%d requests reached the target that is leaving", later)
+	}
+	if arrivals := len(decoy.Arrivals()); arrivals > 0 {
+		t.Errorf("%d requests reached the address of an odd entry", arrivals)
+	}
+}
+
+// checkOddEntryLog fails the test if a log has no line or several lines about an odd entry, or quotes a long one.
+func checkOddEntryLog(t *testing.T, text string, odd map[string]string) {
+	t.Helper()
+	const maxLine = 1 << 10
+	longest := 0
+	for line := range strings.Lines(text) {
+		longest = max(longest, len(line))
+	}
+	if longest > maxLine {
+		t.Errorf("a log line has %d bytes", longest)
+	}
+	for key := range odd {
+		if lines := strings.Count(text, fmt.Sprintf(`"Target":%q`, key)); lines != 1 {
+			t.Errorf("%d log lines about %s", lines, key)
+		}
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -29,6 +29,8 @@
 	records *recordSet
 	// incarnations are the last observed incarnations of the targets, to detect outdated entries.
 	incarnations *incarnations
+	// unusable holds the targets whose latest entry can't be used.
+	unusable map[chestnutroad.TargetID]bool
 	// compressedSnapshot is the snapshot of the records, for hosts that start; nil after a change until the next request for it.
 	compressedSnapshot *siblings.Compressed
 	pool               *placement.Pool
@@ -53,6 +55,7 @@
 	return &state{
 		records:      newRecordSet(),
 		incarnations: newIncarnations(),
+		unusable:     map[chestnutroad.TargetID]bool{},
 		pool:         placement.NewPool(set.DataCentre, poolOptions(set)...),
 		budgets:      map[chestnutroad.ServiceID]*retrybudget.Budget{},
 		ruleStats:    map[chestnutroad.RouteID]*ruleStats{},
@@ -273,6 +276,7 @@
 ) (verdict outdated, before chestnutroad.TargetEntry, found bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	delete(st.unusable, entry.ID)
 	before, found = st.pool.Entry(entry.ID)
 	if verdict = st.incarnations.outdated(entry, era); verdict != notOutdated {
 		if verdict == outdatedLeaving && found {
@@ -288,6 +292,15 @@
 	return notOutdated, before, found
 }
 
+// markUnusable records that a target's latest entry can't be used, and reports whether its previous one could be.
+func (st *state) markUnusable(id chestnutroad.TargetID) (first bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	first = !st.unusable[id]
+	st.unusable[id] = true
+	return first
+}
+
 // forgetIncarnation drops the last observed incarnation of a target, so that its next entry is applied in any case. The
 // target's entry was only missing in a copy of the store, which does not mean that the target ended.
 func (st *state) forgetIncarnation(id chestnutroad.TargetID) {
