--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -92,7 +92,7 @@
 			fl.reset(batch.Records, batch.Next)
 		}
 		if batch.Unreadable > 0 {
-			fl.logger.Warn("skipped records without a key", "Stream", fl.stream, "Count", batch.Unreadable)
+			fl.logger.Warn("skipped records without a valid key", "Stream", fl.stream, "Count", batch.Unreadable)
 		}
 		next, synced = batch.Next, true
 		pause = fl.pollInterval
--- a/internal/entry/oddentry_test.go
+++ b/internal/entry/oddentry_test.go
@@ -1,7 +1,11 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
+	"net/http"
+	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -97,3 +101,50 @@
 		}
 	}
 }
+
+// TestInvalidTargetKey guards against hosts that hold different lists of targets because of a key that is not valid UTF-8,
+// and therefore can't use each other's counts.
+func TestInvalidTargetKey(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	rn := st.runner("i-1", "desk")
+	hosts := []*host{st.start("host-1", true), st.start("host-2", true)}
+	time.Sleep(time.Second)
+	st.store.PutTarget("i-\xff", rn.Entry("desk", "dc-a", "ready"))
+	// The hosts apply the record at different times.
+	time.Sleep(2 * time.Second)
+	before := hosts[0].gauge("chestnutroad_counts_unmatched") + hosts[1].gauge("chestnutroad_counts_unmatched")
+	time.Sleep(time.Second)
+	after := hosts[0].gauge("chestnutroad_counts_unmatched") + hosts[1].gauge("chestnutroad_counts_unmatched")
+	if after > before {
+		t.Errorf("the hosts could not use the counts in %g messages of one second", after-before)
+	}
+}
+
+// gauge returns the value of a metric of the host without labels.
+func (ht *host) gauge(name string) float64 {
+	ht.t.Helper()
+	at := netip.AddrPortFrom(ht.settings.CallerAddress.Addr(), metricsPort)
+	req, err := http.NewRequestWithContext(ht.t.Context(), http.MethodGet, "http://"+at.String()+"/metrics", http.NoBody)
+	if err != nil {
+		ht.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		ht.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	scanner := bufio.NewScanner(resp.Body)
+	for scanner.Scan() {
+		if text, found := strings.CutPrefix(scanner.Text(), name+" "); found {
+			value, err := strconv.ParseFloat(text, 64)
+			if err != nil {
+				ht.t.Fatal(err)
+			}
+			return value
+		}
+	}
+	ht.t.Fatalf("there is no metric %s", name)
+	return 0
+}
--- a/keyed.go
+++ b/keyed.go
@@ -35,7 +35,7 @@
 	Records []KeyedRecord
 	// Next is the position from which to continue, in the era that the store stated.
 	Next Position
-	// Unreadable is the number of records that were skipped because they have no key.
+	// Unreadable is the number of records that were skipped because they have no valid key.
 	Unreadable int
 }
 
