Don't pass long odd entries of the runners' list on to other hosts

The host that reads the list sends each change to the other hosts of its data centre, which give a state call 0.8 s. An entry of another writer may have 250 KB, whether it can be used or not. The data centre's hosts then read the store themselves.

Other hosts now get a mark of one byte in place of an entry that can't be used; the key stays in the list, so that all lists remain equal.

Not measured on a slow link; the test measures the bytes of an answer.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -416,8 +416,12 @@
 	return outdatedCount
 }
 
+// unusableEntry is passed on to other hosts in place of an entry that can't be used and may be long. It can't be used either,
+// so that all hosts hold the same list.
+var unusableEntry = []byte("-")
+
 // applyTarget puts a record into effect unless it is older than what the host has seen of its target, and reports whether
-// it is.
+// it is. An entry that can't be used is replaced by unusableEntry in the record.
 func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) outdated {
 	id := chestnutroad.TargetID(record.Key)
 	if len(record.Value) == 0 {
@@ -431,6 +435,7 @@
 			en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", quotable(err))
 		}
 		en.removeTarget(id, "unreadable")
+		record.Value = unusableEntry
 		return notOutdated
 	}
 	verdict, previous, existed := en.state.setTarget(en.now(), &entry, record.Position.Era)
--- a/internal/entry/oddentry_test.go
+++ b/internal/entry/oddentry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -10,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
 	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
 
@@ -148,3 +152,35 @@
 	ht.t.Fatalf("there is no metric %s", name)
 	return 0
 }
+
+// TestLongEntriesArePassedOnShort guards against state calls between hosts that time out, and so delay the news of leaving
+// targets, because they carry long entries of another writer.
+func TestLongEntriesArePassedOnShort(t *testing.T) {
+	t.Parallel()
+	const entrySize, maxAnswer = 250_000, 20_000
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	rn := st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	ht.eventually(applyTimeout, "the target is used", func() bool { return stockStatus(ht, "k-1") == http.StatusOK })
+	noise := make([]byte, entrySize/2)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(noise)
+	st.store.PutTarget("odd-hex", hex.EncodeToString(noise))
+	text := rn.Entry("desk", "dc-a", "ready")
+	st.store.PutTarget("odd-long", strings.Replace(text, `}`, `,"x":"`+hex.EncodeToString(noise)+`"}`, 1))
+	time.Sleep(applyTimeout)
+	peer := netip.AddrPortFrom(ht.settings.CallerAddress.Addr(), peerPort).String()
+	for _, held := range []chestnutroad.Offset{0, 1} {
+		answer, err := siblings.Fetch(t.Context(), peer, &siblings.StateRequest{Version: 3, Position: chestnutroad.Position{Offset: held}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := len(answer.AllTargets)
+		for _, record := range answer.Targets {
+			size += len(record.Value)
+		}
+		if size == 0 || size > maxAnswer || answer.Position.Offset != 3 {
+			t.Errorf("the records from %d on to %s have %d bytes, want at most %d", held, answer.Position, size, maxAnswer)
+		}
+	}
+}
