Do not close a connection as idle while a request arrives on it

A caller whose request arrived in parts around the moment at which a draining host closes its listener got a closed connection without an answer, and so did one whose bytes a busy host had not read yet. The state of a connection changes only once net/http has read the whole head; until then it counted as idle, and the drain closed it after 0.3 s without a request.

The connections of callers now read from the socket under the lock under which they are closed as idle, and record that bytes have arrived. One that has received bytes since its last answer, or has unread bytes in its socket, is not idle. So the close comes before any byte is read, or the request is served or refused with Connection: close. A head without an end is bounded by the header timeout and the end of the grace period, as before (TestEndlessHeadDuringDrain).

TestClosingConnection runs on TCP connections in place of pipes, with the same cases and those of received and unread bytes.

--- /dev/null
+++ b/internal/entry/callerconn.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// callerConn is a connection of a caller that is closed as idle only while no byte of a request has arrived. net/http reports
+// a connection as active only once it has read a whole head, which may take long on a slow link or a busy host.
+type callerConn struct {
+	net.Conn
+	tcp *net.TCPConn
+	raw syscall.RawConn
+
+	// mu is held while bytes are read from the socket and while the connection is closed as idle, so that a request is either
+	// served or remains unread.
+	mu         sync.Mutex
+	state      http.ConnState
+	stateSince time.Time
+	// received is true when bytes have arrived since the last answer, or since the connection was accepted.
+	received bool
+	closed   bool
+}
+
+func newCallerConn(tcp *net.TCPConn) (*callerConn, error) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: tcp, tcp: tcp, raw: raw}, nil
+}
+
+// Read reads from the socket and records that bytes have arrived.
+func (cn *callerConn) Read(data []byte) (int, error) {
+	if len(data) == 0 {
+		return 0, nil
+	}
+	count := 0
+	var readErr error
+	err := cn.raw.Read(func(fd uintptr) bool {
+		count, readErr = cn.readSocket(int(fd), data)
+		return !errors.Is(readErr, syscall.EAGAIN)
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case errors.Is(readErr, net.ErrClosed):
+		return 0, readErr
+	case readErr != nil:
+		return 0, &net.OpError{
+			Op: "read", Net: "tcp", Source: cn.LocalAddr(), Addr: cn.RemoteAddr(), Err: os.NewSyscallError("read", readErr),
+		}
+	case count == 0:
+		return 0, io.EOF
+	}
+	return count, nil
+}
+
+func (cn *callerConn) readSocket(fd int, data []byte) (int, error) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.closed {
+		return 0, net.ErrClosed
+	}
+	for {
+		count, err := syscall.Read(fd, data)
+		if errors.Is(err, syscall.EINTR) {
+			continue
+		}
+		if err != nil {
+			return 0, err
+		}
+		cn.received = cn.received || count > 0
+		return count, nil
+	}
+}
+
+// CloseWrite sends the end of the data. net/http uses it to wait for the caller before it closes a connection with unread data.
+func (cn *callerConn) CloseWrite() error { return cn.tcp.CloseWrite() }
+
+func (cn *callerConn) setState(state http.ConnState, now time.Time) {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	cn.state, cn.stateSince = state, now
+	cn.closed = cn.closed || state == http.StateClosed
+	if state == http.StateIdle {
+		cn.received = false
+	}
+}
+
+func (cn *callerConn) isClosed() bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	return cn.closed
+}
+
+// closeIfIdle closes the connection if it has been without a request for longer than the limit and no byte has arrived. It
+// reports whether the connection is closed.
+func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	if cn.closed {
+		return true
+	}
+	if cn.state == http.StateActive || cn.received || now.Sub(cn.stateSince) <= limit || cn.hasUnread() {
+		return false
+	}
+	cn.closed = true
+	_ = cn.Close()
+	return true
+}
+
+// hasUnread reports whether bytes have arrived that were not read from the socket, as on a host that is short of processor time.
+func (cn *callerConn) hasUnread() bool {
+	count := 0
+	err := cn.raw.Control(func(fd uintptr) {
+		var one [1]byte
+		count, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && count > 0
+}
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -6,27 +6,20 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
-// callerConns tracks callers' connections, so that idle ones can be closed without losing a request.
-//
-// A request may arrive on an idle connection while it is being closed. net/http then still runs its handler, and the
-// target's answer would be lost with the connection. A connection is therefore marked before it is closed, and a
-// request on a marked connection is not forwarded. Server.Shutdown has no such mark and is not used.
+// callerConns tracks callers' connections, so that idle ones can be closed without losing a request. Server.Shutdown closes
+// connections on which the head of a request arrives and is not used.
 type callerConns struct {
 	mu    sync.Mutex
-	conns map[net.Conn]*callerConn
-}
-
-type callerConn struct {
-	state      http.ConnState
-	stateSince time.Time
-	closed     bool
+	conns map[*callerConn]bool
 }
 
 type connKey struct{}
 
-func newCallerConns() *callerConns { return &callerConns{conns: map[net.Conn]*callerConn{}} }
+func newCallerConns() *callerConns { return &callerConns{conns: map[*callerConn]bool{}} }
 
 // connContext is the http.Server.ConnContext hook; it adds the connection to the context of its requests.
 func (cc *callerConns) connContext(ctx context.Context, conn net.Conn) context.Context {
@@ -35,30 +28,25 @@
 
 // connState is the http.Server.ConnState hook.
 func (cc *callerConns) connState(conn net.Conn, state http.ConnState) {
+	cn, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	cn.setState(state, time.Now())
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
-		delete(cc.conns, conn)
+		delete(cc.conns, cn)
 		return
 	}
-	entry := cc.conns[conn]
-	if entry == nil {
-		entry = &callerConn{}
-		cc.conns[conn] = entry
-	}
-	entry.state, entry.stateSince = state, time.Now()
+	cc.conns[cn] = true
 }
 
-// closing reports whether the connection of a request was closed or is being closed.
+// closing reports whether the connection of a request was closed or is being closed. Its request must not be forwarded, since
+// the answer would be lost.
 func (cc *callerConns) closing(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(net.Conn)
-	if !ok {
-		return false
-	}
-	cc.mu.Lock()
-	defer cc.mu.Unlock()
-	entry := cc.conns[conn]
-	return entry == nil || entry.closed
+	cn, ok := ctx.Value(connKey{}).(*callerConn)
+	return ok && cn.isClosed()
 }
 
 // closeIdle closes the connections without a request for longer than the limit, and returns the number of those that stay
@@ -67,16 +55,27 @@
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
 	open := 0
-	for conn, entry := range cc.conns {
-		if entry.closed {
-			continue
-		}
-		if entry.state == http.StateActive || now.Sub(entry.stateSince) <= limit {
+	for cn := range cc.conns {
+		if !cn.closeIfIdle(now, limit) {
 			open++
-			continue
 		}
-		entry.closed = true
-		_ = conn.Close()
 	}
 	return open
 }
+
+// callerListener accepts connections as callerConn.
+type callerListener struct{ net.Listener }
+
+// Accept waits for the next connection.
+func (cl callerListener) Accept() (net.Conn, error) {
+	conn, err := cl.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		_ = conn.Close()
+		return nil, errors.Newf("a connection is a %T, want TCP", conn)
+	}
+	return newCallerConn(tcp)
+}
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -12,24 +12,42 @@
 func TestClosingConnection(t *testing.T) {
 	t.Parallel()
 	cases := []struct {
-		name    string
-		state   http.ConnState
-		idle    time.Duration
-		closing bool
+		name  string
+		state http.ConnState
+		idle  time.Duration
+		// received are bytes that the host has read, unread are those that wait in the socket.
+		received, unread string
+		closing          bool
 	}{
-		{"idle for a long time", http.StateIdle, time.Minute, true},
-		{"opened long ago without a request", http.StateNew, time.Minute, true},
-		{"idle for a short time", http.StateIdle, time.Millisecond, false},
-		{"with a request", http.StateActive, time.Minute, false},
+		{"idle for a long time", http.StateIdle, time.Minute, "", "", true},
+		{"opened long ago without a request", http.StateNew, time.Minute, "", "", true},
+		{"idle for a short time", http.StateIdle, time.Millisecond, "", "", false},
+		{"with a request", http.StateActive, time.Minute, "", "", false},
+		{"idle with a part of a head", http.StateIdle, time.Minute, "P", "", false},
+		{"opened long ago with a part of a head", http.StateNew, time.Minute, "P", "", false},
+		{"idle with unread bytes", http.StateIdle, time.Minute, "", "POST", false},
+		{"opened long ago with unread bytes", http.StateNew, time.Minute, "", "POST", false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			near, far := net.Pipe()
-			t.Cleanup(func() { _, _ = near.Close(), far.Close() })
+			near, far := connPair(t)
 			cc := newCallerConns()
 			cc.connState(near, tc.state)
+			if tc.received != "" {
+				_, _ = far.Write([]byte(tc.received))
+				if _, err := near.Read(make([]byte, len(tc.received))); err != nil {
+					t.Fatal(err)
+				}
+			}
+			_, _ = far.Write([]byte(tc.unread))
+			for end := time.Now().Add(time.Second); tc.unread != "" && !near.hasUnread() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
 			open := cc.closeIdle(time.Now().Add(tc.idle), time.Second)
+			if _, err := near.Read(make([]byte, len(tc.unread))); err != nil {
+				t.Errorf("the bytes were not read: %v", err)
+			}
 			// net/http reports the request only after the close.
 			cc.connState(near, http.StateActive)
 			if got := cc.closing(cc.connContext(t.Context(), near)); got != tc.closing {
@@ -41,3 +59,25 @@
 		})
 	}
 }
+
+// connPair returns both ends of a TCP connection; near is the host's.
+func connPair(t *testing.T) (near *callerConn, far net.Conn) {
+	t.Helper()
+	var config net.ListenConfig
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var dialer net.Dialer
+	far, err = dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	accepted, err := callerListener{listener}.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _, _ = accepted.Close(), far.Close() })
+	return accepted.(*callerConn), far
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -164,7 +164,7 @@
 	for _, listener := range listeners {
 		server := operators
 		if listener == listeners[0] {
-			server = callers
+			server, listener = callers, callerListener{listener}
 		}
 		go func() {
 			err := server.Serve(listener)
