Send Connection: close with each answer that starts in a drain

Requests that arrived before the drain and were answered in it kept their connection: the header was set at the start of a request. The caller then used a connection that the host closes after 0.3 s without a request, so that its next request could cross the close and end without an answer. The header now depends on the state of the host when the head of the answer is written.

Before, internal/entry TestAnswersDuringDrainClose: got status 200, close false for a plain request and a stream, and status 502, close false for a failed request. All cases pass now; the former one is kept as the first.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -55,29 +55,59 @@
 // connection to a host that stops.
 func TestAnswersDuringDrainClose(t *testing.T) {
 	t.Parallel()
-	st := newSite(t)
-	st.store.Configure(3, 1, "k-1", "k-2")
-	st.runner("i-1", "desk")
-	ht := st.start("host-1", true)
-	conn := dialHost(t, ht.address)
-	ht.stop()
-	ht.eventually(500*time.Millisecond, "the host reports not ready", func() bool { return !ht.isReady() })
-	req, err := standin.NewRequest(t.Context(), ht.address, &standin.Call{
-		Method: http.MethodGet, Path: "/stock/x", ID: "r-1", Key: "k-1",
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := req.Write(conn); err != nil {
-		t.Fatal(err)
-	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK || !resp.Close {
-		t.Errorf("got status %d, close %t", resp.StatusCode, resp.Close)
+	cases := []struct {
+		name   string
+		path   string
+		status int
+		// before is true when the request is sent before the drain begins, and its answer starts in the drain.
+		before bool
+	}{
+		{"request in the drain", "/stock/x", http.StatusOK, false},
+		{"request before the drain", "/stock/x", http.StatusOK, true},
+		{"stream before the drain", "/chat/x", http.StatusOK, true},
+		{"failed request before the drain", "/order/x", http.StatusBadGateway, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			desk, model := st.runner("i-1", "desk"), st.runner("i-2", "model")
+			desk.Gap, model.Gap, model.Events = 250*time.Millisecond, 250*time.Millisecond, 2
+			if tc.status != http.StatusOK {
+				desk.SetNext(standin.Cut)
+			}
+			ht := st.start("host-1", true)
+			conn := dialHost(t, ht.address)
+			stop := func() {
+				ht.stop()
+				ht.eventually(500*time.Millisecond, "the host reports not ready", func() bool { return !ht.isReady() })
+			}
+			if !tc.before {
+				stop()
+			}
+			req, err := standin.NewRequest(t.Context(), ht.address, &standin.Call{
+				Method: http.MethodPost, Path: tc.path, ID: "r-1", Key: "k-1", Body: "b",
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := req.Write(conn); err != nil {
+				t.Fatal(err)
+			}
+			if tc.before {
+				ht.eventually(time.Second, "a target runs the request", func() bool { return len(desk.Runs())+len(model.Runs()) == 1 })
+				stop()
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode != tc.status || !resp.Close {
+				t.Errorf("got status %d, close %t", resp.StatusCode, resp.Close)
+			}
+		})
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -235,7 +235,7 @@
 	copyHeader(ex.writer.Header(), ba.header)
 	ex.writer.Header().Set("Content-Length", strconv.Itoa(len(ba.body)))
 	ex.status = ba.status
-	ex.writer.WriteHeader(ba.status)
+	en.writeHead(ex, ba.status)
 	if ex.request.Method == http.MethodHead {
 		return nil
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -31,9 +31,6 @@
 	}
 	en.open.add(ex)
 	defer en.open.remove(ex)
-	if en.stopping.Load() {
-		writer.Header().Set("Connection", "close")
-	}
 	err := en.handler(ex)
 	ex.duration = en.now().Sub(ex.started)
 	outcome := outcomeOf(ex, err)
@@ -126,6 +123,15 @@
 	if refusal.RetryAfter > 0 {
 		en.wire.WriteRetryAfter(header, refusal.RetryAfter)
 	}
-	ex.writer.WriteHeader(refusal.Kind.Answer().Status)
+	en.writeHead(ex, refusal.Kind.Answer().Status)
 	_, _ = ex.writer.Write(body)
 }
+
+// writeHead sends the status and the headers of an answer. During a drain it asks the caller not to reuse the connection, also
+// when the request arrived before the drain.
+func (en *Entry) writeHead(ex *exchange, status int) {
+	if en.stopping.Load() {
+		ex.writer.Header().Set("Connection", "close")
+	}
+	ex.writer.WriteHeader(status)
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -113,7 +113,7 @@
 func (en *Entry) startStream(ex *exchange, header http.Header) {
 	copyHeader(ex.writer.Header(), header)
 	ex.status = http.StatusOK
-	ex.writer.WriteHeader(http.StatusOK)
+	en.writeHead(ex, http.StatusOK)
 }
 
 // forwardEvents writes complete events to the caller and flushes them.
