Answer requests that the end of the grace period cuts off

Callers whose request was still at its target 0.7 s before the end of the grace period got a closed connection without any answer, also when nothing of an answer had been sent, and an answer that was complete but not written yet was lost with it. The host closed all connections and ended at once.

It now first ends its sends to targets. Their requests get 502, or 503 if no send has reached a target, and none is sent again; complete answers have 0.3 s to be written. Only then are the connections closed. Streams that have begun still end with their connection.

Before, internal/entry TestCutOffAnswersRequests, in three of four cases: got status 0 "", Post "http://127.236.77.2:18227/once/x": EOF All pass now.

--- /dev/null
+++ b/internal/entry/cutoff_test.go
@@ -0,0 +1,55 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// TestCutOffAnswersRequests guards against connections that the end of the grace period closes without any answer.
+func TestCutOffAnswersRequests(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		path string
+		// gap is the time until the target's answer; zero means never.
+		gap    time.Duration
+		status int
+	}{
+		{"no answer", "/order/x", 0, http.StatusBadGateway},
+		{"repeatable request without an answer", "/stock/x", 0, http.StatusBadGateway},
+		{"stream without an event", "/once/x", 0, http.StatusBadGateway},
+		{"answer in time", "/order/x", 300 * time.Millisecond, http.StatusOK},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1")
+			desk, other, model := st.runner("i-1", "desk"), st.runner("i-2", "desk"), st.runner("i-3", "model")
+			for _, rn := range []*standin.Runner{desk, other, model} {
+				if rn.Gap = tc.gap; tc.gap == 0 {
+					rn.SetDefault(standin.Hang)
+				}
+			}
+			ht := st.start("host-1", true, func(set *settings.Entry) { set.Grace = 1500 * time.Millisecond })
+			answered := make(chan reply, 1)
+			go func() {
+				answered <- ht.call(t.Context(), standin.Call{
+					Method: http.MethodPost, Path: tc.path, ID: "r-1", Key: "k-1", Body: "b", Budget: 5 * time.Second,
+				})
+			}()
+			ht.eventually(time.Second, "the host has the request", func() bool {
+				return len(desk.Runs())+len(model.Runs())+len(other.Runs()) > 0
+			})
+			ht.stop()
+			got := <-answered
+			if got.err != nil || got.status != tc.status {
+				t.Errorf("got status %d %q, %v\n%s", got.status, got.body, got.err, ht.log)
+			}
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,8 +58,9 @@
 	// elapsed returns the time since the start, which does not jump when the host's clock is set.
 	elapsed  func() time.Duration
 	stopping atomic.Bool
-	// cutOff is set when a shutdown cuts off the open requests.
-	cutOff atomic.Bool
+	// cutOff ends when a shutdown cuts off the open requests, by endSends.
+	cutOff   context.Context
+	endSends context.CancelFunc
 	// cutOffAt holds the elapsed time at which a shutdown cuts off open requests; zero until the host accepts no more
 	// connections.
 	cutOffAt atomic.Int64
@@ -104,6 +105,7 @@
 		now:          time.Now,
 		elapsed:      monotonicClock(),
 	}
+	en.cutOff, en.endSends = context.WithCancel(context.Background())
 	en.requestLog = en.logger
 	for _, opt := range opts {
 		opt(en)
@@ -219,8 +221,11 @@
 	// balancerDelay is how long the balancer may still send new connections to a host that is not ready: it checks once a
 	// second and acts on the second failed check.
 	balancerDelay = 2500 * time.Millisecond
-	// stopReserve is the part of the grace period that is left for the end of the process.
+	// stopReserve is the part of the grace period that is left for the end of the process when the sends to targets are cut off.
 	stopReserve = 700 * time.Millisecond
+	// cutOffWriteTime is the part of stopReserve in which answers that are complete, and failures of requests that were cut off,
+	// are written to their callers.
+	cutOffWriteTime = 300 * time.Millisecond
 	// drainIdleTimeout is how long a connection may be idle during the drain, so that callers that send one request after
 	// the other keep theirs until an answer carries Connection: close.
 	drainIdleTimeout = 300 * time.Millisecond
@@ -229,7 +234,8 @@
 )
 
 // drain shuts the host down gracefully: it first reports that it is not ready, then accepts no more connections, closes
-// idle ones and waits for open requests. Those that remain stopReserve before the end of the grace period are cut off.
+// idle ones and waits for open requests. The sends of those that remain stopReserve before the end of the grace period are cut
+// off; their callers get a failure, or the end of the connection if a part of the answer was sent.
 func (en *Entry) drain(listener *callerListener, accepting <-chan struct{}) {
 	started, grace := en.now(), time.Duration(en.grace.Load())
 	en.stopping.Store(true)
@@ -239,14 +245,24 @@
 	en.cutOffAt.Store(int64(en.elapsed() + started.Add(grace-stopReserve).Sub(en.now())))
 	// A connection that was accepted just before the close is tracked only once the server has registered it.
 	<-accepting
-	for en.now().Before(started.Add(grace - stopReserve)) {
+	cutOff := started.Add(grace - stopReserve)
+	if en.awaitCallers(cutOff) {
+		return
+	}
+	en.logCutOff()
+	en.endSends()
+	en.awaitCallers(cutOff.Add(cutOffWriteTime))
+}
+
+// awaitCallers closes connections as they become idle, and reports whether none is left before the end.
+func (en *Entry) awaitCallers(end time.Time) bool {
+	for en.now().Before(end) {
 		if en.callers.closeIdle(en.now(), drainIdleTimeout) == 0 {
-			return
+			return true
 		}
 		time.Sleep(drainInterval)
 	}
-	en.cutOff.Store(true)
-	en.logCutOff()
+	return false
 }
 
 // sweepIdle closes idle connections to targets and from callers until ctx ends.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -161,7 +161,7 @@
 	}
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
-	pr.HasTargets = true
+	pr.HasTargets = en.cutOff.Err() == nil
 	return attempt.Next(res.end, pr)
 }
 
@@ -227,6 +227,9 @@
 		refusal := chestnutroad.Refuse(chestnutroad.TargetRefused, res.err.Error())
 		return refusal.WithRetryAfter(max(overloadRetryAfter, en.state.timeUntilAvailable(en.now(), ex.service)))
 	}
+	if en.cutOff.Err() != nil {
+		return en.failureRefusal(ex, "the host stopped before the answer was complete")
+	}
 	return en.failureRefusal(ex, res.err.Error())
 }
 
@@ -267,6 +270,7 @@
 func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) sendResult {
 	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
 	defer cancel()
+	defer context.AfterFunc(en.cutOff, cancel)()
 	stall := newStallTimer(cancel, en.initialStallTimeout(ex, en.now()))
 	defer stall.stop()
 	ex.stream.lastProgress, ex.stream.gotFirstEvent = en.now(), false
@@ -278,7 +282,7 @@
 	}
 	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
-		return sendFailure(err, ex.request.Context().Err() != nil)
+		return sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
 	}
 	defer an.Close()
 	metadata := en.wire.ReadAnswer(an.Status, an.Header)
@@ -301,9 +305,9 @@
 		"Leaving", metadata.Leaving, "For", metadata.RetryAfter)
 }
 
-// sendFailure returns the result of a send that got no answer. If the caller disconnected, the failure says nothing about
-// the target.
-func sendFailure(err error, callerGone bool) sendResult {
+// sendFailure returns the result of a send that got no answer. If the caller disconnected or the host stopped, it was cancelled
+// and the failure says nothing about the target.
+func sendFailure(err error, cancelled bool) sendResult {
 	res := sendResult{end: attempt.Broken, err: err, outcome: placement.Failed}
 	var notSent *targetconn.NotSentError
 	if errors.As(err, &notSent) {
@@ -312,7 +316,7 @@
 	if errors.Is(err, targetconn.ErrStaleConn) {
 		res.outcome = placement.StaleConnection
 	}
-	if callerGone {
+	if cancelled {
 		res.outcome = placement.Unknown
 	}
 	return res
--- a/internal/entry/openrequests.go
+++ b/internal/entry/openrequests.go
@@ -45,7 +45,7 @@
 	return list
 }
 
-// logCutOff logs each open request, which ends without a complete answer when the host stops.
+// logCutOff logs each open request whose send to a target the stop of the host cuts off.
 func (en *Entry) logCutOff() {
 	list := en.open.list()
 	en.logger.Warn("cutting off requests at the end of the grace period", "Open", len(list))
@@ -72,7 +72,7 @@
 	switch {
 	case err == nil, !callerGone && !ex.answerStarted():
 		return ""
-	case en.cutOff.Load():
+	case en.cutOff.Err() != nil:
 		return incompleteStop
 	case callerGone:
 		return incompleteCallerGone
