Apply a shortened grace period during the drain

A host whose grace period was shortened around a SIGTERM went by the former one and was killed with its open requests: the drain read the setting once at its start, and the settings file was not read again after the signal. The file is now followed until the process ends, and the drain goes by the shorter one of the grace period at its start and the current one. A longer one is not applied to a drain that has begun.

--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -53,3 +53,48 @@
 		})
 	}
 }
+
+// TestGraceChangesDuringDrain guards against a stop that takes longer than a grace period that was shortened in the drain, or than
+// the one at the start of the drain.
+func TestGraceChangesDuringDrain(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		after time.Duration
+		grace time.Duration
+		limit time.Duration
+	}{
+		{"shortened at the start", 50 * time.Millisecond, 1500 * time.Millisecond, 1500 * time.Millisecond},
+		{"shortened once the listener is closed", 2100 * time.Millisecond, 2900 * time.Millisecond, 2900 * time.Millisecond},
+		{"lengthened", 50 * time.Millisecond, 9 * time.Second, 4 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1")
+			rn := st.runner("i-1", "model")
+			rn.Events, rn.Gap = 200, 50*time.Millisecond
+			ht := st.start("host-1", true)
+			broken := make(chan reply, 1)
+			go func() {
+				broken <- ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/long/x", ID: "r-1", Key: "k-1", Body: "b"})
+			}()
+			ht.eventually(time.Second, "the stream is running", func() bool { return len(rn.Runs()) == 1 })
+			started := time.Now()
+			ht.stop()
+			time.Sleep(tc.after)
+			changed := *ht.settings
+			changed.Grace = tc.grace
+			ht.running.Apply(&changed)
+			<-broken
+			if err := <-ht.ended; err != nil {
+				t.Error(err)
+			}
+			ht.ended <- nil
+			if took := time.Since(started); took > tc.limit {
+				t.Errorf("the stop took %s, want at most %s", took, tc.limit)
+			}
+		})
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -221,6 +221,8 @@
 	// balancerDelay is how long the balancer may still send new connections to a host that is not ready: it checks once a
 	// second and acts on the second failed check.
 	balancerDelay = 2500 * time.Millisecond
+	// acceptShare is the part of a short grace period in which new connections are accepted at most.
+	acceptShare = 0.5
 	// stopReserve is the part of the grace period that is left for the end of the process when the sends to targets are cut off.
 	stopReserve = 700 * time.Millisecond
 	// cutOffWriteTime is the part of stopReserve in which answers that are complete, and failures of requests that were cut off,
@@ -237,26 +239,37 @@
 // idle ones and waits for open requests. The sends of those that remain stopReserve before the end of the grace period are cut
 // off; their callers get a failure, or the end of the connection if a part of the answer was sent.
 func (en *Entry) drain(listener *callerListener, accepting <-chan struct{}) {
-	started, grace := en.now(), time.Duration(en.grace.Load())
+	started, initial := en.now(), time.Duration(en.grace.Load())
+	// Changed settings may shorten the grace period of a drain, but not lengthen it: the platform may go by the former one.
+	graceUntil := func(share float64, reserve time.Duration) time.Time {
+		grace := min(initial, time.Duration(en.grace.Load()))
+		return started.Add(time.Duration(share*float64(grace)) - reserve)
+	}
 	en.stopping.Store(true)
 	en.logger.Info("draining", "Open", en.open.count())
-	time.Sleep(min(balancerDelay, grace/2))
+	for now := en.now(); now.Before(started.Add(balancerDelay)) && now.Before(graceUntil(acceptShare, 0)); now = en.now() {
+		time.Sleep(drainInterval)
+	}
 	listener.closeWhenEmpty(acceptTimeout)
-	en.cutOffAt.Store(int64(en.elapsed() + started.Add(grace-stopReserve).Sub(en.now())))
+	cutOff := func() time.Time {
+		end := graceUntil(1, stopReserve)
+		en.cutOffAt.Store(int64(en.elapsed() + end.Sub(en.now())))
+		return end
+	}
+	cutOff()
 	// A connection that was accepted just before the close is tracked only once the server has registered it.
 	<-accepting
-	cutOff := started.Add(grace - stopReserve)
 	if en.awaitCallers(cutOff) {
 		return
 	}
 	en.logCutOff()
 	en.endSends()
-	en.awaitCallers(cutOff.Add(cutOffWriteTime))
+	en.awaitCallers(func() time.Time { return cutOff().Add(cutOffWriteTime) })
 }
 
-// awaitCallers closes connections as they become idle, and reports whether none is left before the end.
-func (en *Entry) awaitCallers(end time.Time) bool {
-	for en.now().Before(end) {
+// awaitCallers closes connections as they become idle, and reports whether none is left before the end, which may change.
+func (en *Entry) awaitCallers(end func() time.Time) bool {
+	for en.now().Before(end()) {
 		if en.callers.closeIdle(en.now(), drainIdleTimeout) == 0 {
 			return true
 		}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -51,6 +51,7 @@
 	address  string
 	ready    string
 	settings *settings.Entry
+	running  *entry.Entry
 	stop     func()
 	ended    chan error
 	log      *logBuffer
@@ -135,6 +136,7 @@
 	}
 	store := platform.NewStore(set.StoreAddress.String(), time.Second)
 	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger)
+	ht.running = running
 	go func() { ht.ended <- running.Run(ctx) }()
 	st.t.Cleanup(func() {
 		cancel()
--- a/internal/verb/serve_entry.go
+++ b/internal/verb/serve_entry.go
@@ -65,7 +65,10 @@
 		default:
 		}
 	})
-	go reloadSettings(ctx, path, running, reload, settingsLog)
+	// The settings are also applied during the drain, since they may shorten the grace period.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	go reloadSettings(serving, path, running, reload, settingsLog)
 	return running.Run(ctx)
 }
 
