Go on after an error of accept

An error of accept on any listener, that of the metrics included, ended a host at once with all its open requests, without a drain. net/http retries for a lack of descriptors, but returns other errors: a lack of buffers or memory, or a network error that was pending on the one connection.

No run of a whole host has met such an error.

--- a/internal/entry/callerlistener.go
+++ b/internal/entry/callerlistener.go
@@ -5,6 +5,7 @@
 	"syscall"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
@@ -22,7 +23,7 @@
 	raw syscall.RawConn
 }
 
-func newCallerListener(listener net.Listener) (*callerListener, error) {
+func newCallerListener(listener net.Listener, logger *log.Logger) (*callerListener, error) {
 	sc, ok := listener.(syscall.Conn)
 	if !ok {
 		return nil, errors.Newf("a %T has no file descriptor", listener)
@@ -31,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: listener, raw: raw}, nil
+	return &callerListener{Listener: &retryListener{Listener: listener, logger: logger}, raw: raw}, nil
 }
 
 // Accept waits for the next connection.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,7 +159,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	callers := en.callerServer()
-	accepted, err := newCallerListener(listeners[0])
+	accepted, err := newCallerListener(listeners[0], en.logger)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
@@ -168,12 +168,12 @@
 	// accepting is closed when the caller server has registered its last connection.
 	accepting := make(chan struct{})
 	for _, listener := range listeners {
-		server := operators
+		server, listening := operators, net.Listener(&retryListener{Listener: listener, logger: en.logger})
 		if listener == listeners[0] {
-			server, listener = callers, accepted
+			server, listening = callers, accepted
 		}
 		go func() {
-			err := server.Serve(listener)
+			err := server.Serve(listening)
 			if server == callers {
 				close(accepting)
 			}
