Test a host whose descriptors are used up

TestFewDescriptors opens 80 idle connections to a host that may have 40 descriptors, with a stream in flight.

--- a/test/soak/signals_test.go
+++ b/test/soak/signals_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -121,6 +123,53 @@
 	}
 }
 
+// TestFewDescriptors guards against a host that ends, or cuts off open requests, when idle connections use up its descriptors.
+func TestFewDescriptors(t *testing.T) {
+	t.Parallel()
+	tb := newTestbed(t, buildHost(t), 212)
+	tb.awaitReady()
+	for _, rn := range tb.runners {
+		if rn.Events > 0 {
+			rn.Gap = 200 * time.Millisecond
+		}
+	}
+	pr := tb.hosts[0]
+	script := filepath.Join(t.TempDir(), "limited")
+	text := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", limitedDescriptors, pr.binary)
+	if err := os.WriteFile(script, []byte(text), 0o700); err != nil { //nolint:gosec // The test runs the script.
+		t.Fatal(err)
+	}
+	pr.binary = script
+	pr.signal(syscall.SIGKILL, true)
+	tb.awaitReady()
+	answered := make(chan exchange, 1)
+	go func() { answered <- tb.send(t.Context(), http.DefaultClient, pr, "once", "r-1", "k-1", longBudget) }()
+	tb.awaitRun("r-1")
+	var dialer net.Dialer
+	var idle []net.Conn
+	for range 2 * limitedDescriptors {
+		conn, err := dialer.DialContext(t.Context(), "tcp", fmt.Sprintf("%s:%d", pr.address, callerPort))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		idle = append(idle, conn)
+	}
+	if ex := <-answered; ex.err != nil || ex.body != standin.Events(streamEvents) {
+		t.Errorf("the stream ended with %q, %v", ex.body, ex.err)
+	}
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+	tb.awaitReady()
+	if log := pr.logTail(); !strings.Contains(log, "too many open files") {
+		t.Errorf("the descriptors did not run out:\n%s", log)
+	}
+}
+
+// limitedDescriptors is a limit of descriptors that a host reaches with a few dozen connections.
+const limitedDescriptors = 40
+
 // buildHost builds the command and returns its path.
 func buildHost(t *testing.T) string {
 	t.Helper()
