Repeat signals and overlap restarts in the soak

The soak stops hosts with one SIGTERM only, and does not check that they end by themselves or that calls are answered around a stop. It now also sends series of SIGTERM, SIGINT and SIGHUP in the drain, twice in a row and to all hosts one after the other, with changes of the settings file and of the configuration in between. A host that accepted connections must end by itself after such a series, and a plain call that a runner ran must be answered unless its host was killed: a host holds a plain answer until it is complete, so that faults of runners excuse nothing.

--- a/test/soak/signals_test.go
+++ b/test/soak/signals_test.go
@@ -146,7 +146,7 @@
 	go func() { answered <- tb.send(t.Context(), http.DefaultClient, pr, "once", "r-1", "k-1", longBudget) }()
 	tb.awaitRun("r-1")
 	var dialer net.Dialer
-	var idle []net.Conn
+	idle := make([]net.Conn, 0, 2*limitedDescriptors)
 	for range 2 * limitedDescriptors {
 		conn, err := dialer.DialContext(t.Context(), "tcp", fmt.Sprintf("%s:%d", pr.address, callerPort))
 		if err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -56,7 +57,8 @@
 
 // TestSoak guards against violated guarantees under overlapping faults of hosts, connections, runners and the store: an order
 // that runs twice, a refusal of a call that ran, an answer that belongs to another call, a partial answer that looks complete, a
-// valid key that is refused, a revoked key that is accepted, requests to a removed runner, and hosts that do not recover.
+// valid key that is refused, a revoked key that is accepted, a plain call that ran and got no answer although its host was not
+// killed, requests to a removed runner, and hosts that do not recover.
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	binary := buildHost(t)
@@ -113,6 +115,7 @@
 	cancel()
 	running.Wait()
 	tb.checkAnswers(exchanges)
+	tb.checkPlannedStops(exchanges)
 	tb.checkKeys(exchanges, faultsEnded.Add(convergenceTime))
 	tb.checkRemovedRunners(faultsEnded.Add(convergenceTime))
 	tb.checkRecovered()
@@ -189,6 +192,9 @@
 	return ex
 }
 
+// stopSignals are the signals that may follow a SIGTERM.
+var stopSignals = []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+
 // injectFaults starts random faults for faultDuration, also while earlier ones last, and waits until all of them have ended.
 func (tb *testbed) injectFaults(rnd *rand.Rand) {
 	var active sync.WaitGroup
@@ -208,10 +214,26 @@
 			BackupAge: time.Duration(300+rnd.IntN(3000)) * time.Millisecond, Downtime: time.Duration(rnd.IntN(400)) * time.Millisecond,
 			RewriteTime: time.Duration(rnd.IntN(1200)) * time.Millisecond,
 		}
+		repeated := make([]syscall.Signal, 1+rnd.IntN(6))
+		for index := range repeated {
+			repeated[index] = stopSignals[rnd.IntN(len(stopSignals))]
+		}
+		gap, grace := span/time.Duration(1+rnd.IntN(20)), time.Duration(3000+rnd.IntN(2000))*time.Millisecond
 		faults := []func(){
 			func() { pr.signal(syscall.SIGKILL, true) },
 			func() { pr.signal(syscall.SIGTERM, true) },
 			func() { pr.signal(syscall.SIGHUP, false) },
+			func() { pr.restartWith(gap, repeated) },
+			func() { pr.restartWith(gap, repeated); tb.revoke(); pr.restartWith(0, repeated) },
+			func() { pr.setGrace(grace); pr.restartWith(gap, repeated) },
+			func() { active.Go(func() { pr.restartWith(gap, repeated) }); pr.setGrace(grace); tb.revoke() },
+			func() {
+				for _, other := range tb.hosts {
+					active.Go(func() { other.restartWith(gap, repeated) })
+					time.Sleep(span / 2)
+					tb.revoke()
+				}
+			},
 			func() {
 				pr.signal(syscall.SIGSTOP, false)
 				time.Sleep(span)
@@ -304,6 +326,38 @@
 	}
 }
 
+// killMargin is the time around a kill of a host in which its connections may end.
+const killMargin = 100 * time.Millisecond
+
+// checkPlannedStops requires that each plain call that a runner ran is answered, with a failure at least, unless its host was
+// killed. Faults of runners and planned stops excuse nothing, since a host holds a plain answer until it is complete.
+func (tb *testbed) checkPlannedStops(exchanges []exchange) {
+	tb.t.Helper()
+	ran := map[string]bool{}
+	for _, rn := range tb.allRunners {
+		for _, run := range rn.Runs() {
+			ran[run.ID] = true
+		}
+	}
+	for _, ex := range exchanges {
+		plain := ex.kind == "order" || ex.kind == "stock"
+		gaveUp := errors.Is(ex.err, context.Canceled) || errors.Is(ex.err, context.DeadlineExceeded)
+		if !plain || !ran[ex.id] || ex.err == nil || gaveUp || tb.hosts[ex.host].killedDuring(&ex) {
+			continue
+		}
+		tb.t.Errorf("%s %s ran and got no answer from host %d after %s: %v", ex.kind, ex.id, ex.host, ex.ended.Sub(ex.started), ex.err)
+	}
+}
+
+// killedDuring reports whether the host was killed during the call.
+func (pr *process) killedDuring(ex *exchange) bool {
+	pr.mu.Lock()
+	defer pr.mu.Unlock()
+	return slices.ContainsFunc(pr.kills, func(at time.Time) bool {
+		return at.After(ex.started.Add(-killMargin)) && at.Before(ex.ended.Add(killMargin))
+	})
+}
+
 // rollbackSlack is the time after the first refusal of a key in which a process may still serve calls with the key that it
 // admitted before.
 const rollbackSlack = 250 * time.Millisecond
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -1,12 +1,15 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 	"sync"
@@ -60,12 +63,15 @@
 	// incarnation is the number of times that the process was started.
 	incarnation atomic.Int64
 
+	settingsMu sync.Mutex
 	// restarting is held from a signal that ends the process to the start of the next one. Two concurrent restarts once started
 	// two processes, of which one was not tracked and kept the address after the test.
 	restarting sync.Mutex
 	mu         sync.Mutex
 	command    *exec.Cmd
 	exited     chan struct{}
+	// kills holds the times at which the process was sent SIGKILL.
+	kills []time.Time
 }
 
 // newTestbed starts the store, the runners and the hosts. The number selects the loopback addresses of the hosts.
@@ -247,6 +253,9 @@
 	}
 	pr.mu.Lock()
 	command, exited := pr.command, pr.exited
+	if sig == syscall.SIGKILL {
+		pr.kills = append(pr.kills, time.Now())
+	}
 	pr.mu.Unlock()
 	_ = command.Process.Signal(sig)
 	if restart {
@@ -255,6 +264,56 @@
 	}
 }
 
+// restartWith sends SIGTERM and then the other signals, with the gap between two of them, waits until the process has ended, and
+// starts it again. A process that accepted connections before must end by itself.
+func (pr *process) restartWith(gap time.Duration, others []syscall.Signal) {
+	pr.restarting.Lock()
+	defer pr.restarting.Unlock()
+	accepting := pr.isAccepting()
+	pr.signal(syscall.SIGTERM, false)
+	for _, sig := range others {
+		time.Sleep(gap)
+		pr.signal(sig, false)
+	}
+	pr.mu.Lock()
+	command, exited := pr.command, pr.exited
+	pr.mu.Unlock()
+	<-exited
+	if accepting && !command.ProcessState.Success() {
+		pr.t.Errorf("%s ended with %s after SIGTERM and %v, %s apart", pr.address, command.ProcessState, others, gap)
+	}
+	pr.start()
+}
+
+// isAccepting reports whether the process accepts connections of callers. Before that, a signal may have its default action.
+func (pr *process) isAccepting() bool {
+	conn, err := net.DialTimeout("tcp", fmt.Sprintf("%s:%d", pr.address, callerPort), time.Second) //nolint:noctx // Bounded itself.
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// setGrace changes the grace period in the settings file and sends SIGHUP.
+func (pr *process) setGrace(grace time.Duration) {
+	pr.settingsMu.Lock()
+	defer pr.settingsMu.Unlock()
+	text, err := os.ReadFile(pr.settingsPath)
+	if err != nil {
+		pr.t.Error(err)
+		return
+	}
+	changed := gracePattern.ReplaceAllString(string(text), fmt.Sprintf("Grace = %q", grace))
+	temporary := pr.settingsPath + ".new"
+	if err := errors.Join(os.WriteFile(temporary, []byte(changed), 0o600), os.Rename(temporary, pr.settingsPath)); err != nil {
+		pr.t.Error(err)
+	}
+	pr.signal(syscall.SIGHUP, false)
+}
+
+var gracePattern = regexp.MustCompile(`Grace = "[^"]*"`)
+
 // stop kills the hosts, and logs the end of their logs if the test has failed.
 func (tb *testbed) stop() {
 	for _, pr := range tb.hosts {
