Deliver an answer whole when further bytes of the caller are unread

A caller that had sent further requests on its connection could lose the end of an answer: each answer of a drain closes the connection, and the kernel resets a connection that is closed with unread bytes and drops what it has not sent yet. The host now sends the end of the data, discards the bytes of the caller for up to 0.5 s and 256 KiB, and then closes. A drain waits for such connections. A connection that is closed as idle is still closed at once, so that its bytes stay unread.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,14 +28,16 @@
 	// received is true when bytes have arrived since the last answer, or since the connection was accepted.
 	received bool
 	closed   bool
+	// lingering counts the connections of the server that are closed in the background.
+	lingering *atomic.Int64
 }
 
-func newCallerConn(tcp *net.TCPConn) (*callerConn, error) {
+func newCallerConn(tcp *net.TCPConn, lingering *atomic.Int64) (*callerConn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: tcp, tcp: tcp, raw: raw}, nil
+	return &callerConn{Conn: tcp, tcp: tcp, raw: raw, lingering: lingering}, nil
 }
 
 // Read reads from the socket and records that bytes have arrived.
@@ -85,6 +88,33 @@
 // CloseWrite sends the end of the data. net/http uses it to wait for the caller before it closes a connection with unread data.
 func (cn *callerConn) CloseWrite() error { return cn.tcp.CloseWrite() }
 
+const (
+	// lingerTime bounds the time in which the bytes of a caller are discarded before its connection is closed: enough for those
+	// that were sent before the caller got the end of the answer.
+	lingerTime = 500 * time.Millisecond
+	// lingerBytes bounds the bytes that are discarded, since a caller may send without an end.
+	lingerBytes = 256 << 10
+)
+
+// Close closes the connection. If bytes have arrived that were not read, it only sends the end of the data and discards them in
+// the background first: the kernel would reset the connection, and drop what it has not sent of the answer.
+func (cn *callerConn) Close() error {
+	if !cn.hasUnread() {
+		return cn.tcp.Close()
+	}
+	if err := cn.tcp.CloseWrite(); err != nil {
+		return errors.CombineErrors(err, cn.tcp.Close())
+	}
+	cn.lingering.Add(1)
+	go func() {
+		defer cn.lingering.Add(-1)
+		_ = cn.tcp.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, cn.tcp, lingerBytes)
+		_ = cn.tcp.Close()
+	}()
+	return nil
+}
+
 func (cn *callerConn) setState(state http.ConnState, now time.Time) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
@@ -113,7 +143,8 @@
 		return false
 	}
 	cn.closed = true
-	_ = cn.Close()
+	// Bytes that arrive now stay unread, so that the caller can tell that its request was not read.
+	_ = cn.tcp.Close()
 	return true
 }
 
--- a/internal/entry/callerlistener.go
+++ b/internal/entry/callerlistener.go
@@ -20,10 +20,11 @@
 // callerListener accepts connections as callerConn.
 type callerListener struct {
 	net.Listener
-	raw syscall.RawConn
+	raw     syscall.RawConn
+	callers *callerConns
 }
 
-func newCallerListener(listener net.Listener, logger *log.Logger) (*callerListener, error) {
+func newCallerListener(listener net.Listener, callers *callerConns, logger *log.Logger) (*callerListener, error) {
 	sc, ok := listener.(syscall.Conn)
 	if !ok {
 		return nil, errors.Newf("a %T has no file descriptor", listener)
@@ -32,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: &retryListener{Listener: listener, logger: logger}, raw: raw}, nil
+	return &callerListener{Listener: &retryListener{Listener: listener, logger: logger}, raw: raw, callers: callers}, nil
 }
 
 // Accept waits for the next connection.
@@ -46,7 +47,7 @@
 		_ = conn.Close()
 		return nil, errors.Newf("a connection is a %T, want TCP", conn)
 	}
-	return newCallerConn(tcp)
+	return newCallerConn(tcp, &cl.callers.lingering)
 }
 
 // closeWhenEmpty closes the listener once no connection waits to be accepted, or the limit has passed. The kernel resets
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,6 +14,8 @@
 type callerConns struct {
 	mu    sync.Mutex
 	conns map[*callerConn]bool
+	// lingering is the number of connections that are closed in the background.
+	lingering atomic.Int64
 }
 
 type connKey struct{}
@@ -48,11 +51,11 @@
 }
 
 // closeIdle closes the connections without a request for longer than the limit, and returns the number of those that stay
-// open.
+// open, or whose close goes on in the background.
 func (cc *callerConns) closeIdle(now time.Time, limit time.Duration) int {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	open := 0
+	open := int(cc.lingering.Load())
 	for cn := range cc.conns {
 		if !cn.closeIfIdle(now, limit) {
 			open++
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	callers, err := newCallerListener(listener, discardLog(t))
+	callers, err := newCallerListener(listener, newCallerConns(), discardLog(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := newCallerListener(plain, discardLog(t))
+	listener, err := newCallerListener(plain, newCallerConns(), discardLog(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,7 +159,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	callers := en.callerServer()
-	accepted, err := newCallerListener(listeners[0], en.logger)
+	accepted, err := newCallerListener(listeners[0], en.callers, en.logger)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
