Show in logs and metrics what followed the stall of a target

A request whose target makes no progress for too long is given up there, and what follows depends on the time left, the retry budget and the other targets. The request's line did not say which of them was missing, so that a stream that broke off after a stall looked like one whose target broke off.

The field Stalls of the request's line and the metric chestnutroad_stalls_total name what followed: Retried, NoTime, NoBudget or NoTarget.

--- a/internal/attempt/next.go
+++ b/internal/attempt/next.go
@@ -59,8 +59,8 @@
 const (
 	// maxDials limits the attempts that end before a byte was sent, for one request.
 	maxDials = 6
-	// minRemaining is the remaining time below which another attempt can't succeed; plain requests take 15 ms or more.
-	minRemaining = 20 * time.Millisecond
+	// MinRemaining is the remaining time below which another attempt can't succeed; plain requests take 15 ms or more.
+	MinRemaining = 20 * time.Millisecond
 )
 
 // Next returns the action after an attempt ended.
@@ -78,7 +78,7 @@
 }
 
 func (st *State) canRetry(outcome Outcome) bool {
-	if st.Remaining < minRemaining || !st.HasTargets {
+	if st.Remaining < MinRemaining || !st.HasTargets {
 		return false
 	}
 	if outcome == NotSent {
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -61,6 +61,11 @@
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
 }
 
+// countStall counts a target's stall by what followed.
+func (cn *counters) countStall(service string, end stallEnd) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_stalls_total{service=%q,end=%q}", service, end)).Inc()
+}
+
 // countChoice counts a request that is sent to a target whose estimated load is over its bound.
 func (cn *counters) countChoice(service string, choice *placement.Choice) {
 	if choice.Load > choice.Bound {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -34,6 +34,8 @@
 	targetCounts *placement.TargetCounts
 	// trail lists the target, duration and error of each send, for the log.
 	trail []string
+	// stalls lists what followed each stall of a target, for the log.
+	stalls []stallEnd
 	// status is the status that was sent to the caller, zero before that.
 	status int
 	// answerMetadata holds what the headers of the latest answer state.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,6 +29,8 @@
 	failure *bufferedAnswer
 	err     error
 	outcome placement.Outcome
+	// stalled is true when the send was given up because its target made no progress.
+	stalled bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -51,8 +53,12 @@
 		en.updateRefusalRate(ex, true)
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
+	res := sendResult{}
 	for {
 		choice, found := en.state.choose(en.now(), &ex.criteria)
+		if res.stalled {
+			en.recordStallEnd(ex, stallEndOf(found))
+		}
 		en.updateRefusalRate(ex, !found && choice.Full)
 		if !found {
 			return en.concludeWithoutTarget(ex, &choice)
@@ -60,7 +66,7 @@
 		ex.choice = choice
 		en.counters.countChoice(string(ex.service), &choice)
 		sent := en.now()
-		res := en.send(ex, &choice.Entry)
+		res = en.send(ex, &choice.Entry)
 		en.logReachability(&choice.Entry, en.state.finish(en.now(), choice.Entry.ID, res.outcome), res.err)
 		en.counters.countSend(string(ex.service), res.err)
 		en.recordAdmissionOutcome(ex, &res, en.now().Sub(sent))
@@ -79,6 +85,9 @@
 			ex.criteria.MaxEventGap = en.maxEventGap(ex)
 			continue
 		}
+		if res.stalled {
+			en.recordStallEnd(ex, stallEndWithoutRetry(ex))
+		}
 		return en.conclude(ex, step, &res)
 	}
 }
@@ -264,11 +273,14 @@
 const probeDialTimeout = 50 * time.Millisecond
 
 // send sends the request to one target and forwards the answer.
-func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) sendResult {
+func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) (res sendResult) {
 	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
 	defer cancel()
 	stall := newStallTimer(cancel, en.initialStallTimeout(ex, en.now()))
-	defer stall.stop()
+	defer func() {
+		stall.stop()
+		res.stalled = stall.expired()
+	}()
 	ex.stream.lastProgress, ex.stream.gotFirstEvent = en.now(), false
 	defer en.recordStall(ex, stall)
 	request := en.newTargetRequest(ex, entry)
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -28,6 +28,9 @@
 	for _, reason := range sendReasons {
 		en.counters.countSend("service", reason.err)
 	}
+	for _, end := range stallEnds {
+		en.counters.countStall("service", end)
+	}
 	ex := &exchange{service: "service"}
 	en.counters.countRequest(ex, outcomeOf(ex, nil))
 	en.counters.countRequest(ex, outcomeOf(ex, errCallerGone))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -76,6 +76,9 @@
 		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound,
 			"Preference", ex.choice.Preference, "Trial", ex.choice.Probe)
 	}
+	if len(ex.stalls) > 0 {
+		fields = append(fields, "Stalls", ex.stalls)
+	}
 	if ex.targetCounts != nil {
 		fields = append(fields, "Known", ex.targetCounts.Total, "Leaving", ex.targetCounts.Leaving, "Closed", ex.targetCounts.Unreachable,
 			"Held", ex.targetCounts.Held)
