Give a stalled send up only once its replacement is certain

Callers saw streams that broke off, and 502s in place of late answers, of targets that were sound and only slow. When a target made no progress for long enough, the stall timer cancelled the run because the rule's attempts allowed another send. Only after that did the host take a retry from the budget and look for another target. With the budget used up, too little time left, or no other target that could be used, the run had been cancelled in vain.

The timer now takes a retry, chooses another target, at which the request then counts, and opens a connection to it, while the run goes on; it cancels the run only with all three. The next send uses exactly these. If one is missing, the run goes on, and the timer looks again every 200 ms, so that a stream whose target hangs moves as soon as there is a retry and a target. A target that is suspect does not count as a replacement, and a replacement needs the latency target of the rule, or half of what the first target got, as time. If the run makes progress or ends during the check, the retry, the count and the connection are given back. Connecting is bounded by the stall timeout as before.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
 
@@ -62,7 +63,7 @@
 }
 
 // countStall counts a target's stall by what followed.
-func (cn *counters) countStall(service string, end stallEnd) {
+func (cn *counters) countStall(service string, end attempt.StallEnd) {
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_stalls_total{service=%q,end=%q}", service, end)).Inc()
 }
 
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
+	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
 
 // exchange holds the state of one caller's request while it is handled.
@@ -28,6 +29,8 @@
 	progress attempt.State
 	criteria placement.Request
 	choice   placement.Choice
+	// connection is the connection for the next send; nil when there is none yet.
+	connection *targetconn.Connection
 	// failure is the latest failure answer of a target, which the caller gets when no other target answers.
 	failure *bufferedAnswer
 	// targetCounts counts the service's targets by state, for the log, when none was left to choose.
@@ -35,7 +38,9 @@
 	// trail lists the target, duration and error of each send, for the log.
 	trail []string
 	// stalls lists what followed each stall of a target, for the log.
-	stalls []stallEnd
+	stalls []attempt.StallEnd
+	// replacement is the target that was chosen for the next send; nil when there is none.
+	replacement *replacement
 	// status is the status that was sent to the caller, zero before that.
 	status int
 	// answerMetadata holds what the headers of the latest answer state.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,8 +29,6 @@
 	failure *bufferedAnswer
 	err     error
 	outcome placement.Outcome
-	// stalled is true when the send was given up because its target made no progress.
-	stalled bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -44,7 +42,7 @@
 func (en *Entry) forward(ex *exchange) error {
 	en.state.countRequest(ex.started, ex.service)
 	ex.progress.TakeRetry = func() bool {
-		allowed := en.state.allowRetry(en.now(), ex.service)
+		allowed := ex.replacement != nil || en.state.allowRetry(en.now(), ex.service)
 		en.counters.countRetry(string(ex.service), allowed)
 		return allowed
 	}
@@ -53,12 +51,9 @@
 		en.updateRefusalRate(ex, true)
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
-	res := sendResult{}
+	defer en.discardUnused(ex)
 	for {
-		choice, found := en.state.choose(en.now(), &ex.criteria)
-		if res.stalled {
-			en.recordStallEnd(ex, stallEndOf(found))
-		}
+		choice, found := en.choose(ex)
 		en.updateRefusalRate(ex, !found && choice.Full)
 		if !found {
 			return en.concludeWithoutTarget(ex, &choice)
@@ -66,7 +61,7 @@
 		ex.choice = choice
 		en.counters.countChoice(string(ex.service), &choice)
 		sent := en.now()
-		res = en.send(ex, &choice.Entry)
+		res := en.send(ex, &choice.Entry)
 		en.logReachability(&choice.Entry, en.state.finish(en.now(), choice.Entry.ID, res.outcome), res.err)
 		en.counters.countSend(string(ex.service), res.err)
 		en.recordAdmissionOutcome(ex, &res, en.now().Sub(sent))
@@ -85,13 +80,20 @@
 			ex.criteria.MaxEventGap = en.maxEventGap(ex)
 			continue
 		}
-		if res.stalled {
-			en.recordStallEnd(ex, stallEndWithoutRetry(ex))
-		}
 		return en.conclude(ex, step, &res)
 	}
 }
 
+// choose picks a target for the next send: the replacement, if one was chosen during the last send.
+func (en *Entry) choose(ex *exchange) (placement.Choice, bool) {
+	if ex.replacement == nil {
+		return en.state.choose(en.now(), &ex.criteria)
+	}
+	choice := ex.replacement.choice
+	ex.connection, ex.replacement = ex.replacement.connection, nil
+	return choice, true
+}
+
 // maxEventGap returns the longest mean gap between the events of a target with which the request's stream is on time, or
 // zero for a request without a stream.
 func (en *Entry) maxEventGap(ex *exchange) time.Duration {
@@ -273,21 +275,28 @@
 const probeDialTimeout = 50 * time.Millisecond
 
 // send sends the request to one target and forwards the answer.
-func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) (res sendResult) {
+func (en *Entry) send(ex *exchange, entry *chestnutroad.TargetEntry) sendResult {
 	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
 	defer cancel()
-	stall := newStallTimer(cancel, en.initialStallTimeout(ex, en.now()))
+	started := en.now()
+	wait := en.initialStallTimeout(ex, started)
+	ex.stream.lastProgress, ex.stream.gotFirstEvent = started, false
+	request := en.newTargetRequest(ex, wait)
+	request.Connection, ex.connection = ex.connection, nil
+	if request.Connection == nil {
+		connection, err := en.targets.Connect(ctx, request)
+		if err != nil {
+			return sendFailure(err, ex.request.Context().Err() != nil)
+		}
+		request.Connection = connection
+	}
+	stall := en.newStallTimer(ctx, cancel, ex, started, wait)
 	defer func() {
-		stall.stop()
-		res.stalled = stall.expired()
+		// A connection that is being opened to a replacement ends with the context.
+		cancel()
+		ex.replacement = stall.stop()
+		en.recordStall(ex, stall)
 	}()
-	ex.stream.lastProgress, ex.stream.gotFirstEvent = en.now(), false
-	defer en.recordStall(ex, stall)
-	request := en.newTargetRequest(ex, entry)
-	request.Fresh = ex.choice.NewConnection
-	if ex.choice.Probe {
-		request.Fresh, request.DialTimeout = true, probeDialTimeout
-	}
 	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
 		return sendFailure(err, ex.request.Context().Err() != nil)
@@ -330,7 +339,23 @@
 	return res
 }
 
-func (en *Entry) newTargetRequest(ex *exchange, entry *chestnutroad.TargetEntry) *targetconn.Request {
+// connectRequest returns a request for a connection to the chosen target. A positive dialTimeout limits the time to connect.
+func connectRequest(ex *exchange, choice *placement.Choice, dialTimeout time.Duration) *targetconn.Request {
+	if choice.Probe {
+		dialTimeout = probeDialTimeout
+	}
+	return &targetconn.Request{
+		Address: choice.Entry.Address,
+		Fresh:   choice.NewConnection || choice.Probe,
+		// An answer to a request without an id can't be told from a late answer to another one without an id.
+		SingleUse:   ex.callMetadata.ID == "",
+		DialTimeout: dialTimeout,
+	}
+}
+
+// newTargetRequest returns the request to the exchange's current target.
+func (en *Entry) newTargetRequest(ex *exchange, dialTimeout time.Duration) *targetconn.Request {
+	entry := &ex.choice.Entry
 	directives := chestnutroad.CallDirectives{
 		Target: entry.ID, Remaining: ex.remaining(en.now()), ResumeAfter: ex.stream.lastID,
 	}
@@ -342,20 +367,13 @@
 	}
 	header := target.Forwardable(ex.request.Header)
 	en.wire.WriteCall(header, &directives)
-	return &targetconn.Request{
-		Address: entry.Address,
-		Method:  ex.request.Method,
-		URI:     ex.request.RequestURI,
-		Host:    ex.request.Host,
-		Header:  header,
-		Body:    ex.body,
-		HasBody: ex.request.ContentLength != 0,
-		// An answer to a request without an id can't be told from a late answer to another one without an id.
-		SingleUse: ex.callMetadata.ID == "",
-		Matches: func(status int, header http.Header) bool {
-			return en.wire.ReadAnswer(status, header).ID == ex.callMetadata.ID
-		},
+	request := connectRequest(ex, &ex.choice, dialTimeout)
+	request.Method, request.URI, request.Host = ex.request.Method, ex.request.RequestURI, ex.request.Host
+	request.Header, request.Body, request.HasBody = header, ex.body, ex.request.ContentLength != 0
+	request.Matches = func(status int, header http.Header) bool {
+		return en.wire.ReadAnswer(status, header).ID == ex.callMetadata.ID
 	}
+	return request
 }
 
 // maxBufferedAnswer bounds the body of an answer that is buffered before it is forwarded.
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/golden"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
@@ -28,7 +29,7 @@
 	for _, reason := range sendReasons {
 		en.counters.countSend("service", reason.err)
 	}
-	for _, end := range stallEnds {
+	for _, end := range attempt.StallEnds {
 		en.counters.countStall("service", end)
 	}
 	ex := &exchange{service: "service"}
--- a/internal/entry/stall_test.go
+++ b/internal/entry/stall_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -50,3 +52,122 @@
 		})
 	}
 }
+
+// slowKind is a kind of request whose target makes no progress for longer than the host waits before it looks for another.
+type slowKind struct {
+	name, service string
+	call          standin.Call
+	// events and gap are those of the targets.
+	events int
+	gap    time.Duration
+}
+
+// slowKinds have events before the stall, a late first event, and a late answer.
+var slowKinds = []slowKind{
+	{"stream that has begun", standin.ModelService, standin.Call{Method: http.MethodPost, Path: standin.ChatPath + "x", Body: "b"}, 3, 900 * time.Millisecond},
+	{"stream that has not begun", standin.ModelService, standin.Call{Method: http.MethodPost, Path: standin.ChatPath + "x", Body: "b"}, 1, 1500 * time.Millisecond},
+	{"plain request", standin.DeskService, standin.Call{Method: http.MethodGet, Path: standin.StockPath + "x"}, 0, 700 * time.Millisecond},
+}
+
+// runners starts a number of targets that serve the kind of request slowly.
+func (sk *slowKind) runners(st *site, count int) []*standin.Runner {
+	runners := make([]*standin.Runner, 0, count)
+	for index := range count {
+		rn := st.runner(fmt.Sprintf("i-%d", index+1), sk.service)
+		rn.Events, rn.Gap = sk.events, sk.gap
+		runners = append(runners, rn)
+	}
+	return runners
+}
+
+// served reports whether the reply is a complete answer to the kind of request.
+func (sk *slowKind) served(got *reply) bool {
+	if got.err != nil || got.status != http.StatusOK {
+		return false
+	}
+	if sk.events == 0 {
+		return strings.HasPrefix(got.body, "answer of i-")
+	}
+	return got.body == standin.Events(sk.events)
+}
+
+// TestSlowRunWithoutReplacementIsServed guards against a run at a slow target that is cancelled although the request can't be
+// sent to another target, so that a stream breaks off or an answer is lost.
+func TestSlowRunWithoutReplacementIsServed(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// targets is the number of targets, prepare changes the last one before the request.
+		targets int
+		prepare func(st *site, ht *host, sk *slowKind, last *standin.Runner)
+		opts    []func(*settings.Entry)
+	}{
+		{"no retry left", 2, nil, []func(*settings.Entry){withoutRetries}},
+		{"one target", 1, nil, nil},
+		{"the other target is leaving", 2, func(st *site, ht *host, sk *slowKind, last *standin.Runner) {
+			st.store.PutTarget(last.ID, last.Entry(sk.service, "dc-a", "draining"))
+			ht.eventually(2*time.Second, "the target is leaving", func() bool { return ht.log.line(`"Leaving":true`) != "" })
+		}, nil},
+		{"the other target can't be reached", 2, func(_ *site, _ *host, _ *slowKind, last *standin.Runner) { last.Close() }, nil},
+		{"the other target refuses requests for a time", 2, func(_ *site, ht *host, sk *slowKind, last *standin.Runner) {
+			last.RetryAfter = 10 * time.Second
+			last.SetDefault(standin.Refuse)
+			for index := 0; ht.log.line("target wants no requests") == "" && index < 50; index++ {
+				call := sk.call
+				call.ID, call.Key = fmt.Sprintf("w-%d", index), "k-1"
+				ctx, cancel := context.WithTimeout(ht.t.Context(), 100*time.Millisecond)
+				ht.call(ctx, call)
+				cancel()
+			}
+		}, nil},
+	}
+	for _, tc := range cases {
+		for _, sk := range slowKinds {
+			t.Run(tc.name+", "+sk.name, func(t *testing.T) {
+				t.Parallel()
+				st := newSite(t)
+				st.store.Configure(3, 1, "k-1", "k-2")
+				runners := sk.runners(st, tc.targets)
+				ht := st.start("host-1", true, tc.opts...)
+				if tc.prepare != nil {
+					tc.prepare(st, ht, &sk, runners[len(runners)-1])
+				}
+				call := sk.call
+				call.ID, call.Key = "r-1", "k-1"
+				got := ht.call(t.Context(), call)
+				if !sk.served(&got) {
+					t.Errorf("got status %d, body %q, error %v, want the complete answer\n%s", got.status, got.body, got.err, ht.log.line(`"Request":"r-1"`))
+				}
+			})
+		}
+	}
+}
+
+// TestStalledStreamIsResumedOnceATargetJoins guards against a stream that stays at a target that hangs, since there was no
+// other target when its stall was noticed.
+func TestStalledStreamIsResumedOnceATargetJoins(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	first := st.runner("i-1", standin.ModelService)
+	first.SetDefault(standin.Dribble)
+	ht := st.start("host-1", true)
+	second, err := standin.NewRunner("i-2")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(second.Close)
+	second.Events = 3
+	time.AfterFunc(1500*time.Millisecond, func() {
+		st.store.PutTarget(second.ID, second.Entry(standin.ModelService, "dc-a", "ready"))
+	})
+	got := ht.call(t.Context(), standin.Call{
+		Method: http.MethodPost, Path: standin.ChatPath + "x", ID: "r-1", Key: "k-1", Body: "b",
+	})
+	if got.err != nil || strings.ReplaceAll(got.body, standin.Comment, "") != standin.Events(3) {
+		t.Errorf("got status %d, body %q, error %v\n%s", got.status, got.body, got.err, ht.log.line(`"Request":"r-1"`))
+	}
+	if line := ht.log.line(`"Request":"r-1"`); !strings.Contains(line, `"Stalls":["NoTarget","Retried"]`) {
+		t.Errorf("got line %q, want a stall without a target and then a retry", line)
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
@@ -170,6 +171,41 @@
 	return st.retryBudget(service).TakeRetry(now, st.retrySlack/float64(max(1, st.hostCount)))
 }
 
+// chooseReplacement chooses another target for a request whose target stalled, and takes a retry for it; the request counts as
+// running at both targets until finish is called.
+func (st *state) chooseReplacement(
+	now time.Time, criteria *placement.Request, remaining, reserve time.Duration,
+) (choice placement.Choice, end attempt.StallEnd) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	budget, share := st.retryBudget(criteria.Service), st.retrySlack/float64(max(1, st.hostCount))
+	unlimited := st.disabled.Off(mechanism.RetryBudget)
+	end = attempt.AfterStall(&attempt.Stall{
+		Remaining: remaining, Reserve: reserve,
+		HasRetry: func() bool { return unlimited || budget.HasRetry(now, share) },
+		HasTarget: func() (found bool) {
+			choice, found = st.pool.Choose(now, criteria)
+			return found
+		},
+	})
+	if end == attempt.StallRetried {
+		st.pool.Start(choice.Entry.ID)
+		if !unlimited {
+			budget.TakeRetry(now, share)
+		}
+	}
+	return choice, end
+}
+
+// returnRetry returns a retry of the service that was taken at a time and not used.
+func (st *state) returnRetry(taken time.Time, service chestnutroad.ServiceID) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.disabled.Off(mechanism.RetryBudget) {
+		st.retryBudget(service).ReturnRetry(taken)
+	}
+}
+
 // setHostCount sets the number of hosts among which the retry slack is divided.
 func (st *state) setHostCount(count int) {
 	st.mu.Lock()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,6 +23,8 @@
 	ID chestnutroad.RequestID
 	// Excluded lists the targets that the request was already sent to.
 	Excluded []chestnutroad.TargetID
+	// RequireHealthy restricts the request to targets that are not suspect.
+	RequireHealthy bool
 	// RequireSlot restricts the request to targets with a free slot for its Rank; a lower Rank is more urgent.
 	RequireSlot bool
 	Rank        int
@@ -73,7 +75,7 @@
 		return Choice{RetryAfter: retryAfter}, false
 	}
 	healthy, suspect := pl.healthy(now, candidates)
-	if len(healthy) == 0 {
+	if len(healthy) == 0 || suspect && req.RequireHealthy {
 		return Choice{}, false
 	}
 	bound, mean := pl.bound(now, all)
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -44,9 +44,9 @@
 // AddRequest counts a first attempt.
 func (bd *Budget) AddRequest(now time.Time) { bd.bucketAt(now).requests++ }
 
-// TakeRetry takes one retry from the budget, or returns false if the window has none left; share is this host's part of the
-// retries that the installation allows in a window beyond the ratio.
-func (bd *Budget) TakeRetry(now time.Time, share float64) bool {
+// HasRetry reports whether the window has a retry left; share is this host's part of the retries that the installation allows
+// in a window beyond the ratio.
+func (bd *Budget) HasRetry(now time.Time, share float64) bool {
 	current := bd.bucketAt(now)
 	requests, retries := 0.0, 0.0
 	for index := range bd.buckets {
@@ -55,9 +55,22 @@
 			retries += bd.buckets[index].retries
 		}
 	}
-	if retries+1 > bd.ratio*requests+share {
+	return retries+1 <= bd.ratio*requests+share
+}
+
+// TakeRetry takes one retry from the budget, or returns false if the window has none left.
+func (bd *Budget) TakeRetry(now time.Time, share float64) bool {
+	if !bd.HasRetry(now, share) {
 		return false
 	}
-	current.retries++
+	bd.bucketAt(now).retries++
 	return true
 }
+
+// ReturnRetry returns a retry that was taken at a time and not used.
+func (bd *Budget) ReturnRetry(taken time.Time) {
+	index := taken.UnixNano() / (int64(bd.window) / bucketCount)
+	if bk := &bd.buckets[index%bucketCount]; bk.index == index && bk.retries > 0 {
+		bk.retries--
+	}
+}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -64,3 +64,23 @@
 		t.Error("no retry was allowed after the ratio was raised to 1")
 	}
 }
+
+// TestReturnRetry guards against retries that are lost because they were taken and not used, and against a retry of another
+// time that is returned in their place.
+func TestReturnRetry(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	bd := retrybudget.New(0, time.Second)
+	if !bd.TakeRetry(now, 1) || bd.HasRetry(now, 1) {
+		t.Fatal("want one retry")
+	}
+	bd.ReturnRetry(now.Add(-time.Second))
+	if bd.HasRetry(now, 1) {
+		t.Error("a retry of an earlier window was returned to this one")
+	}
+	bd.ReturnRetry(now)
+	bd.ReturnRetry(now)
+	if !bd.TakeRetry(now, 1) || bd.HasRetry(now, 1) {
+		t.Error("want one retry again")
+	}
+}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -36,6 +36,8 @@
 	Body   []byte
 	// HasBody is true when the caller sent a body, even an empty one.
 	HasBody bool
+	// Connection is the connection to send the request on; without one, Exchange uses an idle one or opens one.
+	Connection *Connection
 	// Fresh asks for a new connection, SingleUse for a new one that is not reused after this request either.
 	Fresh     bool
 	SingleUse bool
@@ -88,10 +90,13 @@
 // Exchange sends a request and returns its answer once the head has arrived. When ctx ends, the connection is closed, which
 // most targets treat as a cancellation.
 func (pl *Pool) Exchange(ctx context.Context, rq *Request) (*Answer, error) {
-	cn, err := pl.get(ctx, rq)
-	if err != nil {
-		return nil, &NotSentError{Cause: err}
+	if rq.Connection == nil {
+		var err error
+		if rq.Connection, err = pl.Connect(ctx, rq); err != nil {
+			return nil, err
+		}
 	}
+	cn := rq.Connection.conn
 	if ctx.Err() != nil {
 		cn.close()
 		return nil, &NotSentError{Cause: ctx.Err()}
