Take an unframed stream without an event as broken off

Callers of a stream got a complete, empty answer with status 200 when the target answered with neither a length nor chunks and its connection ended before the first event.

The end of such a stream is the end of the connection, which is the same when the target stops. The host took any end between two events as the end of the stream, also the one before the first event.

Such a stream now counts as broken off, so that it is resumed at another target or answered with 502. An unframed stream that ends after an event is complete, and one that ends within an event had been recognised as broken off before.

TestUnframedStreams before: no_event: got status 200, body "", error <nil>, want it complete: false no_event,_resumable: the targets ran 1 requests, want 2 All its cases pass now; the complete stream and the two that end within an event passed before as well.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -38,14 +38,16 @@
 var errEventTooLong = errors.New("an event of the stream is too long")
 
 // forwardStream forwards complete events as they arrive. An event within which the stream breaks off is dropped; a resumed
-// run sends it again.
+// run sends it again. A stream that ends with its connection, before any event, has broken off as well: nothing else tells
+// the end of the stream from that of the target.
 func (en *Entry) forwardStream(ex *exchange, an *targetconn.Answer, stall *stallTimer) sendResult {
-	splitter := eventSplitter{}
+	splitter, hasEvent := eventSplitter{}, false
 	buffer := make([]byte, streamReadSize)
 	for {
 		count, err := an.Body.Read(buffer)
 		if count > 0 {
 			events := splitter.add(buffer[:count])
+			hasEvent = hasEvent || containsEvent(events)
 			if lastEventID(events) != "" {
 				en.recordEventWait(ex)
 				stall.reset(en.eventStallTimeout(ex))
@@ -55,7 +57,7 @@
 			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && splitter.empty():
+		case errors.Is(err, io.EOF) && splitter.empty() && (hasEvent || an.Framed):
 			an.Release()
 			return en.finishStream(ex, an.Header)
 		case err != nil:
@@ -165,6 +167,16 @@
 
 func (es *eventSplitter) empty() bool { return len(es.partial) == 0 }
 
+// containsEvent reports whether there is a line other than comments.
+func containsEvent(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 var idField = []byte("id:")
 
 // lastEventID returns the id of the last event that has one, or an empty string.
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -67,6 +67,53 @@
 	}
 }
 
+// TestUnframedStreams guards against a stream without a length and without chunks that looks complete although it broke off
+// before its first event or within its last one.
+func TestUnframedStreams(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		path     string
+		first    standin.Behaviour
+		complete bool
+		// runs is the number of runs at both targets.
+		runs int
+	}{
+		{"complete", standin.OncePath, standin.Unframed, true, 1},
+		{"no event", standin.OncePath, standin.UnframedEmpty, false, 1},
+		{"no event, resumable", standin.ChatPath, standin.UnframedEmpty, true, 2},
+		{"end within an event", standin.OncePath, standin.UnframedPartial, false, 1},
+		{"end within an event, resumable", standin.ChatPath, standin.UnframedPartial, true, 2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			a, b := st.runner("i-1", "model"), st.runner("i-2", "model")
+			a.Events, b.Events = 3, 3
+			ht := st.start("host-1", true)
+			call := standin.Call{Method: http.MethodPost, Path: tc.path + "x", ID: "r-1", Key: "k-1", Body: "b", Prefix: "a:10,b:20"}
+			// The first call shows which target the prompt part has affinity for.
+			ht.call(t.Context(), call)
+			first := a
+			if len(b.Runs()) > 0 {
+				first = b
+			}
+			first.SetNext(tc.first)
+			got := ht.call(t.Context(), call)
+			complete := got.err == nil && got.status == http.StatusOK && got.body == standin.Events(3)
+			broken := got.err != nil || got.status == http.StatusBadGateway
+			if complete != tc.complete || broken == tc.complete {
+				t.Errorf("got status %d, body %q, error %v, want it complete: %t", got.status, got.body, got.err, tc.complete)
+			}
+			if runs := len(a.Runs()) + len(b.Runs()) - 1; runs != tc.runs {
+				t.Errorf("the targets ran %d requests, want %d", runs, tc.runs)
+			}
+		})
+	}
+}
+
 // TestStalledStreamIsResumed guards against a stream that fails with a target that stalls.
 func TestStalledStreamIsResumed(t *testing.T) {
 	t.Parallel()
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -69,6 +69,8 @@
 	Header http.Header
 	// Body ends with io.EOF only when the answer is complete.
 	Body io.Reader
+	// Framed is true when the answer states its length or comes in chunks; any other one ends with the connection.
+	Framed bool
 	// Reused is true when the answer came on a reused connection.
 	Reused bool
 
@@ -181,6 +183,7 @@
 		if rq.Matches(resp.StatusCode, resp.Header) {
 			an.response = resp
 			an.Status, an.Header, an.Body = resp.StatusCode, resp.Header, resp.Body
+			an.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
 		}
 		// A late second answer to an earlier request arrives before the answer to this one.
