Recognise events whose lines end with a carriage return and a line feed

A stream whose target ends its lines with "\r\n", which the format of server-sent events allows, was answered with 502 although it was complete.

The host looked for "\n\n" as the end of an event and so found none: it held the events back until the stream ended, or until they were longer than an event may be, and then took the stream as broken off.

A blank line of either form now ends an event.

TestEventsWithCarriageReturns before: got status 502, "the answer is not complete". It passes now.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -147,16 +147,27 @@
 	partial []byte
 }
 
-var eventEnd = []byte("\n\n")
+// eventEnds are the forms of a line end and a blank line, which end an event; a line ends with "\n" or "\r\n".
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// lastEventEnd returns the end of the last complete event in data, or zero.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, mark := range eventEnds {
+		if index := bytes.LastIndex(data, mark); index >= 0 {
+			end = max(end, index+len(mark))
+		}
+	}
+	return end
+}
 
 // add appends data and returns all events that are complete with it.
 func (es *eventSplitter) add(data []byte) []byte {
 	es.partial = append(es.partial, data...)
-	end := bytes.LastIndex(es.partial, eventEnd)
-	if end < 0 {
+	end := lastEventEnd(es.partial)
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	complete := es.partial[:end:end]
 	es.partial = append([]byte(nil), es.partial[end:]...)
 	return complete
--- a/internal/entry/stream_test.go
+++ b/internal/entry/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -114,6 +115,21 @@
 	}
 }
 
+// TestEventsWithCarriageReturns guards against events that are not forwarded, or a stream that counts as broken off, because
+// their lines end with a carriage return and a line feed.
+func TestEventsWithCarriageReturns(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	rn := st.runner("i-1", "model")
+	rn.Events, rn.LineEnd = 3, "\r\n"
+	ht := st.start("host-1", true)
+	got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: standin.OncePath + "x", ID: "r-1", Key: "k-1", Body: "b"})
+	if want := strings.ReplaceAll(standin.Events(3), "\n", "\r\n"); got.err != nil || got.body != want {
+		t.Errorf("got status %d, body %q, error %v, want body %q", got.status, got.body, got.err, want)
+	}
+}
+
 // TestStalledStreamIsResumed guards against a stream that fails with a target that stalls.
 func TestStalledStreamIsResumed(t *testing.T) {
 	t.Parallel()
