Return to the target that stalled when its replacement refuses

Callers saw a stream that broke off, or a 502, of a request whose target was only slow, when the target to which the host had moved the request was full and did not run it.

The refused send used up the rule's attempts, and the run at the first target had been given up for it. Which targets are full is known to a host only from counts that are up to 0.4 s old, so that a refusal can't be excluded when the replacement is chosen.

After such a refusal the request now goes back to the target that stalled, if the retry budget allows one more arrival. It is no further target, so that the rule's attempts still bound the number of targets. A stream goes on after its last event there.

--- a/internal/attempt/next.go
+++ b/internal/attempt/next.go
@@ -49,6 +49,8 @@
 	MayHaveRun bool
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
+	// Returns is true when the next send goes to a target that is already counted in Sent.
+	Returns bool
 	// HasTargets is true if there is another target to send to.
 	HasTargets bool
 	// TakeRetry takes a retry from the budget and reports whether there was one; it is called last, so that no retry is
@@ -84,7 +86,7 @@
 	if outcome == NotSent {
 		return st.Dials < maxDials
 	}
-	if st.Sent >= st.MaxSends {
+	if st.Sent >= st.MaxSends && !st.Returns {
 		return false
 	}
 	if outcome != NotRun && st.Repeat != chestnutroad.RepeatAllowed {
--- a/internal/attempt/next_test.go
+++ b/internal/attempt/next_test.go
@@ -39,6 +39,15 @@
 			attempt.NotRun, true, attempt.Fail,
 		},
 		{"no sends left", with(repeatable, func(st *attempt.State) { st.Sent = 2 }), attempt.NotRun, true, attempt.Refuse},
+		{
+			"no sends left, return to a target", with(repeatable, func(st *attempt.State) { st.Sent, st.Returns = 2, true }),
+			attempt.NotRun, true, attempt.Retry,
+		},
+		{
+			"no sends left, return to a target without a budget",
+			with(repeatable, func(st *attempt.State) { st.Sent, st.Returns, st.MayHaveRun = 2, true, true }),
+			attempt.NotRun, false, attempt.Fail,
+		},
 		{
 			"no time left", with(repeatable, func(st *attempt.State) { st.Remaining = time.Millisecond }),
 			attempt.NotSent, true, attempt.Refuse,
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -29,6 +29,8 @@
 	progress attempt.State
 	criteria placement.Request
 	choice   placement.Choice
+	// stalledTarget is the target that the current one replaced when it stalled; empty when there is none.
+	stalledTarget chestnutroad.TargetID
 	// connection is the connection for the next send; nil when there is none yet.
 	connection *targetconn.Connection
 	// failure is the latest failure answer of a target, which the caller gets when no other target answers.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -90,6 +90,7 @@
 		return en.state.choose(en.now(), &ex.criteria)
 	}
 	choice := ex.replacement.choice
+	ex.stalledTarget = ex.choice.Entry.ID
 	ex.connection, ex.replacement = ex.replacement.connection, nil
 	return choice, true
 }
@@ -163,19 +164,31 @@
 
 // nextStep updates the exchange's progress with the result of a send and returns what to do next.
 func (en *Entry) nextStep(ex *exchange, choice *placement.Choice, res *sendResult) attempt.Action {
-	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
 	pr := &ex.progress
-	if res.end == attempt.NotSent {
+	switch {
+	case res.end == attempt.NotSent:
 		pr.Dials++
-	} else {
+	case !pr.Returns:
 		pr.Sent++
 	}
+	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
+	ex.allowReturn(res.end)
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
 	pr.HasTargets = true
 	return attempt.Next(res.end, pr)
 }
 
+// allowReturn directs the request back to the target that stalled if its replacement did not run the request: the target may
+// only have been slow, and its run was given up.
+func (ex *exchange) allowReturn(end attempt.Outcome) {
+	ex.progress.Returns, ex.criteria.Only = false, ""
+	if ex.stalledTarget != "" && (end == attempt.NotRun || end == attempt.NotSent) {
+		ex.progress.Returns, ex.criteria.Only = true, ex.stalledTarget
+	}
+	ex.stalledTarget = ""
+}
+
 const (
 	// overloadRetryAfter is the default Retry-After of a request that no target had capacity for: half of the time that
 	// callers wait for a plain request.
--- a/internal/entry/replacement.go
+++ b/internal/entry/replacement.go
@@ -26,7 +26,7 @@
 	now := en.now()
 	criteria := ex.criteria
 	criteria.Excluded = append(slices.Clone(ex.criteria.Excluded), ex.choice.Entry.ID)
-	criteria.MaxEventGap, criteria.RequireHealthy = en.maxEventGap(ex), true
+	criteria.MaxEventGap, criteria.RequireHealthy, criteria.Only = en.maxEventGap(ex), true, ""
 	choice, end := en.state.chooseReplacement(now, &criteria, ex.remaining(now), replacementReserve(ex, wait))
 	if end != attempt.StallRetried {
 		en.recordStallEnd(ex, end)
--- a/internal/entry/stall_test.go
+++ b/internal/entry/stall_test.go
@@ -171,3 +171,51 @@
 		t.Errorf("got line %q, want a stall without a target and then a retry", line)
 	}
 }
+
+// TestRefusedReplacementReturnsToTheFirstTarget guards against a request that is lost because the target that replaced a
+// stalled one does not run it.
+func TestRefusedReplacementReturnsToTheFirstTarget(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name          string
+		call          standin.Call
+		service       string
+		events        int
+		stall         standin.Behaviour
+		body, resumed string
+	}{
+		{
+			"stream",
+			standin.Call{Method: http.MethodPost, Path: standin.ChatPath + "x", Body: "b"},
+			standin.ModelService, 3, standin.Dribble, standin.Events(3), "1",
+		},
+		{
+			"plain request",
+			standin.Call{Method: http.MethodGet, Path: standin.StockPath + "x"},
+			standin.DeskService, 0, standin.Hang, "answer of i-1", "",
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			first, second := st.runner("i-1", tc.service), st.runner("i-2", tc.service)
+			first.Events, second.Events = tc.events, tc.events
+			// The first target is preferred, since it is in the host's data centre.
+			st.store.PutTarget(second.ID, second.Entry(tc.service, "dc-b", "ready"))
+			ht := st.start("host-1", true)
+			first.SetNext(tc.stall)
+			second.SetDefault(standin.Refuse)
+			tc.call.ID, tc.call.Key = "r-1", "k-1"
+			got := ht.call(t.Context(), tc.call)
+			if body := strings.ReplaceAll(got.body, standin.Comment, ""); got.err != nil || got.status != http.StatusOK || body != tc.body {
+				t.Errorf("got status %d, body %q, error %v\n%s", got.status, got.body, got.err, ht.log.line(`"Request":"r-1"`))
+			}
+			runs := first.Runs()
+			if len(runs) != 2 || runs[1].ResumeAfter != tc.resumed || len(second.Arrivals()) != 1 {
+				t.Errorf("the first target ran %+v, and the second got %d requests", runs, len(second.Arrivals()))
+			}
+		})
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -23,6 +23,8 @@
 	ID chestnutroad.RequestID
 	// Excluded lists the targets that the request was already sent to.
 	Excluded []chestnutroad.TargetID
+	// Only restricts the request to one target, also an excluded one; empty for no restriction.
+	Only chestnutroad.TargetID
 	// RequireHealthy restricts the request to targets that are not suspect.
 	RequireHealthy bool
 	// RequireSlot restricts the request to targets with a free slot for its Rank; a lower Rank is more urgent.
@@ -68,7 +70,7 @@
 		return !tg.usable() || !hasModel(&tg.entry, req.Model)
 	})
 	candidates := slices.DeleteFunc(slices.Clone(usable), func(tg *target) bool {
-		return slices.Contains(req.Excluded, tg.entry.ID)
+		return !req.allows(tg.entry.ID)
 	})
 	candidates, retryAfter := acceptingTargets(now, candidates)
 	if len(candidates) == 0 {
@@ -94,6 +96,14 @@
 	return choice, true
 }
 
+// allows reports whether the request may be sent to the target.
+func (req *Request) allows(id chestnutroad.TargetID) bool {
+	if req.Only != "" {
+		return id == req.Only
+	}
+	return !slices.Contains(req.Excluded, id)
+}
+
 // healthy returns the targets that are not suspect. If all are suspect, it returns those not known to be unreachable and
 // true, as all may have failed for one transient cause.
 func (pl *Pool) healthy(now time.Time, targets []*target) (healthy []*target, suspect bool) {
