Don't take a caller that reads slowly for a target that stalls

A stream was moved to a second target, where its prompt was read again, and used up a retry, because its caller did not read for a moment. With few retries left, the streams whose target does stall went without.

The stall timer ran while the host waited for the caller to accept an event, and so counted that wait as the target's.

The timer now starts after the event was written; during the write it can't fire before the write's own timeout has ended the request. The recorded gaps between events leave the wait out too.

TestCallerThatPausesKeepsItsTarget before, twice in a row: "the targets ran 2 requests, want 1", with "Stalls":["Retried"]. It passes now, twice in a row.

--- a/internal/entry/stall_test.go
+++ b/internal/entry/stall_test.go
@@ -1,8 +1,11 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -219,3 +222,45 @@
 		})
 	}
 }
+
+// TestCallerThatPausesKeepsItsTarget guards against a stream that is moved to another target, and a retry that is used up,
+// because its caller does not read for a while.
+func TestCallerThatPausesKeepsItsTarget(t *testing.T) {
+	t.Parallel()
+	// The events exceed the socket buffers, so that the host has to wait for the caller.
+	const events, padding = 1000, 8 << 10
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	runners := []*standin.Runner{st.runner("i-1", standin.ModelService), st.runner("i-2", standin.ModelService)}
+	for _, rn := range runners {
+		rn.Events, rn.EventPadding = events, padding
+	}
+	ht := st.start("host-1", true)
+	req, err := standin.NewRequest(t.Context(), ht.address, &standin.Call{
+		Method: http.MethodPost, Path: standin.ChatPath + "x", ID: "r-1", Key: "k-1", Body: "b",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := dialHost(t, ht.address)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(64 << 10)
+	}
+	if err := req.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	// A stream is moved after a pause of three times the rule's event gap target, which is 200 ms.
+	time.Sleep(1500 * time.Millisecond)
+	body, err := io.ReadAll(resp.Body)
+	if want := len(standin.Events(events)) + events*padding; err != nil || len(body) != want {
+		t.Errorf("got %d bytes, error %v, want %d bytes\n%s", len(body), err, want, ht.log.line(`"Request":"r-1"`))
+	}
+	if runs := len(runners[0].Runs()) + len(runners[1].Runs()); runs != 1 {
+		t.Errorf("the targets ran %d requests, want 1\n%s", runs, ht.log.line(`"Request":"r-1"`))
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -48,13 +48,19 @@
 		if count > 0 {
 			events := splitter.add(buffer[:count])
 			hasEvent = hasEvent || containsEvent(events)
-			if lastEventID(events) != "" {
+			progress := lastEventID(events) != ""
+			if progress {
 				en.recordEventWait(ex)
-				stall.reset(en.eventStallTimeout(ex))
+				// A caller that reads slowly is no stall of the target.
+				stall.reset(writeTimeout)
 			}
 			if failure := en.forwardEvents(ex, an.Header, events); failure != nil {
 				return sendResult{end: attempt.Broken, err: failure, outcome: placement.Served}
 			}
+			if progress {
+				ex.stream.lastProgress = en.now()
+				stall.reset(en.eventStallTimeout(ex))
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && splitter.empty() && (hasEvent || an.Framed):
