Test that a half-closed connection cancels its request

The end of a caller's side of the connection is all that the host sees of a caller that has left, and a target must not go on with the request of such a caller. net/http ends the request's context for both. A caller that closes its side and still waits for the answer, which RFC 9112 lets a server treat as gone, gets the end of the connection.

The test passes without a change of the host.

--- a/internal/entry/stall_test.go
+++ b/internal/entry/stall_test.go
@@ -264,3 +264,33 @@
 		t.Errorf("the targets ran %d requests, want 1\n%s", runs, ht.log.line(`"Request":"r-1"`))
 	}
 }
+
+// TestHalfClosedConnectionCancelsTheRequest guards against a target that goes on with a request whose caller has closed its
+// side of the connection, which can't be told from a caller that has left.
+func TestHalfClosedConnectionCancelsTheRequest(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	rn := st.runner("i-1", standin.DeskService)
+	rn.SetDefault(standin.Hang)
+	ht := st.start("host-1", true)
+	conn := dialHost(t, ht.address)
+	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
+	if _, err := io.WriteString(conn, rawHead+"Content-Length: 1\r\n\r\na"); err != nil {
+		t.Fatal(err)
+	}
+	ht.eventually(time.Second, "the target runs the request", func() bool { return len(rn.Runs()) == 1 })
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		t.Fatal("not a TCP connection")
+	}
+	_ = tcp.CloseWrite()
+	select {
+	case <-rn.Runs()[0].Cancelled:
+	case <-time.After(500 * time.Millisecond):
+		t.Error("the request at the target is not cancelled 500ms after its caller closed its side")
+	}
+	if answer, err := io.ReadAll(conn); err != nil || len(answer) > 0 {
+		t.Errorf("got answer %q, error %v, want the end of the connection", answer, err)
+	}
+}
