--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,7 @@
 	targets      *targetconn.Pool
 	counters     *counters
 	callers      *callerConns
+	open         *openRequests
 	bufferBudget *bufferBudget
 	link         *link
 	// lastRead and lastReadFailure hold when a read of the targets last succeeded and last failed, as elapsed times; zero
@@ -57,6 +58,8 @@
 	// elapsed returns the time since the start, which does not jump when the host's clock is set.
 	elapsed  func() time.Duration
 	stopping atomic.Bool
+	// cutOff is set when a shutdown cuts off the open requests.
+	cutOff atomic.Bool
 	// cutOffAt holds the elapsed time at which a shutdown cuts off open requests; zero until the host accepts no more
 	// connections.
 	cutOffAt atomic.Int64
@@ -96,6 +99,7 @@
 		counters:     newCounters(),
 		eras:         &eraTracker{},
 		callers:      newCallerConns(),
+		open:         newOpenRequests(),
 		bufferBudget: &bufferBudget{limit: int64(set.Memory) / bufferMemoryDivisor},
 		now:          time.Now,
 		elapsed:      monotonicClock(),
@@ -153,6 +157,10 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	callers := en.callerServer()
+	accepted, err := newCallerListener(listeners[0])
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
 	operators := &http.Server{Handler: en.operatorHandler(), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, len(listeners))
 	// accepting is closed when the caller server has registered its last connection.
@@ -160,7 +168,7 @@
 	for _, listener := range listeners {
 		server := operators
 		if listener == listeners[0] {
-			server = callers
+			server, listener = callers, accepted
 		}
 		go func() {
 			err := server.Serve(listener)
@@ -183,7 +191,7 @@
 	case err := <-failed:
 		return errors.Wrap(err, "serve")
 	}
-	en.drain(listeners[0], accepting)
+	en.drain(accepted, accepting)
 	_ = callers.Close()
 	_ = operators.Close()
 	en.logger.Info("stopped")
@@ -222,12 +230,12 @@
 
 // drain shuts the host down gracefully: it first reports that it is not ready, then accepts no more connections, closes
 // idle ones and waits for open requests. Those that remain stopReserve before the end of the grace period are cut off.
-func (en *Entry) drain(listener net.Listener, accepting <-chan struct{}) {
+func (en *Entry) drain(listener *callerListener, accepting <-chan struct{}) {
 	started, grace := en.now(), time.Duration(en.grace.Load())
 	en.stopping.Store(true)
-	en.logger.Info("draining", "Open", en.counters.open.Load())
+	en.logger.Info("draining", "Open", en.open.count())
 	time.Sleep(min(balancerDelay, grace/2))
-	_ = listener.Close()
+	listener.closeWhenEmpty(acceptTimeout)
 	en.cutOffAt.Store(int64(en.elapsed() + started.Add(grace-stopReserve).Sub(en.now())))
 	// A connection that was accepted just before the close is tracked only once the server has registered it.
 	<-accepting
@@ -237,7 +245,8 @@
 		}
 		time.Sleep(drainInterval)
 	}
-	en.logger.Warn("cutting off requests at the end of the grace period", "Open", en.counters.open.Load())
+	en.cutOff.Store(true)
+	en.logCutOff()
 }
 
 // sweepIdle closes idle connections to targets and from callers until ctx ends.
@@ -416,8 +425,12 @@
 	return outdatedCount
 }
 
+// unusableEntry is passed on to other hosts in place of an entry that can't be used and may be long. It can't be used either,
+// so that all hosts hold the same list.
+var unusableEntry = []byte("-")
+
 // applyTarget puts a record into effect unless it is older than what the host has seen of its target, and reports whether
-// it is.
+// it is. An entry that can't be used is replaced by unusableEntry in the record.
 func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) outdated {
 	id := chestnutroad.TargetID(record.Key)
 	if len(record.Value) == 0 {
@@ -426,8 +439,12 @@
 	}
 	entry, err := en.decoder.Target(record.Key, record.Value)
 	if err != nil {
-		en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", err)
+		// An entry is read again whenever the host reads the whole list, and may be rewritten often.
+		if en.state.markUnusable(id) {
+			en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", quotable(err))
+		}
 		en.removeTarget(id, "unreadable")
+		record.Value = unusableEntry
 		return notOutdated
 	}
 	verdict, previous, existed := en.state.setTarget(en.now(), &entry, record.Position.Era)
@@ -443,6 +460,15 @@
 	return notOutdated
 }
 
+// maxQuotedError is the number of bytes of an error that the log quotes; errors may quote an entry of any length.
+const maxQuotedError = 200
+
+// quotable returns the start of the error's text.
+func quotable(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxQuotedError)]
+}
+
 const (
 	// readFailureWindow is the time after a failed read of the store in which a removal may be a result of the outage; the
 	// first reads after the outage show such removals.
@@ -462,6 +488,7 @@
 func (en *Entry) handleRemoval(id chestnutroad.TargetID) {
 	en.state.mu.Lock()
 	entry, exists := en.state.pool.Entry(id)
+	delete(en.state.unusable, id)
 	en.state.mu.Unlock()
 	restored := en.isRecent(&en.storeRestoredAt, storeRestoreWindow)
 	if !exists || entry.Leaving || !restored && !en.isRecent(&en.lastReadFailure, readFailureWindow) {
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -32,6 +32,9 @@
 	for _, end := range attempt.StallEnds {
 		en.counters.countStall("service", end)
 	}
+	for _, reason := range []string{incompleteClosing, incompleteStop, incompleteCallerGone, incompleteBroken} {
+		en.counters.countIncomplete(reason)
+	}
 	ex := &exchange{service: "service"}
 	en.counters.countRequest(ex, outcomeOf(ex, nil))
 	en.counters.countRequest(ex, outcomeOf(ex, errCallerGone))
