--- a/internal/attempt/next.go
+++ b/internal/attempt/next.go
@@ -49,6 +49,8 @@
 	MayHaveRun bool
 	// Remaining is the time until the request's deadline.
 	Remaining time.Duration
+	// Returns is true when the next send goes to a target that is already counted in Sent.
+	Returns bool
 	// HasTargets is true if there is another target to send to.
 	HasTargets bool
 	// TakeRetry takes a retry from the budget and reports whether there was one; it is called last, so that no retry is
@@ -59,8 +61,8 @@
 const (
 	// maxDials limits the attempts that end before a byte was sent, for one request.
 	maxDials = 6
-	// minRemaining is the remaining time below which another attempt can't succeed; plain requests take 15 ms or more.
-	minRemaining = 20 * time.Millisecond
+	// MinRemaining is the remaining time below which another attempt can't succeed; plain requests take 15 ms or more.
+	MinRemaining = 20 * time.Millisecond
 )
 
 // Next returns the action after an attempt ended.
@@ -78,13 +80,13 @@
 }
 
 func (st *State) canRetry(outcome Outcome) bool {
-	if st.Remaining < minRemaining || !st.HasTargets {
+	if st.Remaining < MinRemaining || !st.HasTargets {
 		return false
 	}
 	if outcome == NotSent {
 		return st.Dials < maxDials
 	}
-	if st.Sent >= st.MaxSends {
+	if st.Sent >= st.MaxSends && !st.Returns {
 		return false
 	}
 	if outcome != NotRun && st.Repeat != chestnutroad.RepeatAllowed {
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
 
@@ -58,6 +59,11 @@
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
 }
 
+// countStall counts a target's stall by what followed.
+func (cn *counters) countStall(service string, end attempt.StallEnd) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_stalls_total{service=%q,end=%q}", service, end)).Inc()
+}
+
 // countChoice counts a request that is sent to a target whose estimated load is over its bound.
 func (cn *counters) countChoice(service string, choice *placement.Choice) {
 	if choice.Load > choice.Bound {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -42,7 +42,7 @@
 func (en *Entry) forward(ex *exchange) error {
 	en.state.countRequest(ex.started, ex.service)
 	ex.progress.TakeRetry = func() bool {
-		allowed := en.state.allowRetry(en.now(), ex.service)
+		allowed := ex.replacement != nil || en.state.allowRetry(en.now(), ex.service)
 		en.counters.countRetry(string(ex.service), allowed)
 		return allowed
 	}
@@ -51,8 +51,9 @@
 		en.updateRefusalRate(ex, true)
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
+	defer en.discardUnused(ex)
 	for {
-		choice, found := en.state.choose(en.now(), &ex.criteria)
+		choice, found := en.choose(ex)
 		en.updateRefusalRate(ex, !found && choice.Full)
 		if !found {
 			return en.concludeWithoutTarget(ex, &choice)
@@ -83,6 +84,17 @@
 	}
 }
 
+// choose picks a target for the next send: the replacement, if one was chosen during the last send.
+func (en *Entry) choose(ex *exchange) (placement.Choice, bool) {
+	if ex.replacement == nil {
+		return en.state.choose(en.now(), &ex.criteria)
+	}
+	choice := ex.replacement.choice
+	ex.stalledTarget = ex.choice.Entry.ID
+	ex.connection, ex.replacement = ex.replacement.connection, nil
+	return choice, true
+}
+
 // maxEventGap returns the longest mean gap between the events of a target with which the request's stream is on time, or
 // zero for a request without a stream.
 func (en *Entry) maxEventGap(ex *exchange) time.Duration {
@@ -152,19 +164,31 @@
 
 // nextStep updates the exchange's progress with the result of a send and returns what to do next.
 func (en *Entry) nextStep(ex *exchange, choice *placement.Choice, res *sendResult) attempt.Action {
-	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
 	pr := &ex.progress
-	if res.end == attempt.NotSent {
+	switch {
+	case res.end == attempt.NotSent:
 		pr.Dials++
-	} else {
+	case !pr.Returns:
 		pr.Sent++
 	}
+	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
+	ex.allowReturn(res.end)
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
 	pr.HasTargets = en.cutOff.Err() == nil
 	return attempt.Next(res.end, pr)
 }
 
+// allowReturn directs the request back to the target that stalled if its replacement did not run the request: the target may
+// only have been slow, and its run was given up.
+func (ex *exchange) allowReturn(end attempt.Outcome) {
+	ex.progress.Returns, ex.criteria.Only = false, ""
+	if ex.stalledTarget != "" && (end == attempt.NotRun || end == attempt.NotSent) {
+		ex.progress.Returns, ex.criteria.Only = true, ex.stalledTarget
+	}
+	ex.stalledTarget = ""
+}
+
 const (
 	// overloadRetryAfter is the default Retry-After of a request that no target had capacity for: half of the time that
 	// callers wait for a plain request.
@@ -271,15 +295,25 @@
 	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
 	defer cancel()
 	defer context.AfterFunc(en.cutOff, cancel)()
-	stall := newStallTimer(cancel, en.initialStallTimeout(ex, en.now()))
-	defer stall.stop()
-	ex.stream.lastProgress, ex.stream.gotFirstEvent = en.now(), false
-	defer en.recordStall(ex, stall)
-	request := en.newTargetRequest(ex, entry)
-	request.Fresh = ex.choice.NewConnection
-	if ex.choice.Probe {
-		request.Fresh, request.DialTimeout = true, probeDialTimeout
-	}
+	started := en.now()
+	wait := en.initialStallTimeout(ex, started)
+	ex.stream.lastProgress, ex.stream.gotFirstEvent = started, false
+	request := en.newTargetRequest(ex, wait)
+	request.Connection, ex.connection = ex.connection, nil
+	if request.Connection == nil {
+		connection, err := en.targets.Connect(ctx, request)
+		if err != nil {
+			return sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
+		}
+		request.Connection = connection
+	}
+	stall := en.newStallTimer(ctx, cancel, ex, started, wait)
+	defer func() {
+		// A connection that is being opened to a replacement ends with the context.
+		cancel()
+		ex.replacement = stall.stop()
+		en.recordStall(ex, stall)
+	}()
 	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
 		return sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
@@ -322,7 +356,23 @@
 	return res
 }
 
-func (en *Entry) newTargetRequest(ex *exchange, entry *chestnutroad.TargetEntry) *targetconn.Request {
+// connectRequest returns a request for a connection to the chosen target. A positive dialTimeout limits the time to connect.
+func connectRequest(ex *exchange, choice *placement.Choice, dialTimeout time.Duration) *targetconn.Request {
+	if choice.Probe {
+		dialTimeout = probeDialTimeout
+	}
+	return &targetconn.Request{
+		Address: choice.Entry.Address,
+		Fresh:   choice.NewConnection || choice.Probe,
+		// An answer to a request without an id can't be told from a late answer to another one without an id.
+		SingleUse:   ex.callMetadata.ID == "",
+		DialTimeout: dialTimeout,
+	}
+}
+
+// newTargetRequest returns the request to the exchange's current target.
+func (en *Entry) newTargetRequest(ex *exchange, dialTimeout time.Duration) *targetconn.Request {
+	entry := &ex.choice.Entry
 	directives := chestnutroad.CallDirectives{
 		Target: entry.ID, Remaining: ex.remaining(en.now()), ResumeAfter: ex.stream.lastID,
 	}
@@ -334,20 +384,13 @@
 	}
 	header := target.Forwardable(ex.request.Header)
 	en.wire.WriteCall(header, &directives)
-	return &targetconn.Request{
-		Address: entry.Address,
-		Method:  ex.request.Method,
-		URI:     ex.request.RequestURI,
-		Host:    ex.request.Host,
-		Header:  header,
-		Body:    ex.body,
-		HasBody: ex.request.ContentLength != 0,
-		// An answer to a request without an id can't be told from a late answer to another one without an id.
-		SingleUse: ex.callMetadata.ID == "",
-		Matches: func(status int, header http.Header) bool {
-			return en.wire.ReadAnswer(status, header).ID == ex.callMetadata.ID
-		},
+	request := connectRequest(ex, &ex.choice, dialTimeout)
+	request.Method, request.URI, request.Host = ex.request.Method, ex.request.RequestURI, ex.request.Host
+	request.Header, request.Body, request.HasBody = header, ex.body, ex.request.ContentLength != 0
+	request.Matches = func(status int, header http.Header) bool {
+		return en.wire.ReadAnswer(status, header).ID == ex.callMetadata.ID
 	}
+	return request
 }
 
 // maxBufferedAnswer bounds the body of an answer that is buffered before it is forwarded.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -38,24 +38,32 @@
 var errEventTooLong = errors.New("an event of the stream is too long")
 
 // forwardStream forwards complete events as they arrive. An event within which the stream breaks off is dropped; a resumed
-// run sends it again.
+// run sends it again. A stream that ends with its connection, before any event, has broken off as well: nothing else tells
+// the end of the stream from that of the target.
 func (en *Entry) forwardStream(ex *exchange, an *targetconn.Answer, stall *stallTimer) sendResult {
-	splitter := eventSplitter{}
+	splitter, hasEvent := eventSplitter{}, false
 	buffer := make([]byte, streamReadSize)
 	for {
 		count, err := an.Body.Read(buffer)
 		if count > 0 {
 			events := splitter.add(buffer[:count])
-			if lastEventID(events) != "" {
+			hasEvent = hasEvent || containsEvent(events)
+			progress := lastEventID(events) != ""
+			if progress {
 				en.recordEventWait(ex)
-				stall.reset(en.eventStallTimeout(ex))
+				// A caller that reads slowly is no stall of the target.
+				stall.reset(writeTimeout)
 			}
 			if failure := en.forwardEvents(ex, an.Header, events); failure != nil {
 				return sendResult{end: attempt.Broken, err: failure, outcome: placement.Served}
 			}
+			if progress {
+				ex.stream.lastProgress = en.now()
+				stall.reset(en.eventStallTimeout(ex))
+			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && splitter.empty():
+		case errors.Is(err, io.EOF) && splitter.empty() && (hasEvent || an.Framed):
 			an.Release()
 			return en.finishStream(ex, an.Header)
 		case err != nil:
@@ -145,16 +153,27 @@
 	partial []byte
 }
 
-var eventEnd = []byte("\n\n")
+// eventEnds are the forms of a line end and a blank line, which end an event; a line ends with "\n" or "\r\n".
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// lastEventEnd returns the end of the last complete event in data, or zero.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, mark := range eventEnds {
+		if index := bytes.LastIndex(data, mark); index >= 0 {
+			end = max(end, index+len(mark))
+		}
+	}
+	return end
+}
 
 // add appends data and returns all events that are complete with it.
 func (es *eventSplitter) add(data []byte) []byte {
 	es.partial = append(es.partial, data...)
-	end := bytes.LastIndex(es.partial, eventEnd)
-	if end < 0 {
+	end := lastEventEnd(es.partial)
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	complete := es.partial[:end:end]
 	es.partial = append([]byte(nil), es.partial[end:]...)
 	return complete
@@ -165,6 +184,16 @@
 
 func (es *eventSplitter) empty() bool { return len(es.partial) == 0 }
 
+// containsEvent reports whether there is a line other than comments.
+func containsEvent(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 var idField = []byte("id:")
 
 // lastEventID returns the id of the last event that has one, or an empty string.
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -36,6 +36,8 @@
 	Body   []byte
 	// HasBody is true when the caller sent a body, even an empty one.
 	HasBody bool
+	// Connection is the connection to send the request on; without one, Exchange uses an idle one or opens one.
+	Connection *Connection
 	// Fresh asks for a new connection, SingleUse for a new one that is not reused after this request either.
 	Fresh     bool
 	SingleUse bool
@@ -67,6 +69,8 @@
 	Header http.Header
 	// Body ends with io.EOF only when the answer is complete.
 	Body io.Reader
+	// Framed is true when the answer states its length or comes in chunks; any other one ends with the connection.
+	Framed bool
 	// Reused is true when the answer came on a reused connection.
 	Reused bool
 
@@ -88,10 +92,13 @@
 // Exchange sends a request and returns its answer once the head has arrived. When ctx ends, the connection is closed, which
 // most targets treat as a cancellation.
 func (pl *Pool) Exchange(ctx context.Context, rq *Request) (*Answer, error) {
-	cn, err := pl.get(ctx, rq)
-	if err != nil {
-		return nil, &NotSentError{Cause: err}
+	if rq.Connection == nil {
+		var err error
+		if rq.Connection, err = pl.Connect(ctx, rq); err != nil {
+			return nil, err
+		}
 	}
+	cn := rq.Connection.conn
 	if ctx.Err() != nil {
 		cn.close()
 		return nil, &NotSentError{Cause: ctx.Err()}
@@ -176,6 +183,7 @@
 		if rq.Matches(resp.StatusCode, resp.Header) {
 			an.response = resp
 			an.Status, an.Header, an.Body = resp.StatusCode, resp.Header, resp.Body
+			an.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
 		}
 		// A late second answer to an earlier request arrives before the answer to this one.
