Don't take a contradictory answer for a refusal

Any answer with Chestnutroad-Not-Executed, and any 421, counted as the target's statement that the request has not run, whatever else it said. A copy of an earlier refusal that breaks off within its head takes over the id and the receipt of the answer that follows it; the request, which had run, was then sent to a second runner (TWICE) or refused with 503 (REFUSED). The same holds for a 200, a 500 or a receipt with that statement, for a 421 of the very runner that was named, for a refusal of another instance than the named one, and for an answer with the ids of two requests.

--- a/call.go
+++ b/call.go
@@ -48,6 +48,8 @@
 	Receipt bool
 	// NotRun is true when the target guarantees that it has not run the request and never will.
 	NotRun bool
+	// Contradictory is true when the answer states both that the target has not run the request and that it has.
+	Contradictory bool
 	// WrongTarget is true when the address belongs to another target than the one called.
 	WrongTarget bool
 	// Running and Waiting are the numbers of requests at the target; they are valid when HasLoad is true.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -284,12 +284,26 @@
 	metadata := en.wire.ReadAnswer(an.Status, an.Header)
 	en.applyAnswerMetadata(entry, &metadata)
 	ex.answerMetadata = metadata
+	if contradictory(&metadata, entry.ID) {
+		// Whether the request has run is not certain, also when a refusal was mixed with the answer to another request.
+		return sendResult{end: attempt.Broken, err: errContradictory, outcome: placement.Failed}
+	}
 	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" {
 		return en.forwardStream(ex, an, stall)
 	}
 	return en.forwardBuffered(ex, an, &metadata)
 }
 
+// contradictory reports whether an answer to a request for the target both says that the request has not run and gives a reason
+// to doubt it: that it has run, that another target says so without being called by mistake, or that the target itself was
+// called by mistake.
+func contradictory(metadata *chestnutroad.AnswerMetadata, id chestnutroad.TargetID) bool {
+	if metadata.Contradictory {
+		return true
+	}
+	return metadata.NotRun && metadata.Target != "" && metadata.WrongTarget == (metadata.Target == id)
+}
+
 // applyAnswerMetadata updates what the host knows of a target from the headers of its answer.
 func (en *Entry) applyAnswerMetadata(entry *chestnutroad.TargetEntry, metadata *chestnutroad.AnswerMetadata) {
 	now := en.now()
@@ -351,6 +365,7 @@
 
 var (
 	errRefusedByTarget = errors.New("the target did not run the request")
+	errContradictory   = errors.New("the answer contradicts itself on whether the request has run")
 	errWrongTarget     = errors.New("another target has the address")
 	errTargetFailed    = errors.New("the target failed the request")
 	errNoReceipt       = errors.New("the answer has no receipt")
@@ -364,6 +379,7 @@
 	name string
 }{
 	{errRefusedByTarget, "Refused"},
+	{errContradictory, "Contradictory"},
 	{errWrongTarget, "WrongTarget"},
 	{errTargetFailed, "Failed"},
 	{errNoReceipt, "NoReceipt"},
