Reuse no connection on which the same request id was refused

A runner's answers are told apart by the id of the request. A caller that repeats a request with the same id may get the connection on which the first one was refused; a second copy of that refusal there was taken for the answer to the repeated request, which the runner ran. The caller was told that it had not run (REFUSED).

A connection now keeps the ids of the requests that were answered with an error on it, and is closed rather than used for one of these ids again. After 64 such answers it isn't kept any longer.

Before: --- FAIL: TestRepeatedRefusalOfReusedID request 2 got status 503 with 1 runs, want 200 After: ok, with -race.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -346,6 +346,7 @@
 	en.wire.WriteCall(header, &directives)
 	return &targetconn.Request{
 		Address: entry.Address,
+		ID:      string(ex.callMetadata.ID),
 		Method:  ex.request.Method,
 		URI:     ex.request.RequestURI,
 		Host:    ex.request.Host,
--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/chestnutroad/chestnutroad/platform/standin"
@@ -74,3 +75,31 @@
 		})
 	}
 }
+
+// TestRepeatedRefusalOfReusedID guards against a copy of an earlier refusal, on a kept connection, that is taken for the answer
+// to a later request with the same id.
+func TestRepeatedRefusalOfReusedID(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	refusal := answerHead(refusedStatus, "r-1", notRunHeader+emptyBody)
+	var arrived, runs atomic.Int32
+	st.rawRunner("i-1", "desk", func(number int, _ *http.Request) (string, bool) {
+		if arrived.Add(1) == 1 {
+			return refusal, true
+		}
+		runs.Add(1)
+		served := answerHead("200 OK", "r-1", receiptLine+emptyBody)
+		if number > 0 {
+			return refusal + served, true
+		}
+		return served, true
+	})
+	ht := st.start("host-1", true)
+	for index, want := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+		got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: "r-1", Key: "k-1", Body: "b"})
+		if got.status != want {
+			t.Errorf("request %d got status %d with %d runs, want %d", index+1, got.status, runs.Load(), want)
+		}
+	}
+}
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -21,8 +22,17 @@
 	// keepAlive is the Keep-Alive timeout that the target stated, or zero.
 	keepAlive time.Duration
 	reused    bool
+	// failed are the ids of the requests on this connection that were answered with an error.
+	failed []string
 }
 
+// maxFailed is the number of requests answered with an error after which a connection is not reused, which limits failed.
+const maxFailed = 64
+
+// mayRepeat reports whether a copy of an earlier answer on this connection could be taken for the answer to the request with
+// the id.
+func (cn *conn) mayRepeat(id string) bool { return slices.Contains(cn.failed, id) }
+
 func newConn(raw net.Conn) *conn {
 	limit := &headLimit{conn: raw}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), head: limit}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -27,7 +27,10 @@
 // Request is one request to a target.
 type Request struct {
 	Address netip.AddrPort
-	Method  string
+	// ID is the id that answers state. A connection on which a request with the same id was answered with an error, such as a
+	// refusal, is not reused: the target may send that answer once more.
+	ID     string
+	Method string
 	// URI is the path and query exactly as the caller sent them.
 	URI  string
 	Host string
@@ -76,6 +79,8 @@
 	// written receives the error, or nil, once the request was written.
 	written  chan error
 	response *http.Response
+	// id is the id of the request.
+	id string
 	// mismatched is true once an answer to another request has arrived.
 	mismatched bool
 	singleUse  bool
@@ -97,7 +102,7 @@
 		return nil, &NotSentError{Cause: ctx.Err()}
 	}
 	an := &Answer{
-		pool: pl, address: rq.Address, conn: cn, Reused: cn.reused, singleUse: rq.SingleUse, written: make(chan error, 1),
+		pool: pl, address: rq.Address, id: rq.ID, conn: cn, Reused: cn.reused, singleUse: rq.SingleUse, written: make(chan error, 1),
 		stop: context.AfterFunc(ctx, cn.close),
 	}
 	head, err := rq.head()
@@ -201,6 +206,9 @@
 		return
 	}
 	an.conn.keepAlive = keepAliveTime(an.Header.Get("Keep-Alive"))
+	if an.Status >= http.StatusBadRequest {
+		an.conn.failed = append(an.conn.failed, an.id)
+	}
 	an.pool.put(an.address, an.conn)
 }
 
@@ -214,7 +222,7 @@
 		// The target answered before the whole body was sent, and would take a later request for the rest of the body.
 		return false
 	}
-	return !an.mismatched && !an.singleUse && !an.response.Close && an.conn.reader.Buffered() == 0
+	return len(an.conn.failed) < maxFailed && !an.mismatched && !an.singleUse && !an.response.Close && an.conn.reader.Buffered() == 0
 }
 
 // Close closes the connection, unless it was released.
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -96,7 +96,7 @@
 		if cn == nil {
 			break
 		}
-		if pl.now().Before(cn.expires) && cn.usable() {
+		if pl.now().Before(cn.expires) && !cn.mayRepeat(rq.ID) && cn.usable() {
 			cn.reused = true
 			return cn, nil
 		}
