Test copies of an earlier refusal on a kept connection

Operators of similar systems saw that a runner wrote an earlier refusal once more on a kept connection, and that the next caller was told that its request, which had run, had not. With ids that differ this does not happen here: the copy has the id of another request, and is discarded before the answer; one that is there already, closes the connection or is cut makes the connection unusable.

--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -103,3 +103,55 @@
 		}
 	}
 }
+
+// TestRepeatedRefusal guards against a second copy of an earlier refusal, on a kept connection, that is taken for the answer to
+// another request.
+func TestRepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	refusal := answerHead(refusedStatus, "r-1", notRunHeader+emptyBody)
+	withBody := answerHead(refusedStatus, "r-1", notRunHeader+"Content-Length: 4\r\n") + "busy"
+	cases := []struct {
+		name string
+		// first answers the refused request; before and after enclose the answer to the next one on the connection.
+		first, before, after string
+		served               bool
+	}{
+		{"two refusals at once", refusal + refusal, "", "", true},
+		{"copy before the answer", refusal, refusal, "", true},
+		{"copies before the answer", refusal, refusal + refusal, "", true},
+		{"copy with a body before the answer", withBody, withBody, "", true},
+		{"copy after the answer", refusal, "", refusal, true},
+		{"copy that closes the connection", refusal, strings.Replace(refusal, "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1), "", false},
+		{"interim answer and copy", refusal, "HTTP/1.1 103 Early Hints\r\n\r\n" + refusal, "", true},
+		{"cut copy before the answer", refusal, refusal[:len(refusal)-4], "", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			var arrived atomic.Int32
+			st.rawRunner("i-1", "desk", func(number int, req *http.Request) (string, bool) {
+				if arrived.Add(1) == 1 {
+					return tc.first, true
+				}
+				served := answerHead("200 OK", req.Header.Get("Chestnutroad-Attempt-Id"), receiptLine+emptyBody)
+				if number == 0 {
+					return served, true
+				}
+				return tc.before + served + tc.after, true
+			})
+			ht := st.start("host-1", true)
+			for number := 1; number <= 3; number++ {
+				id := fmt.Sprintf("r-%d", number)
+				got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: "/order/x", ID: id, Key: "k-1", Body: "b"})
+				switch {
+				case number == 1 && got.status != http.StatusServiceUnavailable:
+					t.Fatalf("the refused request got status %d", got.status)
+				case number > 1 && promisesNotRun(got.status), number == 2 && tc.served != (got.status == http.StatusOK):
+					t.Errorf("request %s, which has run, got status %d\n%s", id, got.status, ht.log)
+				}
+			}
+		})
+	}
+}
