Never write a whole answer into a stream that has begun

When a stream had begun and broke off, and the next runner answered the resumed request with 4xx, a redirect, 204 or 206, callers found that answer's body in the middle of their stream, which then ended as if it were complete (ORDER, MIXED).

Such an answer is no stream, so it was read whole and delivered without regard to what the caller had already. It is now a send that broke off: the stream goes to another runner if one is allowed, else the caller's connection is aborted, so that the stream isn't complete. Answers with 5xx, without a receipt, with an encoding or with "not run" were no part of the stream before either; the test has cases for them.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -372,6 +372,7 @@
 	errNoReceipt       = errors.New("the answer has no receipt")
 	errEncoded         = errors.New("the answer has an encoding")
 	errCutOff          = errors.New("the answer is not complete")
+	errNotResumed      = errors.New("the answer does not continue the stream")
 )
 
 // sendReasons maps the errors of failed sends to their label values in the metrics.
@@ -386,6 +387,7 @@
 	{errNoReceipt, "NoReceipt"},
 	{errEncoded, "Encoded"},
 	{errCutOff, "CutOff"},
+	{errNotResumed, "NotResumed"},
 	{errEventTooLong, "EventTooLong"},
 	{errCallerGone, "CallerGone"},
 	{targetconn.ErrBadAnswer, "BadAnswer"},
@@ -421,6 +423,9 @@
 		return sendResult{end: attempt.NotRun, err: errRefusedByTarget, outcome: placement.Shed}
 	case err != nil || len(body) > maxBufferedAnswer:
 		return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed}
+	case ex.answerStarted():
+		// An answer that is no stream must not follow the events that the caller has.
+		return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
 	case an.Header.Get("Content-Encoding") != "":
 		return sendResult{end: attempt.Broken, err: errEncoded, outcome: placement.Failed}
 	case an.Status < http.StatusBadRequest && !metadata.Receipt:
