Continue a stream only with an answer of the same media type

Only the first answer's headers reach the caller, so the media type of the next one was not looked at.

An answer continues a stream only if its media type is that of the answer that began it; any other one is a send that broke off.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -288,7 +288,8 @@
 		// Whether the request has run is not certain, also when a refusal was mixed with the answer to another request.
 		return sendResult{end: attempt.Broken, err: errContradictory, outcome: placement.Failed}
 	}
-	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" {
+	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" &&
+		ex.acceptsStream(an.Header) {
 		return en.forwardStream(ex, an, stall)
 	}
 	return en.forwardBuffered(ex, an, &metadata)
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -44,6 +44,8 @@
 		{"206", answer("206 Partial Content", streamHeader, standin.Event(3)), false},
 		{"no receipt", answer("200 OK", "Content-Type: text/event-stream\r\n", standin.Event(3)), false},
 		{"encoded", answer("200 OK", streamHeader+"Content-Encoding: gzip\r\n", standin.Event(3)), false},
+		{"plain text", answer("200 OK", receiptLine+plainHeader, text), false},
+		{"empty plain text", answer("200 OK", receiptLine+plainHeader, ""), false},
 		{"cut", answer("200 OK", streamHeader, standin.Event(3))[:len(answer("200 OK", streamHeader, ""))+9], false},
 	}
 	for _, tc := range cases {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,6 +110,17 @@
 	return sendResult{done: true, outcome: placement.Served}
 }
 
+// acceptsStream reports whether an answer with the header can start the caller's stream, or continue it in the same media type.
+func (ex *exchange) acceptsStream(header http.Header) bool {
+	return !ex.answerStarted() || mediaType(header) == mediaType(ex.writer.Header())
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // startStream sends the status and headers of a stream.
 func (en *Entry) startStream(ex *exchange, header http.Header) {
 	copyHeader(ex.writer.Header(), header)
