Break a stream off where its events don't follow each other

A next runner that ignored the id after which it was to resume, and began its stream anew, had its first events written after those of the runner before; ids that went back were passed on too (ORDER). So was a block of lines that is no event, such as the text or the head of an error in a stream that says that it is one (MIXED).

Gaps between ids are allowed, since an event may hold several tokens. An error that is an event of its own (event: error) can't be told from a runner's event and is passed on.

--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -46,6 +46,12 @@
 		{"encoded", answer("200 OK", streamHeader+"Content-Encoding: gzip\r\n", standin.Event(3)), false},
 		{"plain text", answer("200 OK", receiptLine+plainHeader, text), false},
 		{"empty plain text", answer("200 OK", receiptLine+plainHeader, ""), false},
+		{"starts again", answer("200 OK", streamHeader, standin.Events(3)), false},
+		{"repeats the last event", answer("200 OK", streamHeader, standin.Event(2)+standin.Event(3)), false},
+		{"goes back", answer("200 OK", streamHeader, standin.Event(4)+standin.Event(3)), false},
+		{"error text", answer("200 OK", streamHeader, text), false},
+		{"another head", answer("200 OK", streamHeader, "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n"), false},
+		{"comment first", answer("200 OK", streamHeader, standin.Comment+standin.Event(3)), true},
 		{"cut", answer("200 OK", streamHeader, standin.Event(3))[:len(answer("200 OK", streamHeader, ""))+9], false},
 	}
 	for _, tc := range cases {
@@ -72,7 +78,8 @@
 			if complete := got.err == nil; complete != tc.complete {
 				t.Errorf("the stream looks complete: %t, want %t; got %q", complete, tc.complete, got.body)
 			}
-			if !strings.HasPrefix(standin.Events(3), got.body) || got.status != http.StatusOK {
+			if body := strings.ReplaceAll(got.body, standin.Comment, ""); !strings.HasPrefix(standin.Events(3), body) ||
+				got.status != http.StatusOK {
 				t.Errorf("got status %d, body %q, which is no start of the stream", got.status, got.body)
 			}
 		})
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -27,6 +29,47 @@
 	gotFirstEvent bool
 }
 
+// follows reports whether complete events follow the forwarded ones: their ids increase, and those without an id are events. A
+// target that ignores the id after which it is to resume would repeat events, perhaps with other contents.
+func (ss *streamState) follows(events []byte) bool {
+	last := ss.lastID
+	for event := range bytes.SplitSeq(events, eventEnd) {
+		id := lastEventID(event)
+		if id == "" && !isEvent(event) || id != "" && !increases(last, id) {
+			return false
+		}
+		if id != "" {
+			last = id
+		}
+	}
+	return true
+}
+
+// increases reports whether an event's id may follow the last one; ids that are no numbers must only differ.
+func increases(last, id string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return number > lastNumber
+}
+
+// eventFields are the starts of lines that events and comments without an id have.
+var eventFields = [][]byte{[]byte("data"), []byte("event"), []byte("retry"), []byte(":")}
+
+// isEvent reports whether a block of lines is empty or has a line of an event, which the text or head of an error has not.
+func isEvent(block []byte) bool {
+	empty := true
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		if slices.ContainsFunc(eventFields, func(field []byte) bool { return bytes.HasPrefix(line, field) }) {
+			return true
+		}
+		empty = empty && len(line) == 0
+	}
+	return empty
+}
+
 const (
 	// streamReadSize is the size of the buffer for reads from a target.
 	streamReadSize = 4 << 10
@@ -47,6 +90,9 @@
 		count, err := an.Body.Read(buffer)
 		if count > 0 {
 			events := splitter.add(buffer[:count])
+			if !ex.stream.follows(events) {
+				return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
+			}
 			if lastEventID(events) != "" {
 				en.recordEventWait(ex)
 				stall.reset(en.eventStallTimeout(ex))
