Continue a chat only with a stream that resumes at its token

The product's own interface had the same fault: an engine that answered a resumed chat with an error, or with a document instead of a stream, had its body passed on as the next part of the caller's stream, which then ended as if it were complete. The token at which an engine resumes was checked for event streams only.

A call that is to resume now needs a stream that states that token; anything else is a bad answer, after which the chat is resumed at another engine or the connection is aborted.

Before: go test ./internal/target --- FAIL: TestResumedAtFailingEngine want "BadAnswer", not run false; got : from <nil> After: ok, with -race, as are internal/engine and internal/target whole.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -99,15 +99,21 @@
 	if echo != "" && echo != string(call.Request) {
 		return errWrongRequest, nil
 	}
+	if call.ResumeAt > 0 && !resumesAt(resp, call.ResumeAt) {
+		return errNotResumed, nil
+	}
 	if !isEventStream(resp) {
 		return cl.relayBuffered(resp, answer)
 	}
-	if call.ResumeAt > 0 && resp.Header.Get(target.HeaderResumeAt) != strconv.FormatInt(int64(call.ResumeAt), 10) {
-		return errNotResumed, nil
-	}
 	return cl.relayEvents(resp, answer)
 }
 
+// resumesAt reports whether the response is a stream that resumes at the token. Any other answer, such as an error, would end
+// up in the middle of the caller's stream.
+func resumesAt(resp *http.Response, at chestnutroad.Tokens) bool {
+	return isEventStream(resp) && resp.Header.Get(target.HeaderResumeAt) == strconv.FormatInt(int64(at), 10)
+}
+
 func isEventStream(resp *http.Response) bool {
 	kind, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
 	return err == nil && kind == "text/event-stream" && resp.StatusCode == http.StatusOK
--- a/internal/target/engine_test.go
+++ b/internal/target/engine_test.go
@@ -158,6 +158,29 @@
 	}
 }
 
+// TestResumedAtFailingEngine guards against an error, or another answer that is no stream, in the middle of a stream that broke
+// off at another engine.
+func TestResumedAtFailingEngine(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{
+		http.StatusOK, http.StatusNoContent, http.StatusBadRequest, http.StatusInternalServerError, http.StatusServiceUnavailable,
+	} {
+		address := serve(t, func(rw http.ResponseWriter, _ *http.Request) {
+			rw.Header().Set("Content-Type", "application/json")
+			rw.WriteHeader(status)
+			if status != http.StatusNoContent {
+				_, _ = rw.Write([]byte(`{"error":{"message":"out of memory"}}`))
+			}
+		})
+		call, answer := chatCall("mark", true, chestnutroad.RepeatAllowed), &standin.Recorder{}
+		call.ResumeAt = 3
+		checkOutcome(t, newEngineClient(address).Do(t.Context(), call, answer), chestnutroad.BadAnswer, false)
+		if answer.HeadCount() != 0 || answer.Body() != "" {
+			t.Errorf("status %d: the answer %q was delivered", status, answer.Body())
+		}
+	}
+}
+
 // TestSilentAndSlow guards against a silent connection that blocks a stream until its deadline, and against treating a slow
 // engine as a silent one. The case without pings is the baseline. The test does not run in parallel with those that keep
 // the processor busy, since a process without CPU time misses the answer to a ping.
