Fail a chat's second head that can't continue the first

An engine may break off after the head of a chat and before its first token. The chat then starts anew at another engine without a token to resume at; the head of that engine's answer was dropped whatever it said, and its error or document was passed on in the caller's stream, which then ended as if it were complete.

The second head must be that of a stream of the same media type. Any other one is a bad answer, after which the owner may choose another engine.

Before: go test ./internal/host --- FAIL: TestSecondHead document: forwarded "x", error <nil> error: forwarded "x", error <nil> error as a stream: forwarded "x", error <nil> After: ok, with -race, as are internal/host and internal/caller whole.

--- a/internal/host/progress.go
+++ b/internal/host/progress.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"mime"
 	"net/http"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -15,6 +16,8 @@
 	answer   chestnutroad.Answer
 	onTokens func(sent chestnutroad.Tokens)
 	headSent bool
+	// kind is the media type of the first attempt's answer.
+	kind     string
 	chunks   int
 	sent     chestnutroad.Tokens
 	reported chestnutroad.Tokens
@@ -22,12 +25,17 @@
 	answerErr error
 }
 
-// Head forwards the head of the first attempt; a resumed attempt sends it again, and it is dropped.
+// Head forwards the head of the first attempt; a resumed attempt sends it again, and it is dropped. It fails for any answer that
+// can't continue the first one, such as an error.
 func (pg *progress) Head(status int, header http.Header) error {
+	kind, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
 	if pg.headSent {
+		if status != http.StatusOK || kind != pg.kind {
+			return chestnutroad.Refuse(chestnutroad.BadAnswer, "the answer does not continue the stream")
+		}
 		return nil
 	}
-	pg.headSent = true
+	pg.headSent, pg.kind = true, kind
 	pg.answerErr = pg.answer.Head(status, header)
 	return pg.answerErr
 }
