--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -322,12 +322,27 @@
 	metadata := en.wire.ReadAnswer(an.Status, an.Header)
 	en.applyAnswerMetadata(entry, &metadata)
 	ex.answerMetadata = metadata
-	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" {
+	if contradictory(&metadata, entry.ID) {
+		// Whether the request has run is not certain, also when a refusal was mixed with the answer to another request.
+		return sendResult{end: attempt.Broken, err: errContradictory, outcome: placement.Failed}
+	}
+	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" &&
+		ex.acceptsStream(an.Header) {
 		return en.forwardStream(ex, an, stall)
 	}
 	return en.forwardBuffered(ex, an, &metadata)
 }
 
+// contradictory reports whether an answer to a request for the target both says that the request has not run and gives a reason
+// to doubt it: that it has run, that another target says so without being called by mistake, or that the target itself was
+// called by mistake.
+func contradictory(metadata *chestnutroad.AnswerMetadata, id chestnutroad.TargetID) bool {
+	if metadata.Contradictory {
+		return true
+	}
+	return metadata.NotRun && metadata.Target != "" && metadata.WrongTarget == (metadata.Target == id)
+}
+
 // applyAnswerMetadata updates what the host knows of a target from the headers of its answer.
 func (en *Entry) applyAnswerMetadata(entry *chestnutroad.TargetEntry, metadata *chestnutroad.AnswerMetadata) {
 	now := en.now()
@@ -363,6 +378,7 @@
 	}
 	return &targetconn.Request{
 		Address: choice.Entry.Address,
+		ID:      string(ex.callMetadata.ID),
 		Fresh:   choice.NewConnection || choice.Probe,
 		// An answer to a request without an id can't be told from a late answer to another one without an id.
 		SingleUse:   ex.callMetadata.ID == "",
@@ -398,11 +414,13 @@
 
 var (
 	errRefusedByTarget = errors.New("the target did not run the request")
+	errContradictory   = errors.New("the answer contradicts itself on whether the request has run")
 	errWrongTarget     = errors.New("another target has the address")
 	errTargetFailed    = errors.New("the target failed the request")
 	errNoReceipt       = errors.New("the answer has no receipt")
 	errEncoded         = errors.New("the answer has an encoding")
 	errCutOff          = errors.New("the answer is not complete")
+	errNotResumed      = errors.New("the answer does not continue the stream")
 )
 
 // sendReasons maps the errors of failed sends to their label values in the metrics.
@@ -411,11 +429,13 @@
 	name string
 }{
 	{errRefusedByTarget, "Refused"},
+	{errContradictory, "Contradictory"},
 	{errWrongTarget, "WrongTarget"},
 	{errTargetFailed, "Failed"},
 	{errNoReceipt, "NoReceipt"},
 	{errEncoded, "Encoded"},
 	{errCutOff, "CutOff"},
+	{errNotResumed, "NotResumed"},
 	{errEventTooLong, "EventTooLong"},
 	{errCallerGone, "CallerGone"},
 	{targetconn.ErrBadAnswer, "BadAnswer"},
@@ -451,6 +471,9 @@
 		return sendResult{end: attempt.NotRun, err: errRefusedByTarget, outcome: placement.Shed}
 	case err != nil || len(body) > maxBufferedAnswer:
 		return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed}
+	case ex.answerStarted():
+		// An answer that is no stream must not follow the events that the caller has.
+		return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
 	case an.Header.Get("Content-Encoding") != "":
 		return sendResult{end: attempt.Broken, err: errEncoded, outcome: placement.Failed}
 	case an.Status < http.StatusBadRequest && !metadata.Receipt:
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +29,47 @@
 	gotFirstEvent bool
 }
 
+// follows reports whether complete events follow the forwarded ones: their ids increase, and those without an id are events. A
+// target that ignores the id after which it is to resume would repeat events, perhaps with other contents.
+func (ss *streamState) follows(events []byte) bool {
+	last := ss.lastID
+	for event := range bytes.SplitSeq(bytes.ReplaceAll(events, []byte("\r\n"), []byte("\n")), []byte("\n\n")) {
+		id := lastEventID(event)
+		if id == "" && !isEvent(event) || id != "" && !increases(last, id) {
+			return false
+		}
+		if id != "" {
+			last = id
+		}
+	}
+	return true
+}
+
+// increases reports whether an event's id may follow the last one; ids that are no numbers must only differ.
+func increases(last, id string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return number > lastNumber
+}
+
+// eventFields are the starts of lines that events and comments without an id have.
+var eventFields = [][]byte{[]byte("data"), []byte("event"), []byte("retry"), []byte(":")}
+
+// isEvent reports whether a block of lines is empty or has a line of an event, which the text or head of an error has not.
+func isEvent(block []byte) bool {
+	empty := true
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		if slices.ContainsFunc(eventFields, func(field []byte) bool { return bytes.HasPrefix(line, field) }) {
+			return true
+		}
+		empty = empty && len(line) == 0
+	}
+	return empty
+}
+
 const (
 	// streamReadSize is the size of the buffer for reads from a target.
 	streamReadSize = 4 << 10
@@ -47,6 +91,9 @@
 		count, err := an.Body.Read(buffer)
 		if count > 0 {
 			events := splitter.add(buffer[:count])
+			if !ex.stream.follows(events) {
+				return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
+			}
 			hasEvent = hasEvent || containsEvent(events)
 			progress := lastEventID(events) != ""
 			if progress {
@@ -117,6 +164,17 @@
 	return sendResult{done: true, outcome: placement.Served}
 }
 
+// acceptsStream reports whether an answer with the header can start the caller's stream, or continue it in the same media type.
+func (ex *exchange) acceptsStream(header http.Header) bool {
+	return !ex.answerStarted() || mediaType(header) == mediaType(ex.writer.Header())
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // startStream sends the status and headers of a stream.
 func (en *Entry) startStream(ex *exchange, header http.Header) {
 	copyHeader(ex.writer.Header(), header)
