--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,3 @@
+// Package quarantine decides which prompt parts are suspected of crashing the targets that answer them. It has no network and
+// no clock of its own.
+package quarantine
