Drop several parts at once when the table of crash evidence is full

A full table was searched for one part to drop at each new one, which took most of the time of the bounds test.

--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -12,6 +13,8 @@
 	// maxParts limits the parts with crash evidence. A target that ends leaves evidence against about 30 parts, most of which
 	// are served again within seconds.
 	maxParts = 512
+	// evictedParts is the number of parts that are dropped at once when the table is full.
+	evictedParts = 64
 	// maxCrashes limits the crashes kept of a part, the newest ones. Five make it a firm suspect, and each later round adds one
 	// or two.
 	maxCrashes = 24
@@ -151,7 +154,7 @@
 	}
 }
 
-// track returns the part and starts to track it if needed. While the table is full of suspects, it returns nil.
+// track returns the part and starts to track it if needed. While the table is full of parts with several crashes, it returns nil.
 func (tr *Tracker) track(now time.Time, hash chestnutroad.PartHash) *part {
 	if pt := tr.parts[hash]; pt != nil {
 		return pt
@@ -167,21 +170,24 @@
 	return pt
 }
 
-// evict drops the parts without valid evidence, or else the one below minCrashes whose evidence is the oldest.
+// evict drops the parts without valid evidence, or else evictedParts of those below minCrashes, the ones with the oldest evidence.
 func (tr *Tracker) evict(now time.Time) {
 	tr.expire(now)
 	if len(tr.parts) < maxParts {
 		return
 	}
-	var oldest chestnutroad.PartHash
-	var oldestAt time.Time
+	var candidates []chestnutroad.PartHash
 	for hash, pt := range tr.parts {
-		at := later(pt.lastCrash(), pt.servedAt)
-		if len(pt.crashes) < minCrashes && (oldestAt.IsZero() || at.Before(oldestAt)) {
-			oldest, oldestAt = hash, at
+		if len(pt.crashes) < minCrashes {
+			candidates = append(candidates, hash)
 		}
 	}
-	delete(tr.parts, oldest)
+	slices.SortFunc(candidates, func(a, b chestnutroad.PartHash) int {
+		return cmp.Or(tr.parts[a].lastEvidence().Compare(tr.parts[b].lastEvidence()), cmp.Compare(a, b))
+	})
+	for _, hash := range candidates[:min(len(candidates), evictedParts)] {
+		delete(tr.parts, hash)
+	}
 }
 
 // expire drops the parts whose evidence no longer counts.
@@ -246,6 +252,9 @@
 	return pt.crashes[len(pt.crashes)-1].at
 }
 
+// lastEvidence returns the time of the last crash or of the last answer.
+func (pt *part) lastEvidence() time.Time { return later(pt.lastCrash(), pt.servedAt) }
+
 func earlier(one, other time.Time) time.Time {
 	if other.Before(one) {
 		return other
