Refuse requests with a prompt part that crashes targets

The cause: each request was judged alone, so that all hosts went on to send requests with the part, and a request whose target crashed went on to end the next one.

Hosts now record the crashes under the parts of their requests, tell each other with the messages of each tick, and refuse requests with a suspected part as Quarantined: 503, not run, with the time until the next trial. A request whose target crashed is sent again only if its shared parts were served within the last minute. Evidence is a new field of the datagrams, which earlier hosts ignore. Without = ["Quarantine"] switches it off.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -17,11 +17,16 @@
 	open atomic.Int64
 	// controlBytes counts the bytes of datagrams sent to other hosts.
 	controlBytes *metrics.Counter
+	// quarantined counts the requests refused for a suspected prompt part, and crashEvidence the parts accused of crashes.
+	quarantined   *metrics.Counter
+	crashEvidence *metrics.Counter
 }
 
 func newCounters() *counters {
 	cn := &counters{set: metrics.NewSet()}
 	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
+	cn.quarantined = cn.set.NewCounter("chestnutroad_requests_quarantined_total")
+	cn.crashEvidence = cn.set.NewCounter("chestnutroad_part_crash_evidence_total")
 	cn.set.NewGauge("chestnutroad_requests_open", func() float64 { return float64(cn.open.Load()) })
 	return cn
 }
@@ -47,6 +52,7 @@
 		}
 		return 0
 	})
+	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
 	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/quarantine"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 )
 
@@ -32,6 +33,8 @@
 	failure *bufferedAnswer
 	// targetCounts counts the service's targets by state, for the log, when none was left to choose.
 	targetCounts *placement.TargetCounts
+	// suspect describes the prompt part for which the request was refused, for the log.
+	suspect *quarantine.Decision
 	// trail lists the target, duration and error of each send, for the log.
 	trail []string
 	// status is the status that was sent to the caller, zero before that.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,6 +29,8 @@
 	failure *bufferedAnswer
 	err     error
 	outcome placement.Outcome
+	// crashed is true when the connection ended before the answer had made progress, without a cause at this host or the caller.
+	crashed bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -52,6 +54,9 @@
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
 	for {
+		if err := en.checkQuarantine(ex); err != nil {
+			return err
+		}
 		choice, found := en.state.choose(en.now(), &ex.criteria)
 		en.updateRefusalRate(ex, !found && choice.Full)
 		if !found {
@@ -161,7 +166,8 @@
 	}
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
-	pr.HasTargets = true
+	// A request that may have crashed its target may crash any other.
+	pr.HasTargets = !res.crashed || en.recordCrash(ex, &choice.Entry)
 	return attempt.Next(res.end, pr)
 }
 
@@ -269,7 +275,8 @@
 	defer cancel()
 	stall := newStallTimer(cancel, en.initialStallTimeout(ex, en.now()))
 	defer stall.stop()
-	ex.stream.lastProgress, ex.stream.gotFirstEvent = en.now(), false
+	ex.stream.lastProgress, ex.stream.gotFirstEvent, ex.stream.reads = en.now(), false, 0
+	sent := en.now()
 	defer en.recordStall(ex, stall)
 	request := en.newTargetRequest(ex, entry)
 	request.Fresh = ex.choice.NewConnection
@@ -278,16 +285,31 @@
 	}
 	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
-		return sendFailure(err, ex.request.Context().Err() != nil)
+		res := sendFailure(err, ex.request.Context().Err() != nil)
+		res.crashed = ctx.Err() == nil && crashedTarget(err, en.now().Sub(sent))
+		return res
 	}
 	defer an.Close()
 	metadata := en.wire.ReadAnswer(an.Status, an.Header)
 	en.applyAnswerMetadata(entry, &metadata)
 	ex.answerMetadata = metadata
 	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" {
-		return en.forwardStream(ex, an, stall)
+		res := en.forwardStream(ex, an, stall)
+		res.crashed = res.crashed && ctx.Err() == nil
+		return res
 	}
-	return en.forwardBuffered(ex, an, &metadata)
+	res := en.forwardBuffered(ex, an, &metadata)
+	res.crashed = res.crashed && ctx.Err() == nil
+	return res
+}
+
+// crashedTarget reports whether the error of a send without an answer means that the target ended after it had got the request.
+func crashedTarget(err error, wait time.Duration) bool {
+	var notSent *targetconn.NotSentError
+	if errors.As(err, &notSent) || errors.Is(err, targetconn.ErrBadAnswer) {
+		return false
+	}
+	return !errors.Is(err, targetconn.ErrStaleConn) || wait >= staleConnWindow
 }
 
 // applyAnswerMetadata updates what the host knows of a target from the headers of its answer.
@@ -403,7 +425,10 @@
 		}
 		return sendResult{end: attempt.NotRun, err: errRefusedByTarget, outcome: placement.Shed}
 	case err != nil || len(body) > maxBufferedAnswer:
-		return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed}
+		return sendResult{
+			end: attempt.Broken, err: errCutOff, outcome: placement.Failed,
+			crashed: err != nil && !errors.Is(err, errBuffersFull),
+		}
 	case an.Header.Get("Content-Encoding") != "":
 		return sendResult{end: attempt.Broken, err: errEncoded, outcome: placement.Failed}
 	case an.Status < http.StatusBadRequest && !metadata.Receipt:
@@ -417,6 +442,9 @@
 	if an.Status >= http.StatusInternalServerError {
 		return sendResult{end: attempt.TargetFailed, failure: answer, err: errTargetFailed, outcome: placement.Failed}
 	}
+	if an.Status == http.StatusOK && metadata.Receipt {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
 	if err := en.deliver(ex, answer); err != nil {
 		return sendResult{end: attempt.Broken, err: err, outcome: placement.Served}
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -102,6 +102,7 @@
 			continue
 		}
 		ln.entry.state.applyResidences(ln.entry.now(), message.Residences)
+		ln.entry.state.mergeEvidence(ln.entry.now(), message.Evidence)
 		if message.Kind == relay.Beacon && others != nil {
 			ln.entry.state.setRemoteView(ln.entry.now(), others)
 		}
@@ -124,6 +125,8 @@
 		now := ln.entry.now()
 		status := ln.entry.localStatus()
 		status.Residences = ln.entry.state.pendingResidences(now)
+		status.Evidence = ln.entry.state.pendingEvidence(now)
+		ln.entry.logSuspects(now)
 		ln.mu.Lock()
 		sends := ln.node.Tick(now, &status)
 		relaying := ln.node.Relaying()
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -80,6 +81,10 @@
 		fields = append(fields, "Known", ex.targetCounts.Total, "Leaving", ex.targetCounts.Leaving, "Closed", ex.targetCounts.Unreachable,
 			"Held", ex.targetCounts.Held)
 	}
+	if ex.suspect != nil {
+		hash := chestnutroad.HashID(ex.suspect.Part)
+		fields = append(fields, "Part", ex.suspect.Part, "PartHash", fmt.Sprintf("%016x", hash), "Crashes", ex.suspect.Crashes)
+	}
 	if err != nil {
 		fields = append(fields, "Error", err)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/quarantine"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
@@ -32,9 +33,11 @@
 	// compressedSnapshot is the snapshot of the records, for hosts that start; nil after a change until the next request for it.
 	compressedSnapshot *siblings.Compressed
 	pool               *placement.Pool
-	budgets            map[chestnutroad.ServiceID]*retrybudget.Budget
-	ruleStats          map[chestnutroad.RouteID]*ruleStats
-	teams              map[chestnutroad.ServiceID]*admission.TeamRates
+	// suspects tracks the prompt parts that are suspected of crashing targets.
+	suspects  *quarantine.Tracker
+	budgets   map[chestnutroad.ServiceID]*retrybudget.Budget
+	ruleStats map[chestnutroad.RouteID]*ruleStats
+	teams     map[chestnutroad.ServiceID]*admission.TeamRates
 	// throttles hold the admission control of each service.
 	throttles map[chestnutroad.ServiceID]*admission.Throttle
 	// disabled are the mechanisms that the settings disable.
@@ -54,6 +57,7 @@
 		records:      newRecordSet(),
 		incarnations: newIncarnations(),
 		pool:         placement.NewPool(set.DataCentre, poolOptions(set)...),
+		suspects:     quarantine.New(),
 		budgets:      map[chestnutroad.ServiceID]*retrybudget.Budget{},
 		ruleStats:    map[chestnutroad.RouteID]*ruleStats{},
 		teams:        map[chestnutroad.ServiceID]*admission.TeamRates{},
@@ -175,6 +179,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.hostCount = count
+	st.suspects.SetHostCount(count)
 }
 
 // setRemoteView replaces the request counts and notices of targets that other hosts reported.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -24,6 +24,8 @@
 	// sent one. Only events with an id count.
 	lastProgress  time.Time
 	gotFirstEvent bool
+	// reads counts the reads of the current send that completed events.
+	reads int
 }
 
 const (
@@ -50,6 +52,7 @@
 				en.recordEventWait(ex)
 				stall.reset(en.eventStallTimeout(ex))
 			}
+			en.countEventRead(ex, events)
 			if failure := en.forwardEvents(ex, an.Header, events); failure != nil {
 				return sendResult{end: attempt.Broken, err: failure, outcome: placement.Served}
 			}
@@ -59,13 +62,27 @@
 			an.Release()
 			return en.finishStream(ex, an.Header)
 		case err != nil:
-			return sendResult{end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed}
+			return sendResult{
+				end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed,
+				crashed: ex.stream.reads < progressReads,
+			}
 		case splitter.size() > maxEventSize:
 			return sendResult{end: attempt.Broken, err: errEventTooLong, outcome: placement.Failed}
 		}
 	}
 }
 
+// countEventRead counts a read of complete events and records that the request has not crashed its target once there are enough.
+func (en *Entry) countEventRead(ex *exchange, events []byte) {
+	if len(events) == 0 {
+		return
+	}
+	ex.stream.reads++
+	if ex.stream.reads == progressReads {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
+}
+
 // recordEventWait records the time since the last event of the send, or since its start for the first event.
 func (en *Entry) recordEventWait(ex *exchange) {
 	now := en.now()
@@ -105,6 +122,9 @@
 	if !ex.answerStarted() {
 		en.startStream(ex, header)
 	}
+	if ex.stream.reads > 0 && ex.stream.reads < progressReads {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.recordStream(ex.stream.events, ex.callMetadata.Output) })
 	return sendResult{done: true, outcome: placement.Served}
 }
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -33,6 +33,8 @@
 	Ejection Name = "Ejection"
 	// Reachability stops sending to targets and data centres that can't be reached.
 	Reachability Name = "Reach"
+	// Quarantine refuses requests with prompt parts that are suspected of crashing targets.
+	Quarantine Name = "Quarantine"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -45,7 +47,7 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -50,6 +50,9 @@
 	Notices []Notice `json:",omitempty"`
 	// Residences are targets where prompt parts are in use; package siblings encodes them in a binary form instead.
 	Residences []chestnutroad.Residence `json:"-"`
+	// Evidence is what hosts have observed of prompt parts that may crash targets; package siblings encodes it in a binary form
+	// instead.
+	Evidence []chestnutroad.PartEvidence `json:"-"`
 }
 
 // Send is a message with the address that it goes to.
@@ -70,6 +73,8 @@
 	Own View
 	// Residences are sent to other hosts once, with the messages of this tick.
 	Residences []chestnutroad.Residence
+	// Evidence about prompt parts is sent to other hosts with the messages of this tick.
+	Evidence []chestnutroad.PartEvidence
 }
 
 const (
@@ -119,6 +124,9 @@
 	// forwards them at the next tick.
 	localResidences  []chestnutroad.Residence
 	remoteResidences []chestnutroad.Residence
+	// localEvidence and remoteEvidence are the same for the evidence about prompt parts.
+	localEvidence  evidenceQueue
+	remoteEvidence evidenceQueue
 	// rotation is the start index among the hosts of a data centre whose relay is not known.
 	rotation int
 }
@@ -242,9 +250,11 @@
 	switch message.Kind {
 	case Report:
 		nd.localResidences = mergeResidences(nd.localResidences, message.Residences)
+		nd.localEvidence.add(now, message.Evidence)
 		return true
 	case Exchange:
 		nd.remoteResidences = mergeResidences(nd.remoteResidences, message.Residences)
+		nd.remoteEvidence.add(now, message.Evidence)
 		return true
 	case Beacon:
 	}
@@ -276,6 +286,7 @@
 	nd.relaying = nd.shouldRelay(now, state)
 	if !nd.relaying {
 		nd.localResidences, nd.remoteResidences = nil, nil
+		nd.localEvidence, nd.remoteEvidence = nil, nil
 		return nd.report(now, state)
 	}
 	return nd.relay(now, state)
@@ -340,6 +351,7 @@
 	nd.reported = &state.Own
 	report := nd.message(Report, state, &state.Own)
 	report.Residences = state.Residences
+	report.Evidence = state.Evidence
 	return []Send{{Address: relay.Address, Message: report}}
 }
 
@@ -365,8 +377,12 @@
 	local := mergeResidences(nd.localResidences, state.Residences)
 	remote := nd.remoteResidences
 	nd.localResidences, nd.remoteResidences = nil, nil
+	nd.localEvidence.add(now, state.Evidence)
 	beacon, exchange := nd.message(Beacon, state, total), nd.message(Exchange, state, dataCentreTotal)
 	beacon.Residences, exchange.Residences = mergeResidences(slices.Clone(local), remote), local
+	exchange.Evidence = nd.localEvidence.items(now)
+	beacon.Evidence = append(nd.remoteEvidence.items(now), exchange.Evidence...)
+	nd.localEvidence, nd.remoteEvidence = nil, nil
 	for _, hs := range nd.localHosts {
 		if hs.ID != nd.self.ID {
 			sends = append(sends, Send{Address: hs.Address, Message: beacon})
--- a/internal/relay/node_test.go
+++ b/internal/relay/node_test.go
@@ -23,6 +23,8 @@
 	countBytes int
 	// residences is the number of residences that each host received.
 	residences map[chestnutroad.HostID]int
+	// evidence is the evidence about prompt parts that each host received.
+	evidence map[chestnutroad.HostID][]chestnutroad.PartEvidence
 }
 
 func newCluster(dataCentres, perCentre int) *cluster {
@@ -82,6 +84,9 @@
 					if cl.residences != nil {
 						cl.residences[to] += len(send.Message.Residences)
 					}
+					if cl.evidence != nil {
+						cl.evidence[to] = append(cl.evidence[to], send.Message.Evidence...)
+					}
 					cl.nodes[to].Receive(cl.now, &send.Message)
 				}
 			}
@@ -288,3 +293,36 @@
 		}
 	}
 }
+
+// TestEvidenceReachesAllHosts guards against evidence about a prompt part that stays with the host that reported it, that
+// circulates among the hosts, or whose age stands still while a relay holds it.
+func TestEvidenceReachesAllHosts(t *testing.T) {
+	t.Parallel()
+	cl := newCluster(3, 4)
+	cl.run(3 * time.Second)
+	crash := chestnutroad.PartEvidence{Part: 1 << 60, Crash: 7, Age: time.Second}
+	sources := []chestnutroad.HostID{cl.hosts[6].ID, cl.hosts[7].ID}
+	for _, source := range sources {
+		cl.states[source].Evidence = []chestnutroad.PartEvidence{crash, {Part: 5, Age: time.Millisecond}}
+	}
+	cl.evidence = map[chestnutroad.HostID][]chestnutroad.PartEvidence{}
+	cl.run(relay.TickInterval)
+	for _, source := range sources {
+		cl.states[source].Evidence = nil
+	}
+	cl.run(3 * time.Second)
+	for _, hs := range cl.hosts {
+		got := cl.evidence[hs.ID]
+		if hs.ID == cl.hosts[4].ID {
+			// The relay of the sources gets the evidence from both.
+			got = got[2:]
+		}
+		if len(got) != 2 || got[0].Part != crash.Part || got[0].Crash != crash.Crash || got[1].Part != 5 || got[1].Crash != 0 {
+			t.Errorf("%s received %+v, want each item once", hs.ID, got)
+			continue
+		}
+		if age := got[0].Age - crash.Age; age < 0 || age > 2*relay.TickInterval || got[1].Age != age+time.Millisecond {
+			t.Errorf("%s received %+v, want ages up to two ticks higher", hs.ID, got)
+		}
+	}
+}
--- a/internal/siblings/datagram.go
+++ b/internal/siblings/datagram.go
@@ -32,6 +32,8 @@
 	NoticeSize int `json:",omitempty"`
 	// Parts are the encoded residences, see encodeResidences.
 	Parts []byte `json:",omitempty"`
+	// Crashes is the encoded evidence about prompt parts, see encodeEvidence. Hosts of earlier versions ignore the field.
+	Crashes []byte `json:",omitempty"`
 }
 
 // residenceSize is the size of an encoded residence in bytes.
@@ -136,6 +138,7 @@
 	dg.Counts, dg.Size = sk.compress(message.Counts)
 	dg.Notices, dg.NoticeSize = sk.compress(message.Notices)
 	dg.Parts = encodeResidences(message.Residences)
+	dg.Crashes = encodeEvidence(message.Evidence)
 	data, err := json.Marshal(&dg)
 	return data, errors.Wrap(err, "encode datagram")
 }
@@ -186,6 +189,7 @@
 		return nil, err
 	}
 	dg.Residences = decodeResidences(dg.Parts)
+	dg.Evidence = decodeEvidence(dg.Crashes)
 	return &dg.Message, nil
 }
 
--- a/kind.go
+++ b/kind.go
@@ -27,6 +27,7 @@
 	NotReady         Kind = "NotReady"
 	Draining         Kind = "Draining"
 	TargetRefused    Kind = "TargetRefused"
+	Quarantined      Kind = "Quarantined"
 	InProgress       Kind = "InProgress"
 	OutcomeUnknown   Kind = "OutcomeUnknown"
 	BadAnswer        Kind = "BadAnswer"
@@ -110,6 +111,10 @@
 		Kind: TargetRefused, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true, Elsewhere: true,
 		Help: "the target refused the request before it started",
 	},
+	{
+		Kind: Quarantined, Status: http.StatusServiceUnavailable, NotRun: true, Retry: true,
+		Help: "a part of the prompt is suspected of crashing targets; come back later",
+	},
 	{
 		Kind: InProgress, Status: http.StatusConflict, Retry: true,
 		Help: "the first request with this key is running; ask again with the same key",
