Take a stream without framing that ends before its first event for broken off

Callers got an empty stream as a complete answer when a target crashed under an answer that had neither a length nor chunks, and the crash was no evidence against the parts of the prompt. Such an end of the connection is now a crash of the target; one after the first event clears no part. The new case of TestPartThatCrashesTargets before:

46 targets crashed, 27 of them later than 3 s after the fifth; want at most 3 of those 12 of 40 sound requests were served in the last 3 s

and after: pass.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -442,7 +442,7 @@
 	if an.Status >= http.StatusInternalServerError {
 		return sendResult{end: attempt.TargetFailed, failure: answer, err: errTargetFailed, outcome: placement.Failed}
 	}
-	if an.Status == http.StatusOK && metadata.Receipt {
+	if an.Status == http.StatusOK && metadata.Receipt && len(body) > 0 {
 		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
 	}
 	if err := en.deliver(ex, answer); err != nil {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -40,11 +40,13 @@
 	t.Parallel()
 	skipKnownRed(t)
 	cases := []struct {
-		name   string
-		prefix string
+		name     string
+		prefix   string
+		unframed bool
 	}{
-		{"first", "deadly:10,shared:10,own-%d:5"},
-		{"in the middle", "shared:10,deadly:10,own-%d:5"},
+		{"first", "deadly:10,shared:10,own-%d:5", false},
+		{"in the middle", "shared:10,deadly:10,own-%d:5", false},
+		{"answers without a length", "shared:10,deadly:10,own-%d:5", true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -55,6 +57,7 @@
 			for index := range 12 {
 				rn := st.runner(fmt.Sprintf("i-%d", index), "model")
 				rn.Events, rn.Gap, rn.CrashPart = 3, 50*time.Millisecond, "deadly"
+				rn.CrashUnframed = tc.unframed
 				rn.OnCrash = func() {
 					crashes.add()
 					time.AfterFunc(time.Second, func() {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -58,9 +58,12 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && an.Unframed && splitter.empty() && !ex.answerStarted():
+			// Every stream has an event; without one, the connection has ended because the target did.
+			return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed, crashed: true}
 		case errors.Is(err, io.EOF) && splitter.empty():
 			an.Release()
-			return en.finishStream(ex, an.Header)
+			return en.finishStream(ex, an)
 		case err != nil:
 			return sendResult{
 				end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed,
@@ -116,13 +119,13 @@
 }
 
 // finishStream completes the answer; a stream without events still gets a status and headers.
-func (en *Entry) finishStream(ex *exchange, header http.Header) sendResult {
+func (en *Entry) finishStream(ex *exchange, an *targetconn.Answer) sendResult {
 	// The end is written after the handler returns, when the write deadline of the last event may have passed.
 	_ = http.NewResponseController(ex.writer).SetWriteDeadline(en.now().Add(writeTimeout))
 	if !ex.answerStarted() {
-		en.startStream(ex, header)
+		en.startStream(ex, an.Header)
 	}
-	if ex.stream.reads > 0 && ex.stream.reads < progressReads {
+	if ex.stream.reads > 0 && ex.stream.reads < progressReads && !an.Unframed {
 		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
 	}
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.recordStream(ex.stream.events, ex.callMetadata.Output) })
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -69,6 +69,8 @@
 	Body io.Reader
 	// Reused is true when the answer came on a reused connection.
 	Reused bool
+	// Unframed is true when the body has neither a length nor chunks, so that only the end of the connection ends it.
+	Unframed bool
 
 	pool    *Pool
 	address netip.AddrPort
@@ -176,6 +178,7 @@
 		if rq.Matches(resp.StatusCode, resp.Header) {
 			an.response = resp
 			an.Status, an.Header, an.Body = resp.StatusCode, resp.Header, resp.Body
+			an.Unframed = resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && rq.Method != http.MethodHead
 			return nil
 		}
 		// A late second answer to an earlier request arrives before the answer to this one.
