--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/quarantine"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
@@ -37,6 +38,8 @@
 	failure *bufferedAnswer
 	// targetCounts counts the service's targets by state, for the log, when none was left to choose.
 	targetCounts *placement.TargetCounts
+	// suspect describes the prompt part for which the request was refused, for the log.
+	suspect *quarantine.Decision
 	// trail lists the target, duration and error of each send, for the log.
 	trail []string
 	// stalls lists what followed each stall of a target, for the log.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,6 +29,8 @@
 	failure *bufferedAnswer
 	err     error
 	outcome placement.Outcome
+	// crashed is true when the connection ended before the answer had made progress, without a cause at this host or the caller.
+	crashed bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -53,6 +55,9 @@
 	}
 	defer en.discardUnused(ex)
 	for {
+		if err := en.checkQuarantine(ex); err != nil {
+			return err
+		}
 		choice, found := en.choose(ex)
 		en.updateRefusalRate(ex, !found && choice.Full)
 		if !found {
@@ -175,7 +180,8 @@
 	ex.allowReturn(res.end)
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
-	pr.HasTargets = en.cutOff.Err() == nil
+	// A request that may have crashed its target may crash any other.
+	pr.HasTargets = en.cutOff.Err() == nil && (!res.crashed || en.recordCrash(ex, &choice.Entry))
 	return attempt.Next(res.end, pr)
 }
 
@@ -297,7 +303,7 @@
 	defer context.AfterFunc(en.cutOff, cancel)()
 	started := en.now()
 	wait := en.initialStallTimeout(ex, started)
-	ex.stream.lastProgress, ex.stream.gotFirstEvent = started, false
+	ex.stream.lastProgress, ex.stream.gotFirstEvent, ex.stream.reads = started, false, 0
 	request := en.newTargetRequest(ex, wait)
 	request.Connection, ex.connection = ex.connection, nil
 	if request.Connection == nil {
@@ -316,7 +322,9 @@
 	}()
 	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
-		return sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
+		res := sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
+		res.crashed = ctx.Err() == nil && crashedTarget(err, en.now().Sub(started))
+		return res
 	}
 	defer an.Close()
 	metadata := en.wire.ReadAnswer(an.Status, an.Header)
@@ -328,9 +336,22 @@
 	}
 	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" &&
 		ex.acceptsStream(an.Header) {
-		return en.forwardStream(ex, an, stall)
+		res := en.forwardStream(ex, an, stall)
+		res.crashed = res.crashed && ctx.Err() == nil
+		return res
 	}
-	return en.forwardBuffered(ex, an, &metadata)
+	res := en.forwardBuffered(ex, an, &metadata)
+	res.crashed = res.crashed && ctx.Err() == nil
+	return res
+}
+
+// crashedTarget reports whether the error of a send without an answer means that the target ended after it had got the request.
+func crashedTarget(err error, wait time.Duration) bool {
+	var notSent *targetconn.NotSentError
+	if errors.As(err, &notSent) || errors.Is(err, targetconn.ErrBadAnswer) {
+		return false
+	}
+	return !errors.Is(err, targetconn.ErrStaleConn) || wait >= staleConnWindow
 }
 
 // contradictory reports whether an answer to a request for the target both says that the request has not run and gives a reason
@@ -470,7 +491,10 @@
 		}
 		return sendResult{end: attempt.NotRun, err: errRefusedByTarget, outcome: placement.Shed}
 	case err != nil || len(body) > maxBufferedAnswer:
-		return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed}
+		return sendResult{
+			end: attempt.Broken, err: errCutOff, outcome: placement.Failed,
+			crashed: err != nil && !errors.Is(err, errBuffersFull),
+		}
 	case ex.answerStarted():
 		// An answer that is no stream must not follow the events that the caller has.
 		return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
@@ -487,6 +511,9 @@
 	if an.Status >= http.StatusInternalServerError {
 		return sendResult{end: attempt.TargetFailed, failure: answer, err: errTargetFailed, outcome: placement.Failed}
 	}
+	if an.Status == http.StatusOK && metadata.Receipt && len(body) > 0 {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
 	if err := en.deliver(ex, answer); err != nil {
 		return sendResult{end: attempt.Broken, err: err, outcome: placement.Served}
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -27,6 +27,8 @@
 	// sent one. Only events with an id count.
 	lastProgress  time.Time
 	gotFirstEvent bool
+	// reads counts the reads of the current send that completed events.
+	reads int
 }
 
 // follows reports whether complete events follow the forwarded ones: their ids increase, and those without an id are events. A
@@ -101,6 +103,7 @@
 				// A caller that reads slowly is no stall of the target.
 				stall.reset(writeTimeout)
 			}
+			en.countEventRead(ex, events)
 			if failure := en.forwardEvents(ex, an.Header, events); failure != nil {
 				return sendResult{end: attempt.Broken, err: failure, outcome: placement.Served}
 			}
@@ -112,15 +115,29 @@
 		switch {
 		case errors.Is(err, io.EOF) && splitter.empty() && (hasEvent || an.Framed):
 			an.Release()
-			return en.finishStream(ex, an.Header)
+			return en.finishStream(ex, an)
 		case err != nil:
-			return sendResult{end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed}
+			return sendResult{
+				end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed,
+				crashed: ex.stream.reads < progressReads,
+			}
 		case splitter.size() > maxEventSize:
 			return sendResult{end: attempt.Broken, err: errEventTooLong, outcome: placement.Failed}
 		}
 	}
 }
 
+// countEventRead counts a read of complete events and records that the request has not crashed its target once there are enough.
+func (en *Entry) countEventRead(ex *exchange, events []byte) {
+	if len(events) == 0 {
+		return
+	}
+	ex.stream.reads++
+	if ex.stream.reads == progressReads {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
+}
+
 // recordEventWait records the time since the last event of the send, or since its start for the first event.
 func (en *Entry) recordEventWait(ex *exchange) {
 	now := en.now()
@@ -154,11 +171,14 @@
 }
 
 // finishStream completes the answer; a stream without events still gets a status and headers.
-func (en *Entry) finishStream(ex *exchange, header http.Header) sendResult {
+func (en *Entry) finishStream(ex *exchange, an *targetconn.Answer) sendResult {
 	// The end is written after the handler returns, when the write deadline of the last event may have passed.
 	_ = http.NewResponseController(ex.writer).SetWriteDeadline(en.now().Add(writeTimeout))
 	if !ex.answerStarted() {
-		en.startStream(ex, header)
+		en.startStream(ex, an.Header)
+	}
+	if ex.stream.reads > 0 && ex.stream.reads < progressReads && an.Framed {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
 	}
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.recordStream(ex.stream.events, ex.callMetadata.Output) })
 	return sendResult{done: true, outcome: placement.Served}
