Name other hosts as the source when a suspicion ends, and draw the simulated parts in a fixed order

The line about the end of a suspicion named this host as the source of a part that other hosts had accused. The simulation drew its random numbers in the order of a map, so that a seed with two parts did not repeat.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -57,9 +57,9 @@
 // logSuspects logs the prompt parts whose suspicion started or ended.
 func (en *Entry) logSuspects(now time.Time) {
 	for _, change := range en.state.suspectChanges(now) {
-		source := "this host"
-		if len(change.Targets) < change.Crashes {
-			source = "hosts"
+		source := "hosts"
+		if len(change.Targets) > 0 && len(change.Targets) >= change.Crashes {
+			source = "this host"
 		}
 		part := fmt.Sprintf("%016x", uint64(change.Part))
 		if change.Suspected {
--- a/internal/quarantine/site_test.go
+++ b/internal/quarantine/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -20,8 +21,8 @@
 	targets []simTarget
 	events  eventQueue
 	deadly  map[string]*deadlyPart
-	// refused and served count the sound requests by second.
-	refused, served map[int]int
+	// refused counts the sound requests that were refused, by second.
+	refused map[int]int
 }
 
 type simTarget struct {
@@ -104,9 +105,9 @@
 	first, chat := fmt.Sprintf("kind-%d", sim.rng.IntN(4)), fmt.Sprintf("chat-%d", number-sim.rng.IntN(min(number+1, 400)))
 	rq := &simRequest{host: sim.hosts[sim.rng.IntN(len(sim.hosts))], id: chestnutroad.RequestID(fmt.Sprint("r-", number))}
 	rq.parts = prompt(first, chat)
-	for name, dp := range sim.deadly {
+	for _, name := range slices.Sorted(maps.Keys(sim.deadly)) {
 		if sim.rng.Float64() < share/float64(len(sim.deadly)) {
-			rq.parts, rq.deadly = prompt(first, name, chat), dp
+			rq.parts, rq.deadly = prompt(first, name, chat), sim.deadly[name]
 			if name == "deadly-first" {
 				rq.parts = prompt(name, first, chat)
 			}
@@ -146,7 +147,6 @@
 			return
 		}
 		rq.progress = true
-		sim.served[second]++
 		rq.host.Served(sim.clock(), rq.parts)
 		sim.after(sim.random(time.Second, 3*time.Second), func() { sim.finish(rq) })
 	})
@@ -211,7 +211,7 @@
 			t.Run(fmt.Sprint(tc.name, ", seed ", seed), func(t *testing.T) {
 				t.Parallel()
 				sim := &simulation{
-					rng: rand.New(rand.NewPCG(seed, 1)), deadly: map[string]*deadlyPart{}, refused: map[int]int{}, served: map[int]int{},
+					rng: rand.New(rand.NewPCG(seed, 1)), deadly: map[string]*deadlyPart{}, refused: map[int]int{},
 				}
 				for range tc.hosts {
 					tr := quarantine.New()
