Count events, not reads, as progress against a crash

A resumable stream that broke off within its third event was not continued at another target when its first two events came in one read: a send counted as crashed until two reads had completed events, and the request's parts were not known to be sound. Events with an id are counted now, so that the evidence does not depend on how the target's bytes are grouped.

Before, internal/entry TestResumedAtFailingRunner, all cases: the runners got 0 and 1 requests, want 1 and 1 It passes now, as does TestPartThatCrashesTargets.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -303,7 +303,7 @@
 	defer context.AfterFunc(en.cutOff, cancel)()
 	started := en.now()
 	wait := en.initialStallTimeout(ex, started)
-	ex.stream.lastProgress, ex.stream.gotFirstEvent, ex.stream.reads = started, false, 0
+	ex.stream.lastProgress, ex.stream.gotFirstEvent, ex.stream.received = started, false, 0
 	request := en.newTargetRequest(ex, wait)
 	request.Connection, ex.connection = ex.connection, nil
 	if request.Connection == nil {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -16,9 +16,9 @@
 	// staleConnWindow is the time within which a reused connection that ends without an answer had probably ended before the
 	// request: it is a few round trips, while engines take at least as long to read a short prompt.
 	staleConnWindow = 30 * time.Millisecond
-	// progressReads is the number of reads with events after which a stream's request has not crashed its target. A target may
-	// end just after it has sent the first event.
-	progressReads = 2
+	// progressEvents is the number of events after which a stream's request has not crashed its target. A target may end just
+	// after it has sent the first event.
+	progressEvents = 2
 )
 
 // checkQuarantine returns a refusal if a prompt part of the request is suspected of crashing targets, and nil otherwise.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -27,8 +27,8 @@
 	// sent one. Only events with an id count.
 	lastProgress  time.Time
 	gotFirstEvent bool
-	// reads counts the reads of the current send that completed events.
-	reads int
+	// received counts the events with an id that the target of the current send has sent.
+	received int
 }
 
 // follows reports whether complete events follow the forwarded ones: their ids increase, and those without an id are events. A
@@ -103,7 +103,7 @@
 				// A caller that reads slowly is no stall of the target.
 				stall.reset(writeTimeout)
 			}
-			en.countEventRead(ex, events)
+			en.countReceived(ex, events)
 			if failure := en.forwardEvents(ex, an.Header, events); failure != nil {
 				return sendResult{end: attempt.Broken, err: failure, outcome: placement.Served}
 			}
@@ -119,7 +119,7 @@
 		case err != nil:
 			return sendResult{
 				end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed,
-				crashed: ex.stream.reads < progressReads,
+				crashed: ex.stream.received < progressEvents,
 			}
 		case splitter.size() > maxEventSize:
 			return sendResult{end: attempt.Broken, err: errEventTooLong, outcome: placement.Failed}
@@ -127,13 +127,11 @@
 	}
 }
 
-// countEventRead counts a read of complete events and records that the request has not crashed its target once there are enough.
-func (en *Entry) countEventRead(ex *exchange, events []byte) {
-	if len(events) == 0 {
-		return
-	}
-	ex.stream.reads++
-	if ex.stream.reads == progressReads {
+// countReceived counts the events of the current send. From progressEvents on, the request has not crashed its target.
+func (en *Entry) countReceived(ex *exchange, events []byte) {
+	before := ex.stream.received
+	ex.stream.received += countEvents(events)
+	if before < progressEvents && ex.stream.received >= progressEvents {
 		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
 	}
 }
@@ -177,7 +175,7 @@
 	if !ex.answerStarted() {
 		en.startStream(ex, an.Header)
 	}
-	if ex.stream.reads > 0 && ex.stream.reads < progressReads && an.Framed {
+	if ex.stream.received > 0 && ex.stream.received < progressEvents && an.Framed {
 		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
 	}
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.recordStream(ex.stream.events, ex.callMetadata.Output) })
@@ -274,6 +272,17 @@
 
 var idField = []byte("id:")
 
+// countEvents returns the number of events that have an id.
+func countEvents(events []byte) int {
+	count := 0
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if bytes.HasPrefix(line, idField) {
+			count++
+		}
+	}
+	return count
+}
+
 // lastEventID returns the id of the last event that has one, or an empty string.
 func lastEventID(events []byte) string {
 	id := ""
