Close an idle caller connection without holding its mutex

The list of all connections stayed locked too, so that no connection changed its state any more: none was accepted, no request was served, and a drain did not end. Present since the reads of callers take the mutex.

The mutex is now held only until the connection is marked as closed; from then on nothing is read from it.

internal/entry TestBytesArriveWhileIdleConnectionIsClosed before: the connection was not closed after 10 s It passes now, three times in a row with the race detector.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -20,8 +20,8 @@
 	tcp *net.TCPConn
 	raw syscall.RawConn
 
-	// mu is held while bytes are read from the socket and while the connection is closed as idle, so that a request is either
-	// served or remains unread.
+	// mu is held while bytes are read from the socket and while the connection is found idle, after which none are read, so that a
+	// request is either served or remains unread.
 	mu         sync.Mutex
 	state      http.ConnState
 	stateSince time.Time
@@ -134,18 +134,28 @@
 // closeIfIdle closes the connection if it has been without a request for longer than the limit and no byte has arrived. It
 // reports whether the connection is closed.
 func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
+	closed, first := cn.endIfIdle(now, limit)
+	if first {
+		// Close waits for the end of a read, and a read waits for mu. Bytes that arrive now stay unread, so that the caller can
+		// tell that its request was not read.
+		_ = cn.tcp.Close()
+	}
+	return closed
+}
+
+// endIfIdle ends the reads from an idle connection. It reports whether the connection is closed or to be closed, and whether this
+// call is the first to find it idle.
+func (cn *callerConn) endIfIdle(now time.Time, limit time.Duration) (closed, first bool) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	if cn.closed {
-		return true
+		return true, false
 	}
 	if cn.state == http.StateActive || cn.received || now.Sub(cn.stateSince) <= limit || cn.hasUnread() {
-		return false
+		return false, false
 	}
 	cn.closed = true
-	// Bytes that arrive now stay unread, so that the caller can tell that its request was not read.
-	_ = cn.tcp.Close()
-	return true
+	return true, true
 }
 
 // hasUnread reports whether bytes have arrived that were not read from the socket, as on a host that is short of processor time.
