Count a connection whose answer is still being sent as open

A drain could end before the answer of a caller with further unread bytes was sent: the connections that are closed in the background were counted before the others were looked at, so that one that the server began to close in between was in neither count. The count of the former is now taken last.

internal/entry TestConnectionThatCloseIdleSeesClosing before: 0 connections are open, want 1 It passes now, three times in a row with the race detector.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -55,11 +55,12 @@
 func (cc *callerConns) closeIdle(now time.Time, limit time.Duration) int {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	open := int(cc.lingering.Load())
+	open := 0
 	for cn := range cc.conns {
 		if !cn.closeIfIdle(now, limit) {
 			open++
 		}
 	}
-	return open
+	// Read last, since the server may be closing a connection that counts as closed above.
+	return open + int(cc.lingering.Load())
 }
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -60,6 +60,30 @@
 	}
 }
 
+// TestConnectionThatCloseIdleSeesClosing guards against a drain that ends before the answer of such a connection was sent.
+func TestConnectionThatCloseIdleSeesClosing(t *testing.T) {
+	t.Parallel()
+	near, _ := connPair(t)
+	cc := newCallerConns()
+	near.lingering = &cc.lingering
+	cc.connState(near, http.StateActive)
+	near.mu.Lock()
+	open := make(chan int)
+	go func() { open <- cc.closeIdle(time.Now(), time.Second) }()
+	for cc.mu.TryLock() {
+		cc.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+	// Close and the state that follows it, while closeIdle waits.
+	cc.lingering.Add(1)
+	near.closed = true
+	near.mu.Unlock()
+	if got := <-open; got != 1 {
+		t.Errorf("%d connections are open, want 1", got)
+	}
+}
+
 // connPair returns both ends of a TCP connection; near is the host's.
 func connPair(t *testing.T) (near *callerConn, far net.Conn) {
 	t.Helper()
