Bound the wait for a head of which only stray bytes have arrived

A caller that ends a body with an empty line, as some do, or sends up to three bytes of a further request, held up a stop until the end of the grace period, and its connection was never closed as idle: a connection that has received bytes counted as busy, and net/http sets the deadline for a head only at its fourth byte on a kept connection. Such bytes now keep a connection open for the header timeout of 10 s.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -25,9 +25,9 @@
 	mu         sync.Mutex
 	state      http.ConnState
 	stateSince time.Time
-	// received is true when bytes have arrived since the last answer, or since the connection was accepted.
-	received bool
-	closed   bool
+	// headSince is when the first byte was read since the last answer, or since the connection was accepted; zero when none was.
+	headSince time.Time
+	closed    bool
 	// lingering counts the connections of the server that are closed in the background.
 	lingering *atomic.Int64
 }
@@ -80,7 +80,9 @@
 		if err != nil {
 			return 0, err
 		}
-		cn.received = cn.received || count > 0
+		if count > 0 && cn.headSince.IsZero() {
+			cn.headSince = time.Now()
+		}
 		return count, nil
 	}
 }
@@ -121,7 +123,7 @@
 	cn.state, cn.stateSince = state, now
 	cn.closed = cn.closed || state == http.StateClosed
 	if state == http.StateIdle {
-		cn.received = false
+		cn.headSince = time.Time{}
 	}
 }
 
@@ -131,7 +133,7 @@
 	return cn.closed
 }
 
-// closeIfIdle closes the connection if it has been without a request for longer than the limit and no byte has arrived. It
+// closeIfIdle closes the connection if it has been without a request for longer than the limit and none arrives. It
 // reports whether the connection is closed.
 func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
 	closed, first := cn.endIfIdle(now, limit)
@@ -151,13 +153,19 @@
 	if cn.closed {
 		return true, false
 	}
-	if cn.state == http.StateActive || cn.received || now.Sub(cn.stateSince) <= limit || cn.hasUnread() {
+	if cn.state == http.StateActive || cn.hasHead(now) || now.Sub(cn.stateSince) <= limit || cn.hasUnread() {
 		return false, false
 	}
 	cn.closed = true
 	return true, true
 }
 
+// hasHead reports whether a head is being received. net/http waits without a limit for the fourth byte of a further request, which
+// never comes from a caller that ends a body with a line.
+func (cn *callerConn) hasHead(now time.Time) bool {
+	return !cn.headSince.IsZero() && now.Sub(cn.headSince) <= headerTimeout
+}
+
 // hasUnread reports whether bytes have arrived that were not read from the socket, as on a host that is short of processor time.
 func (cn *callerConn) hasUnread() bool {
 	count := 0
