Keep the expiry of a connection to a target that was not used

A connection that was taken from the pool for a replacement and given back unused counted as idle from then on, while its target counts from its last answer. So a request could be sent just as the target closed the connection, and fail after it may have run.

--- a/internal/targetconn/connection.go
+++ b/internal/targetconn/connection.go
@@ -29,5 +29,5 @@
 		cn.conn.close()
 		return
 	}
-	cn.pool.put(cn.address, cn.conn)
+	cn.pool.putBack(cn.address, cn.conn)
 }
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -135,6 +135,20 @@
 		idleTime = min(idleTime, time.Duration(keepAliveFraction*float64(cn.keepAlive)))
 	}
 	cn.expires = pl.now().Add(idleTime)
+	pl.keep(address, cn)
+}
+
+// putBack keeps a connection that carried no request since it was taken from the pool or opened. The target counts the time since
+// its last answer, so that the time at which the connection expires does not change.
+func (pl *Pool) putBack(address netip.AddrPort, cn *conn) {
+	if cn.expires.IsZero() {
+		pl.put(address, cn)
+		return
+	}
+	pl.keep(address, cn)
+}
+
+func (pl *Pool) keep(address netip.AddrPort, cn *conn) {
 	pl.mu.Lock()
 	defer pl.mu.Unlock()
 	if len(pl.idle[address]) >= pl.maxIdle {
