Do not hold the lock of a connection while it is closed as idle

Closing a connection waits for its pending read, and that read waited for the lock under which the connection was closed when bytes arrived in that moment. The lock now only covers the decision, after which a read returns an error without reading.

Before, internal/entry TestCloseWhileBytesArrive, in 1 of 3 runs: the close did not end.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -134,20 +134,24 @@
 // closeIfIdle closes the connection if it has been without a request for longer than the limit and no byte has arrived. It
 // reports whether the connection is closed.
 func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
-	cn.mu.Lock()
-	defer cn.mu.Unlock()
-	if cn.closed {
-		return true
-	}
-	if cn.state == http.StateActive || cn.received || now.Sub(cn.stateSince) <= limit || cn.hasUnread() {
+	if !cn.markClosed(now, limit) {
 		return false
 	}
-	cn.closed = true
-	// Bytes that arrive now stay unread, so that the caller can tell that its request was not read.
+	// Bytes that arrive now stay unread, so that the caller can tell that its request was not read. The lock is not held, because
+	// Close waits for a read that waits for the lock.
 	_ = cn.tcp.Close()
 	return true
 }
 
+// markClosed ends all further reads if the connection is idle, and reports whether it is closed.
+func (cn *callerConn) markClosed(now time.Time, limit time.Duration) bool {
+	cn.mu.Lock()
+	defer cn.mu.Unlock()
+	idle := cn.state != http.StateActive && !cn.received && now.Sub(cn.stateSince) > limit && !cn.hasUnread()
+	cn.closed = cn.closed || idle
+	return cn.closed
+}
+
 // hasUnread reports whether bytes have arrived that were not read from the socket, as on a host that is short of processor time.
 func (cn *callerConn) hasUnread() bool {
 	count := 0
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -121,3 +121,42 @@
 	}
 	<-closed
 }
+
+// TestCloseWhileBytesArrive guards against a close that reads bytes and drops them, or never ends, when they arrive in that moment.
+func TestCloseWhileBytesArrive(t *testing.T) {
+	t.Parallel()
+	const count = 2000
+	served := 0
+	for index := range count {
+		near, far := connPair(t)
+		cc := newCallerConns()
+		cc.connState(near, http.StateIdle)
+		read := make(chan int, 1)
+		go func() {
+			size, _ := near.Read(make([]byte, 1))
+			read <- size
+		}()
+		closed := make(chan bool, 1)
+		start := make(chan struct{})
+		go func() {
+			<-start
+			closed <- near.closeIfIdle(time.Now().Add(time.Minute), time.Second)
+		}()
+		close(start)
+		// The bytes arrive at another moment of the close each time.
+		for sent := time.Now(); time.Since(sent) < time.Duration(index%100)*time.Microsecond/2; {
+		}
+		_, _ = far.Write([]byte("P"))
+		select {
+		case size := <-read:
+			if wasClosed := <-closed; wasClosed == (size > 0) {
+				t.Fatalf("the connection was closed: %t, and %d bytes were read", wasClosed, size)
+			}
+			served += size
+		case <-time.After(10 * time.Second):
+			t.Fatal("the close did not end")
+		}
+		_, _ = near.Close(), far.Close()
+	}
+	t.Logf("%d of %d connections were served", served, count)
+}
