--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
 
@@ -14,11 +15,16 @@
 	set *metrics.Set
 	// controlBytes counts the bytes of datagrams sent to other hosts.
 	controlBytes *metrics.Counter
+	// quarantined counts the requests refused for a suspected prompt part, and crashEvidence the parts accused of crashes.
+	quarantined   *metrics.Counter
+	crashEvidence *metrics.Counter
 }
 
 func newCounters() *counters {
 	cn := &counters{set: metrics.NewSet()}
 	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
+	cn.quarantined = cn.set.NewCounter("chestnutroad_requests_quarantined_total")
+	cn.crashEvidence = cn.set.NewCounter("chestnutroad_part_crash_evidence_total")
 	return cn
 }
 
@@ -44,6 +50,7 @@
 		}
 		return 0
 	})
+	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
 	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
@@ -58,6 +65,11 @@
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_retries_total{service=%q,allowed=\"%t\"}", service, allowed)).Inc()
 }
 
+// countStall counts a target's stall by what followed.
+func (cn *counters) countStall(service string, end attempt.StallEnd) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_stalls_total{service=%q,end=%q}", service, end)).Inc()
+}
+
 // countChoice counts a request that is sent to a target whose estimated load is over its bound.
 func (cn *counters) countChoice(service string, choice *placement.Choice) {
 	if choice.Load > choice.Bound {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -454,8 +454,12 @@
 	return outdatedCount
 }
 
+// unusableEntry is passed on to other hosts in place of an entry that can't be used and may be long. It can't be used either,
+// so that all hosts hold the same list.
+var unusableEntry = []byte("-")
+
 // applyTarget puts a record into effect unless it is older than what the host has seen of its target, and reports whether
-// it is.
+// it is. An entry that can't be used is replaced by unusableEntry in the record.
 func (en *Entry) applyTarget(record *chestnutroad.KeyedRecord) outdated {
 	id := chestnutroad.TargetID(record.Key)
 	if len(record.Value) == 0 {
@@ -464,8 +468,12 @@
 	}
 	entry, err := en.decoder.Target(record.Key, record.Value)
 	if err != nil {
-		en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", err)
+		// An entry is read again whenever the host reads the whole list, and may be rewritten often.
+		if en.state.markUnusable(id) {
+			en.logger.Warn("target entry can't be used", "Target", id, "Position", record.Position, "Error", quotable(err))
+		}
 		en.removeTarget(id, "unreadable")
+		record.Value = unusableEntry
 		return notOutdated
 	}
 	verdict, previous, existed := en.state.setTarget(en.now(), &entry, record.Position.Era)
@@ -481,6 +489,15 @@
 	return notOutdated
 }
 
+// maxQuotedError is the number of bytes of an error that the log quotes; errors may quote an entry of any length.
+const maxQuotedError = 200
+
+// quotable returns the start of the error's text.
+func quotable(err error) string {
+	text := err.Error()
+	return text[:min(len(text), maxQuotedError)]
+}
+
 const (
 	// readFailureWindow is the time after a failed read of the store in which a removal may be a result of the outage; the
 	// first reads after the outage show such removals.
@@ -500,6 +517,7 @@
 func (en *Entry) handleRemoval(id chestnutroad.TargetID) {
 	en.state.mu.Lock()
 	entry, exists := en.state.pool.Entry(id)
+	delete(en.state.unusable, id)
 	en.state.mu.Unlock()
 	restored := en.isRecent(&en.storeRestoredAt, storeRestoreWindow)
 	if !exists || entry.Leaving || !restored && !en.isRecent(&en.lastReadFailure, readFailureWindow) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -29,6 +29,8 @@
 	failure *bufferedAnswer
 	err     error
 	outcome placement.Outcome
+	// crashed is true when the connection ended before the answer had made progress, without a cause at this host or the caller.
+	crashed bool
 }
 
 // bufferedAnswer is an answer that was read to its end.
@@ -42,7 +44,7 @@
 func (en *Entry) forward(ex *exchange) error {
 	en.state.countRequest(ex.started, ex.service)
 	ex.progress.TakeRetry = func() bool {
-		allowed := en.state.allowRetry(en.now(), ex.service)
+		allowed := ex.replacement != nil || en.state.allowRetry(en.now(), ex.service)
 		en.counters.countRetry(string(ex.service), allowed)
 		return allowed
 	}
@@ -51,8 +53,12 @@
 		en.updateRefusalRate(ex, true)
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
+	defer en.discardUnused(ex)
 	for {
-		choice, found := en.state.choose(en.now(), &ex.criteria)
+		if err := en.checkQuarantine(ex); err != nil {
+			return err
+		}
+		choice, found := en.choose(ex)
 		en.updateRefusalRate(ex, !found && choice.Full)
 		if !found {
 			return en.concludeWithoutTarget(ex, &choice)
@@ -83,6 +89,17 @@
 	}
 }
 
+// choose picks a target for the next send: the replacement, if one was chosen during the last send.
+func (en *Entry) choose(ex *exchange) (placement.Choice, bool) {
+	if ex.replacement == nil {
+		return en.state.choose(en.now(), &ex.criteria)
+	}
+	choice := ex.replacement.choice
+	ex.stalledTarget = ex.choice.Entry.ID
+	ex.connection, ex.replacement = ex.replacement.connection, nil
+	return choice, true
+}
+
 // maxEventGap returns the longest mean gap between the events of a target with which the request's stream is on time, or
 // zero for a request without a stream.
 func (en *Entry) maxEventGap(ex *exchange) time.Duration {
@@ -152,19 +169,32 @@
 
 // nextStep updates the exchange's progress with the result of a send and returns what to do next.
 func (en *Entry) nextStep(ex *exchange, choice *placement.Choice, res *sendResult) attempt.Action {
-	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
 	pr := &ex.progress
-	if res.end == attempt.NotSent {
+	switch {
+	case res.end == attempt.NotSent:
 		pr.Dials++
-	} else {
+	case !pr.Returns:
 		pr.Sent++
 	}
+	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
+	ex.allowReturn(res.end)
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
-	pr.HasTargets = en.cutOff.Err() == nil
+	// A request that may have crashed its target may crash any other.
+	pr.HasTargets = en.cutOff.Err() == nil && (!res.crashed || en.recordCrash(ex, &choice.Entry))
 	return attempt.Next(res.end, pr)
 }
 
+// allowReturn directs the request back to the target that stalled if its replacement did not run the request: the target may
+// only have been slow, and its run was given up.
+func (ex *exchange) allowReturn(end attempt.Outcome) {
+	ex.progress.Returns, ex.criteria.Only = false, ""
+	if ex.stalledTarget != "" && (end == attempt.NotRun || end == attempt.NotSent) {
+		ex.progress.Returns, ex.criteria.Only = true, ex.stalledTarget
+	}
+	ex.stalledTarget = ""
+}
+
 const (
 	// overloadRetryAfter is the default Retry-After of a request that no target had capacity for: half of the time that
 	// callers wait for a plain request.
@@ -271,27 +301,67 @@
 	ctx, cancel := context.WithDeadline(ex.request.Context(), ex.deadline)
 	defer cancel()
 	defer context.AfterFunc(en.cutOff, cancel)()
-	stall := newStallTimer(cancel, en.initialStallTimeout(ex, en.now()))
-	defer stall.stop()
-	ex.stream.lastProgress, ex.stream.gotFirstEvent = en.now(), false
-	defer en.recordStall(ex, stall)
-	request := en.newTargetRequest(ex, entry)
-	request.Fresh = ex.choice.NewConnection
-	if ex.choice.Probe {
-		request.Fresh, request.DialTimeout = true, probeDialTimeout
-	}
+	started := en.now()
+	wait := en.initialStallTimeout(ex, started)
+	ex.stream.lastProgress, ex.stream.gotFirstEvent, ex.stream.reads = started, false, 0
+	request := en.newTargetRequest(ex, wait)
+	request.Connection, ex.connection = ex.connection, nil
+	if request.Connection == nil {
+		connection, err := en.targets.Connect(ctx, request)
+		if err != nil {
+			return sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
+		}
+		request.Connection = connection
+	}
+	stall := en.newStallTimer(ctx, cancel, ex, started, wait)
+	defer func() {
+		// A connection that is being opened to a replacement ends with the context.
+		cancel()
+		ex.replacement = stall.stop()
+		en.recordStall(ex, stall)
+	}()
 	an, err := en.targets.Exchange(ctx, request)
 	if err != nil {
-		return sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
+		res := sendFailure(err, ex.request.Context().Err() != nil || en.cutOff.Err() != nil)
+		res.crashed = ctx.Err() == nil && crashedTarget(err, en.now().Sub(started))
+		return res
 	}
 	defer an.Close()
 	metadata := en.wire.ReadAnswer(an.Status, an.Header)
 	en.applyAnswerMetadata(entry, &metadata)
 	ex.answerMetadata = metadata
-	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" {
-		return en.forwardStream(ex, an, stall)
+	if contradictory(&metadata, entry.ID) {
+		// Whether the request has run is not certain, also when a refusal was mixed with the answer to another request.
+		return sendResult{end: attempt.Broken, err: errContradictory, outcome: placement.Failed}
+	}
+	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" &&
+		ex.acceptsStream(an.Header) {
+		res := en.forwardStream(ex, an, stall)
+		res.crashed = res.crashed && ctx.Err() == nil
+		return res
+	}
+	res := en.forwardBuffered(ex, an, &metadata)
+	res.crashed = res.crashed && ctx.Err() == nil
+	return res
+}
+
+// crashedTarget reports whether the error of a send without an answer means that the target ended after it had got the request.
+func crashedTarget(err error, wait time.Duration) bool {
+	var notSent *targetconn.NotSentError
+	if errors.As(err, &notSent) || errors.Is(err, targetconn.ErrBadAnswer) {
+		return false
+	}
+	return !errors.Is(err, targetconn.ErrStaleConn) || wait >= staleConnWindow
+}
+
+// contradictory reports whether an answer to a request for the target both says that the request has not run and gives a reason
+// to doubt it: that it has run, that another target says so without being called by mistake, or that the target itself was
+// called by mistake.
+func contradictory(metadata *chestnutroad.AnswerMetadata, id chestnutroad.TargetID) bool {
+	if metadata.Contradictory {
+		return true
 	}
-	return en.forwardBuffered(ex, an, &metadata)
+	return metadata.NotRun && metadata.Target != "" && metadata.WrongTarget == (metadata.Target == id)
 }
 
 // applyAnswerMetadata updates what the host knows of a target from the headers of its answer.
@@ -322,7 +392,24 @@
 	return res
 }
 
-func (en *Entry) newTargetRequest(ex *exchange, entry *chestnutroad.TargetEntry) *targetconn.Request {
+// connectRequest returns a request for a connection to the chosen target. A positive dialTimeout limits the time to connect.
+func connectRequest(ex *exchange, choice *placement.Choice, dialTimeout time.Duration) *targetconn.Request {
+	if choice.Probe {
+		dialTimeout = probeDialTimeout
+	}
+	return &targetconn.Request{
+		Address: choice.Entry.Address,
+		ID:      string(ex.callMetadata.ID),
+		Fresh:   choice.NewConnection || choice.Probe,
+		// An answer to a request without an id can't be told from a late answer to another one without an id.
+		SingleUse:   ex.callMetadata.ID == "",
+		DialTimeout: dialTimeout,
+	}
+}
+
+// newTargetRequest returns the request to the exchange's current target.
+func (en *Entry) newTargetRequest(ex *exchange, dialTimeout time.Duration) *targetconn.Request {
+	entry := &ex.choice.Entry
 	directives := chestnutroad.CallDirectives{
 		Target: entry.ID, Remaining: ex.remaining(en.now()), ResumeAfter: ex.stream.lastID,
 	}
@@ -334,20 +421,13 @@
 	}
 	header := target.Forwardable(ex.request.Header)
 	en.wire.WriteCall(header, &directives)
-	return &targetconn.Request{
-		Address: entry.Address,
-		Method:  ex.request.Method,
-		URI:     ex.request.RequestURI,
-		Host:    ex.request.Host,
-		Header:  header,
-		Body:    ex.body,
-		HasBody: ex.request.ContentLength != 0,
-		// An answer to a request without an id can't be told from a late answer to another one without an id.
-		SingleUse: ex.callMetadata.ID == "",
-		Matches: func(status int, header http.Header) bool {
-			return en.wire.ReadAnswer(status, header).ID == ex.callMetadata.ID
-		},
+	request := connectRequest(ex, &ex.choice, dialTimeout)
+	request.Method, request.URI, request.Host = ex.request.Method, ex.request.RequestURI, ex.request.Host
+	request.Header, request.Body, request.HasBody = header, ex.body, ex.request.ContentLength != 0
+	request.Matches = func(status int, header http.Header) bool {
+		return en.wire.ReadAnswer(status, header).ID == ex.callMetadata.ID
 	}
+	return request
 }
 
 // maxBufferedAnswer bounds the body of an answer that is buffered before it is forwarded.
@@ -355,11 +435,13 @@
 
 var (
 	errRefusedByTarget = errors.New("the target did not run the request")
+	errContradictory   = errors.New("the answer contradicts itself on whether the request has run")
 	errWrongTarget     = errors.New("another target has the address")
 	errTargetFailed    = errors.New("the target failed the request")
 	errNoReceipt       = errors.New("the answer has no receipt")
 	errEncoded         = errors.New("the answer has an encoding")
 	errCutOff          = errors.New("the answer is not complete")
+	errNotResumed      = errors.New("the answer does not continue the stream")
 )
 
 // sendReasons maps the errors of failed sends to their label values in the metrics.
@@ -368,11 +450,13 @@
 	name string
 }{
 	{errRefusedByTarget, "Refused"},
+	{errContradictory, "Contradictory"},
 	{errWrongTarget, "WrongTarget"},
 	{errTargetFailed, "Failed"},
 	{errNoReceipt, "NoReceipt"},
 	{errEncoded, "Encoded"},
 	{errCutOff, "CutOff"},
+	{errNotResumed, "NotResumed"},
 	{errEventTooLong, "EventTooLong"},
 	{errCallerGone, "CallerGone"},
 	{targetconn.ErrBadAnswer, "BadAnswer"},
@@ -407,7 +491,13 @@
 		}
 		return sendResult{end: attempt.NotRun, err: errRefusedByTarget, outcome: placement.Shed}
 	case err != nil || len(body) > maxBufferedAnswer:
-		return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed}
+		return sendResult{
+			end: attempt.Broken, err: errCutOff, outcome: placement.Failed,
+			crashed: err != nil && !errors.Is(err, errBuffersFull),
+		}
+	case ex.answerStarted():
+		// An answer that is no stream must not follow the events that the caller has.
+		return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
 	case an.Header.Get("Content-Encoding") != "":
 		return sendResult{end: attempt.Broken, err: errEncoded, outcome: placement.Failed}
 	case an.Status < http.StatusBadRequest && !metadata.Receipt:
@@ -421,6 +511,9 @@
 	if an.Status >= http.StatusInternalServerError {
 		return sendResult{end: attempt.TargetFailed, failure: answer, err: errTargetFailed, outcome: placement.Failed}
 	}
+	if an.Status == http.StatusOK && metadata.Receipt && len(body) > 0 {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
 	if err := en.deliver(ex, answer); err != nil {
 		return sendResult{end: attempt.Broken, err: err, outcome: placement.Served}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -79,6 +80,9 @@
 		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound,
 			"Preference", ex.choice.Preference, "Trial", ex.choice.Probe)
 	}
+	if len(ex.stalls) > 0 {
+		fields = append(fields, "Stalls", ex.stalls)
+	}
 	if ex.targetCounts != nil {
 		fields = append(fields, "Known", ex.targetCounts.Total, "Leaving", ex.targetCounts.Leaving, "Closed", ex.targetCounts.Unreachable,
 			"Held", ex.targetCounts.Held)
@@ -86,6 +90,10 @@
 	if ex.incomplete != "" {
 		fields = append(fields, "Incomplete", ex.incomplete)
 	}
+	if ex.suspect != nil {
+		hash := chestnutroad.HashID(ex.suspect.Part)
+		fields = append(fields, "Part", ex.suspect.Part, "PartHash", fmt.Sprintf("%016x", hash), "Crashes", ex.suspect.Crashes)
+	}
 	if err != nil {
 		fields = append(fields, "Error", err)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,8 +7,10 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/quarantine"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 	"github.com/chestnutroad/chestnutroad/internal/retrybudget"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
@@ -29,12 +31,16 @@
 	records *recordSet
 	// incarnations are the last observed incarnations of the targets, to detect outdated entries.
 	incarnations *incarnations
+	// unusable holds the targets whose latest entry can't be used.
+	unusable map[chestnutroad.TargetID]bool
 	// compressedSnapshot is the snapshot of the records, for hosts that start; nil after a change until the next request for it.
 	compressedSnapshot *siblings.Compressed
 	pool               *placement.Pool
-	budgets            map[chestnutroad.ServiceID]*retrybudget.Budget
-	ruleStats          map[chestnutroad.RouteID]*ruleStats
-	teams              map[chestnutroad.ServiceID]*admission.TeamRates
+	// suspects tracks the prompt parts that are suspected of crashing targets.
+	suspects  *quarantine.Tracker
+	budgets   map[chestnutroad.ServiceID]*retrybudget.Budget
+	ruleStats map[chestnutroad.RouteID]*ruleStats
+	teams     map[chestnutroad.ServiceID]*admission.TeamRates
 	// throttles hold the admission control of each service.
 	throttles map[chestnutroad.ServiceID]*admission.Throttle
 	// disabled are the mechanisms that the settings disable.
@@ -53,7 +59,9 @@
 	return &state{
 		records:      newRecordSet(),
 		incarnations: newIncarnations(),
+		unusable:     map[chestnutroad.TargetID]bool{},
 		pool:         placement.NewPool(set.DataCentre, poolOptions(set)...),
+		suspects:     quarantine.New(),
 		budgets:      map[chestnutroad.ServiceID]*retrybudget.Budget{},
 		ruleStats:    map[chestnutroad.RouteID]*ruleStats{},
 		teams:        map[chestnutroad.ServiceID]*admission.TeamRates{},
@@ -170,11 +178,47 @@
 	return st.retryBudget(service).TakeRetry(now, st.retrySlack/float64(max(1, st.hostCount)))
 }
 
+// chooseReplacement chooses another target for a request whose target stalled, and takes a retry for it; the request counts as
+// running at both targets until finish is called.
+func (st *state) chooseReplacement(
+	now time.Time, criteria *placement.Request, remaining, reserve time.Duration,
+) (choice placement.Choice, end attempt.StallEnd) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	budget, share := st.retryBudget(criteria.Service), st.retrySlack/float64(max(1, st.hostCount))
+	unlimited := st.disabled.Off(mechanism.RetryBudget)
+	end = attempt.AfterStall(&attempt.Stall{
+		Remaining: remaining, Reserve: reserve,
+		HasRetry: func() bool { return unlimited || budget.HasRetry(now, share) },
+		HasTarget: func() (found bool) {
+			choice, found = st.pool.Choose(now, criteria)
+			return found
+		},
+	})
+	if end == attempt.StallRetried {
+		st.pool.Start(choice.Entry.ID)
+		if !unlimited {
+			budget.TakeRetry(now, share)
+		}
+	}
+	return choice, end
+}
+
+// returnRetry returns a retry of the service that was taken at a time and not used.
+func (st *state) returnRetry(taken time.Time, service chestnutroad.ServiceID) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !st.disabled.Off(mechanism.RetryBudget) {
+		st.retryBudget(service).ReturnRetry(taken)
+	}
+}
+
 // setHostCount sets the number of hosts among which the retry slack is divided.
 func (st *state) setHostCount(count int) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.hostCount = count
+	st.suspects.SetHostCount(count)
 }
 
 // setRemoteView replaces the request counts and notices of targets that other hosts reported.
@@ -273,6 +317,7 @@
 ) (verdict outdated, before chestnutroad.TargetEntry, found bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	delete(st.unusable, entry.ID)
 	before, found = st.pool.Entry(entry.ID)
 	if verdict = st.incarnations.outdated(entry, era); verdict != notOutdated {
 		if verdict == outdatedLeaving && found {
@@ -288,6 +333,15 @@
 	return notOutdated, before, found
 }
 
+// markUnusable records that a target's latest entry can't be used, and reports whether its previous one could be.
+func (st *state) markUnusable(id chestnutroad.TargetID) (first bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	first = !st.unusable[id]
+	st.unusable[id] = true
+	return first
+}
+
 // forgetIncarnation drops the last observed incarnation of a target, so that its next entry is applied in any case. The
 // target's entry was only missing in a copy of the store, which does not mean that the target ended.
 func (st *state) forgetIncarnation(id chestnutroad.TargetID) {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +27,49 @@
 	// sent one. Only events with an id count.
 	lastProgress  time.Time
 	gotFirstEvent bool
+	// reads counts the reads of the current send that completed events.
+	reads int
+}
+
+// follows reports whether complete events follow the forwarded ones: their ids increase, and those without an id are events. A
+// target that ignores the id after which it is to resume would repeat events, perhaps with other contents.
+func (ss *streamState) follows(events []byte) bool {
+	last := ss.lastID
+	for event := range bytes.SplitSeq(bytes.ReplaceAll(events, []byte("\r\n"), []byte("\n")), []byte("\n\n")) {
+		id := lastEventID(event)
+		if id == "" && !isEvent(event) || id != "" && !increases(last, id) {
+			return false
+		}
+		if id != "" {
+			last = id
+		}
+	}
+	return true
+}
+
+// increases reports whether an event's id may follow the last one; ids that are no numbers must only differ.
+func increases(last, id string) bool {
+	number, err := strconv.ParseUint(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return number > lastNumber
+}
+
+// eventFields are the starts of lines that events and comments without an id have.
+var eventFields = [][]byte{[]byte("data"), []byte("event"), []byte("retry"), []byte(":")}
+
+// isEvent reports whether a block of lines is empty or has a line of an event, which the text or head of an error has not.
+func isEvent(block []byte) bool {
+	empty := true
+	for line := range bytes.SplitSeq(block, []byte("\n")) {
+		if slices.ContainsFunc(eventFields, func(field []byte) bool { return bytes.HasPrefix(line, field) }) {
+			return true
+		}
+		empty = empty && len(line) == 0
+	}
+	return empty
 }
 
 const (
@@ -38,34 +84,60 @@
 var errEventTooLong = errors.New("an event of the stream is too long")
 
 // forwardStream forwards complete events as they arrive. An event within which the stream breaks off is dropped; a resumed
-// run sends it again.
+// run sends it again. A stream that ends with its connection, before any event, has broken off as well: nothing else tells
+// the end of the stream from that of the target.
 func (en *Entry) forwardStream(ex *exchange, an *targetconn.Answer, stall *stallTimer) sendResult {
-	splitter := eventSplitter{}
+	splitter, hasEvent := eventSplitter{}, false
 	buffer := make([]byte, streamReadSize)
 	for {
 		count, err := an.Body.Read(buffer)
 		if count > 0 {
 			events := splitter.add(buffer[:count])
-			if lastEventID(events) != "" {
+			if !ex.stream.follows(events) {
+				return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
+			}
+			hasEvent = hasEvent || containsEvent(events)
+			progress := lastEventID(events) != ""
+			if progress {
 				en.recordEventWait(ex)
-				stall.reset(en.eventStallTimeout(ex))
+				// A caller that reads slowly is no stall of the target.
+				stall.reset(writeTimeout)
 			}
+			en.countEventRead(ex, events)
 			if failure := en.forwardEvents(ex, an.Header, events); failure != nil {
 				return sendResult{end: attempt.Broken, err: failure, outcome: placement.Served}
 			}
+			if progress {
+				ex.stream.lastProgress = en.now()
+				stall.reset(en.eventStallTimeout(ex))
+			}
 		}
 		switch {
-		case errors.Is(err, io.EOF) && splitter.empty():
+		case errors.Is(err, io.EOF) && splitter.empty() && (hasEvent || an.Framed):
 			an.Release()
-			return en.finishStream(ex, an.Header)
+			return en.finishStream(ex, an)
 		case err != nil:
-			return sendResult{end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed}
+			return sendResult{
+				end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed,
+				crashed: ex.stream.reads < progressReads,
+			}
 		case splitter.size() > maxEventSize:
 			return sendResult{end: attempt.Broken, err: errEventTooLong, outcome: placement.Failed}
 		}
 	}
 }
 
+// countEventRead counts a read of complete events and records that the request has not crashed its target once there are enough.
+func (en *Entry) countEventRead(ex *exchange, events []byte) {
+	if len(events) == 0 {
+		return
+	}
+	ex.stream.reads++
+	if ex.stream.reads == progressReads {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+	}
+}
+
 // recordEventWait records the time since the last event of the send, or since its start for the first event.
 func (en *Entry) recordEventWait(ex *exchange) {
 	now := en.now()
@@ -99,16 +171,30 @@
 }
 
 // finishStream completes the answer; a stream without events still gets a status and headers.
-func (en *Entry) finishStream(ex *exchange, header http.Header) sendResult {
+func (en *Entry) finishStream(ex *exchange, an *targetconn.Answer) sendResult {
 	// The end is written after the handler returns, when the write deadline of the last event may have passed.
 	_ = http.NewResponseController(ex.writer).SetWriteDeadline(en.now().Add(writeTimeout))
 	if !ex.answerStarted() {
-		en.startStream(ex, header)
+		en.startStream(ex, an.Header)
+	}
+	if ex.stream.reads > 0 && ex.stream.reads < progressReads && an.Framed {
+		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
 	}
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.recordStream(ex.stream.events, ex.callMetadata.Output) })
 	return sendResult{done: true, outcome: placement.Served}
 }
 
+// acceptsStream reports whether an answer with the header can start the caller's stream, or continue it in the same media type.
+func (ex *exchange) acceptsStream(header http.Header) bool {
+	return !ex.answerStarted() || mediaType(header) == mediaType(ex.writer.Header())
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // startStream sends the status and headers of a stream.
 func (en *Entry) startStream(ex *exchange, header http.Header) {
 	copyHeader(ex.writer.Header(), header)
@@ -145,16 +231,27 @@
 	partial []byte
 }
 
-var eventEnd = []byte("\n\n")
+// eventEnds are the forms of a line end and a blank line, which end an event; a line ends with "\n" or "\r\n".
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// lastEventEnd returns the end of the last complete event in data, or zero.
+func lastEventEnd(data []byte) int {
+	end := 0
+	for _, mark := range eventEnds {
+		if index := bytes.LastIndex(data, mark); index >= 0 {
+			end = max(end, index+len(mark))
+		}
+	}
+	return end
+}
 
 // add appends data and returns all events that are complete with it.
 func (es *eventSplitter) add(data []byte) []byte {
 	es.partial = append(es.partial, data...)
-	end := bytes.LastIndex(es.partial, eventEnd)
-	if end < 0 {
+	end := lastEventEnd(es.partial)
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	complete := es.partial[:end:end]
 	es.partial = append([]byte(nil), es.partial[end:]...)
 	return complete
@@ -165,6 +262,16 @@
 
 func (es *eventSplitter) empty() bool { return len(es.partial) == 0 }
 
+// containsEvent reports whether there is a line other than comments.
+func containsEvent(events []byte) bool {
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if len(bytes.TrimSpace(line)) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 var idField = []byte("id:")
 
 // lastEventID returns the id of the last event that has one, or an empty string.
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -27,7 +27,10 @@
 // Request is one request to a target.
 type Request struct {
 	Address netip.AddrPort
-	Method  string
+	// ID is the id that answers state. A connection on which a request with the same id was answered with an error, such as a
+	// refusal, is not reused: the target may send that answer once more.
+	ID     string
+	Method string
 	// URI is the path and query exactly as the caller sent them.
 	URI  string
 	Host string
@@ -36,6 +39,8 @@
 	Body   []byte
 	// HasBody is true when the caller sent a body, even an empty one.
 	HasBody bool
+	// Connection is the connection to send the request on; without one, Exchange uses an idle one or opens one.
+	Connection *Connection
 	// Fresh asks for a new connection, SingleUse for a new one that is not reused after this request either.
 	Fresh     bool
 	SingleUse bool
@@ -67,6 +72,8 @@
 	Header http.Header
 	// Body ends with io.EOF only when the answer is complete.
 	Body io.Reader
+	// Framed is true when the answer states its length or comes in chunks; any other one ends with the connection.
+	Framed bool
 	// Reused is true when the answer came on a reused connection.
 	Reused bool
 
@@ -76,6 +83,8 @@
 	// written receives the error, or nil, once the request was written.
 	written  chan error
 	response *http.Response
+	// id is the id of the request.
+	id string
 	// mismatched is true once an answer to another request has arrived.
 	mismatched bool
 	singleUse  bool
@@ -88,16 +97,19 @@
 // Exchange sends a request and returns its answer once the head has arrived. When ctx ends, the connection is closed, which
 // most targets treat as a cancellation.
 func (pl *Pool) Exchange(ctx context.Context, rq *Request) (*Answer, error) {
-	cn, err := pl.get(ctx, rq)
-	if err != nil {
-		return nil, &NotSentError{Cause: err}
+	if rq.Connection == nil {
+		var err error
+		if rq.Connection, err = pl.Connect(ctx, rq); err != nil {
+			return nil, err
+		}
 	}
+	cn := rq.Connection.conn
 	if ctx.Err() != nil {
 		cn.close()
 		return nil, &NotSentError{Cause: ctx.Err()}
 	}
 	an := &Answer{
-		pool: pl, address: rq.Address, conn: cn, Reused: cn.reused, singleUse: rq.SingleUse, written: make(chan error, 1),
+		pool: pl, address: rq.Address, id: rq.ID, conn: cn, Reused: cn.reused, singleUse: rq.SingleUse, written: make(chan error, 1),
 		stop: context.AfterFunc(ctx, cn.close),
 	}
 	head, err := rq.head()
@@ -176,6 +188,7 @@
 		if rq.Matches(resp.StatusCode, resp.Header) {
 			an.response = resp
 			an.Status, an.Header, an.Body = resp.StatusCode, resp.Header, resp.Body
+			an.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 			return nil
 		}
 		// A late second answer to an earlier request arrives before the answer to this one.
@@ -201,6 +214,9 @@
 		return
 	}
 	an.conn.keepAlive = keepAliveTime(an.Header.Get("Keep-Alive"))
+	if an.Status >= http.StatusBadRequest {
+		an.conn.failed = append(an.conn.failed, an.id)
+	}
 	an.pool.put(an.address, an.conn)
 }
 
@@ -214,7 +230,7 @@
 		// The target answered before the whole body was sent, and would take a later request for the rest of the body.
 		return false
 	}
-	return !an.mismatched && !an.singleUse && !an.response.Close && an.conn.reader.Buffered() == 0
+	return len(an.conn.failed) < maxFailed && !an.mismatched && !an.singleUse && !an.response.Close && an.conn.reader.Buffered() == 0
 }
 
 // Close closes the connection, unless it was released.
