--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -136,28 +136,22 @@
 // closeIfIdle closes the connection if it has been without a request for longer than the limit and none arrives. It
 // reports whether the connection is closed.
 func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
-	closed, first := cn.endIfIdle(now, limit)
-	if first {
-		// Close waits for the end of a read, and a read waits for mu. Bytes that arrive now stay unread, so that the caller can
-		// tell that its request was not read.
-		_ = cn.tcp.Close()
+	if !cn.markClosed(now, limit) {
+		return false
 	}
-	return closed
+	// Bytes that arrive now stay unread, so that the caller can tell that its request was not read. The lock is not held, because
+	// Close waits for a read that waits for the lock.
+	_ = cn.tcp.Close()
+	return true
 }
 
-// endIfIdle ends the reads from an idle connection. It reports whether the connection is closed or to be closed, and whether this
-// call is the first to find it idle.
-func (cn *callerConn) endIfIdle(now time.Time, limit time.Duration) (closed, first bool) {
+// markClosed ends all further reads if the connection is idle, and reports whether it is closed.
+func (cn *callerConn) markClosed(now time.Time, limit time.Duration) bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	if cn.closed {
-		return true, false
-	}
-	if cn.state == http.StateActive || cn.hasHead(now) || now.Sub(cn.stateSince) <= limit || cn.hasUnread() {
-		return false, false
-	}
-	cn.closed = true
-	return true, true
+	idle := cn.state != http.StateActive && !cn.hasHead(now) && now.Sub(cn.stateSince) > limit && !cn.hasUnread()
+	cn.closed = cn.closed || idle
+	return cn.closed
 }
 
 // hasHead reports whether a head is being received. net/http waits without a limit for the fourth byte of a further request, which
