Leave a connection that the server closes to send its answer

Only the call that finds a connection idle closes it now.

internal/entry TestConnectionThatCloseIdleSeesClosing, with a check of the write, before: the answer is cut off: write tcp ...: use of closed network connection It passes now, three times in a row with the race detector.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -136,22 +136,25 @@
 // closeIfIdle closes the connection if it has been without a request for longer than the limit and none arrives. It
 // reports whether the connection is closed.
 func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
-	if !cn.markClosed(now, limit) {
-		return false
+	closed, first := cn.markClosed(now, limit)
+	if first {
+		// Bytes that arrive now stay unread, so that the caller can tell that its request was not read. The lock is not held,
+		// because Close waits for a read that waits for the lock.
+		_ = cn.tcp.Close()
 	}
-	// Bytes that arrive now stay unread, so that the caller can tell that its request was not read. The lock is not held, because
-	// Close waits for a read that waits for the lock.
-	_ = cn.tcp.Close()
-	return true
+	return closed
 }
 
-// markClosed ends all further reads if the connection is idle, and reports whether it is closed.
-func (cn *callerConn) markClosed(now time.Time, limit time.Duration) bool {
+// markClosed ends all further reads if the connection is idle, and reports whether it is closed, and whether by this call. One
+// that the server has closed may still send the end of an answer.
+func (cn *callerConn) markClosed(now time.Time, limit time.Duration) (closed, first bool) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
-	idle := cn.state != http.StateActive && !cn.hasHead(now) && now.Sub(cn.stateSince) > limit && !cn.hasUnread()
-	cn.closed = cn.closed || idle
-	return cn.closed
+	if cn.closed {
+		return true, false
+	}
+	cn.closed = cn.state != http.StateActive && !cn.hasHead(now) && now.Sub(cn.stateSince) > limit && !cn.hasUnread()
+	return cn.closed, cn.closed
 }
 
 // hasHead reports whether a head is being received. net/http waits without a limit for the fourth byte of a further request, which
