Deliver a target's failure when the request became suspect before its retry

A request whose target answered with an error got the host's own 502 in place of that answer if one of its prompt parts came under suspicion while the target worked on it. A ready answer is now delivered, as where no other target is left.

internal/entry TestFailureIsDeliveredWhenRetryIsRefused before, twice in a row: got status 502, "prompt part deadly is suspected of crashing targets", want the answer of a target It passes now, three times in a row with the race detector.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -56,7 +56,7 @@
 	defer en.discardUnused(ex)
 	for {
 		if err := en.checkQuarantine(ex); err != nil {
-			return err
+			return en.concludeQuarantined(ex, err)
 		}
 		choice, found := en.choose(ex)
 		en.updateRefusalRate(ex, !found && choice.Full)
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -21,6 +21,14 @@
 	progressEvents = 2
 )
 
+// concludeQuarantined ends an exchange that must not be sent to a target, with the answer of an earlier one if there is one.
+func (en *Entry) concludeQuarantined(ex *exchange, refusal error) error {
+	if ex.failure != nil && !ex.answerStarted() {
+		return en.deliver(ex, ex.failure)
+	}
+	return refusal
+}
+
 // checkQuarantine returns a refusal if a prompt part of the request is suspected of crashing targets, and nil otherwise.
 func (en *Entry) checkQuarantine(ex *exchange) error {
 	if en.settings.Without.Off(mechanism.Quarantine) {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -112,3 +112,37 @@
 		})
 	}
 }
+
+// TestFailureIsDeliveredWhenRetryIsRefused guards against a target's answer that is dropped because its request became suspect.
+func TestFailureIsDeliveredWhenRetryIsRefused(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	desk := []*standin.Runner{st.runner("i-1", "desk"), st.runner("i-2", "desk")}
+	for _, rn := range desk {
+		rn.Gap = 400 * time.Millisecond
+		rn.SetDefault(standin.FailRun)
+	}
+	for _, rn := range []*standin.Runner{st.runner("i-3", "model"), st.runner("i-4", "model")} {
+		rn.CrashPart = "deadly"
+	}
+	ht := st.start("host-1", true)
+	failed := make(chan reply, 1)
+	go func() {
+		failed <- ht.call(t.Context(), standin.Call{
+			Method: http.MethodGet, Path: "/stock/x", ID: "r-1", Key: "k-1", Prefix: "deadly:10,own:5",
+		})
+	}()
+	for index := range 2 {
+		ht.call(t.Context(), standin.Call{
+			Method: http.MethodPost, Path: "/chat/x", ID: fmt.Sprint("d-", index), Key: "k-1", Body: "b", Prefix: "deadly:10,other:5",
+		})
+		time.Sleep(110 * time.Millisecond)
+	}
+	if got := <-failed; got.status != http.StatusInternalServerError || !got.metadata().Receipt {
+		t.Errorf("got status %d %q, want the answer of a target", got.status, got.body)
+	}
+	if count := len(desk[0].Runs()) + len(desk[1].Runs()); count != 1 {
+		t.Errorf("%d targets ran the request, want 1", count)
+	}
+}
