Don't take a failed network for a crash of the target

When a link or a data centre was cut, the requests that waited for targets behind it counted as crashes of these targets: the kernel ends such connections with a timeout after 1.5 s or with an unreachable error. Their prompt parts were accused, and requests with parts that were not served within the last minute were not sent to another target, but answered with 502. Only a connection that the target's machine has ended counts as a crash now.

Not measured with a whole site behind a cut.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -348,12 +349,18 @@
 // crashedTarget reports whether the error of a send without an answer means that the target ended after it had got the request.
 func crashedTarget(err error, wait time.Duration) bool {
 	var notSent *targetconn.NotSentError
-	if errors.As(err, &notSent) || errors.Is(err, targetconn.ErrBadAnswer) {
+	if errors.As(err, &notSent) || errors.Is(err, targetconn.ErrBadAnswer) || networkFailed(err) {
 		return false
 	}
 	return !errors.Is(err, targetconn.ErrStaleConn) || wait >= staleConnWindow
 }
 
+// networkFailed reports whether a connection ended because the target's machine could not be reached. The machine of a target that
+// crashes still ends its connections.
+func networkFailed(err error) bool {
+	return errors.IsAny(err, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH)
+}
+
 // contradictory reports whether an answer to a request for the target both says that the request has not run and gives a reason
 // to doubt it: that it has run, that another target says so without being called by mistake, or that the target itself was
 // called by mistake.
@@ -493,7 +500,7 @@
 	case err != nil || len(body) > maxBufferedAnswer:
 		return sendResult{
 			end: attempt.Broken, err: errCutOff, outcome: placement.Failed,
-			crashed: err != nil && !errors.Is(err, errBuffersFull),
+			crashed: err != nil && !errors.Is(err, errBuffersFull) && !networkFailed(err),
 		}
 	case ex.answerStarted():
 		// An answer that is no stream must not follow the events that the caller has.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -119,7 +119,7 @@
 		case err != nil:
 			return sendResult{
 				end: attempt.Broken, err: errors.WithSecondaryError(errCutOff, err), outcome: placement.Failed,
-				crashed: ex.stream.received < progressEvents,
+				crashed: ex.stream.received < progressEvents && !networkFailed(err),
 			}
 		case splitter.size() > maxEventSize:
 			return sendResult{end: attempt.Broken, err: errEventTooLong, outcome: placement.Failed}
