Count the target that follows a refused replacement

A request whose second target refused it in the same moment in which a third one was chosen in its place was sent to that one as if it went back to the first: the send was not counted, so that a rule's bound on the number of targets could be exceeded by one. A request goes back only when no replacement was chosen.

internal/entry TestAllowReturn before: refused_while_a_replacement_was_found: the next target is "i-1", counted false, want "" not_sent_while_a_replacement_was_found: the same It passes now, as do the tests of stalls and refusals with the race detector. No run of a whole host has shown it.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -190,7 +190,7 @@
 // only have been slow, and its run was given up.
 func (ex *exchange) allowReturn(end attempt.Outcome) {
 	ex.progress.Returns, ex.criteria.Only = false, ""
-	if ex.stalledTarget != "" && (end == attempt.NotRun || end == attempt.NotSent) {
+	if ex.stalledTarget != "" && ex.replacement == nil && (end == attempt.NotRun || end == attempt.NotSent) {
 		ex.progress.Returns, ex.criteria.Only = true, ex.stalledTarget
 	}
 	ex.stalledTarget = ""
