Keep a connection open on which a head began together with the request before

A caller that sent the start of its next request together with the one before lost it in a drain: net/http reads both at once, and the connection counted as idle after the answer although a part of a head had been read. A whole request that was read so could be dropped on a host without processor time for 0.3 s.

net/http sets the deadline of a head once it holds the head's first four bytes, from its buffer or from the socket; the connection counts as busy from then on.

Before, internal/entry TestHeadAfterRequestDuringDrain: got status 0, unexpected EOF; the target ran 1 requests, want 2 It passes now, twice in a row with the race detector, as do the other tests of drains and closes.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// SetReadDeadline sets the deadline of reads. The server has no IdleTimeout, so that net/http sets a deadline on an idle connection
+// only once it holds the start of the next head, which may have arrived with the request before.
+func (cn *callerConn) SetReadDeadline(deadline time.Time) error {
+	cn.mu.Lock()
+	if cn.state == http.StateIdle && !deadline.IsZero() && cn.headSince.IsZero() {
+		cn.headSince = time.Now()
+	}
+	cn.mu.Unlock()
+	return cn.tcp.SetReadDeadline(deadline)
+}
+
 // CloseWrite sends the end of the data. net/http uses it to wait for the caller before it closes a connection with unread data.
 func (cn *callerConn) CloseWrite() error { return cn.tcp.CloseWrite() }
 
--- a/internal/entry/partialhead_test.go
+++ b/internal/entry/partialhead_test.go
@@ -58,6 +58,28 @@
 	}
 }
 
+// TestHeadAfterRequestDuringDrain guards against a drain that closes a connection on which a part of the next head came with a request.
+func TestHeadAfterRequestDuringDrain(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1")
+	rn := st.runner("i-1", "desk")
+	ht := st.start("host-1", true)
+	conn := dialHost(t, ht.address)
+	reader := bufio.NewReader(conn)
+	request := rawHead + "Chestnutroad-Deadline-Ms: 800\r\nContent-Length: 1\r\n\r\na"
+	if status, err := exchangeRaw(conn, reader, request+request[:len(rawHead)]); status != http.StatusOK {
+		t.Fatalf("the first request got status %d, %v", status, err)
+	}
+	ht.stop()
+	// The host closes its listener after half of its grace of 4 s.
+	time.Sleep(2200 * time.Millisecond)
+	status, err := exchangeRaw(conn, reader, request[len(rawHead):])
+	if status != http.StatusOK || len(rn.Runs()) != 2 {
+		t.Errorf("got status %d, %v; the target ran %d requests, want 2\n%s", status, err, len(rn.Runs()), ht.log)
+	}
+}
+
 // exchangeRaw writes the rest of a request and returns the status of the answer.
 func exchangeRaw(conn net.Conn, reader *bufio.Reader, rest string) (int, error) {
 	if _, err := io.WriteString(conn, rest); err != nil {
