Send each crash twice to other hosts

Evidence of a crash was sent once: when that datagram was lost, or the relay was stopping or gone, no other host learned of it unless the sender knew of a second crash. Hosts that each saw one crash of a part then went on to send requests with it. A host now sends what it saw a second time 1 s later.

internal/quarantine TestLostMessage before, for both hosts: got {Refuse:false Part: Crashes:0 RetryAfter:0s}, want two crashes It passes now, with 8 items sent at most, as do the other tests of the package with the race detector.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -13,8 +13,8 @@
 	maxMessageItems = 24
 	// maxRepeatedCrashes limits the crashes of a part that are sent again; firmCrashes of them decide.
 	maxRepeatedCrashes = 8
-	// repeatInterval is the time after which the crashes of a suspect are sent again, for hosts that start or return from a
-	// network partition, unless another host has done so.
+	// repeatInterval is the time after which a crash is sent a second time, and those of a suspect are sent again and again, for
+	// hosts that start or return from a network partition, unless another host has done so.
 	repeatInterval = time.Second
 )
 
@@ -23,7 +23,7 @@
 	tr.expire(now)
 	var hashes []chestnutroad.PartHash
 	for hash, pt := range tr.parts {
-		if pt.statementDue || len(pt.unsent) > 0 || tr.repeatDue(now, pt) {
+		if pt.statementDue || pt.hasUnsent(now) || tr.repeatDue(now, pt) {
 			hashes = append(hashes, hash)
 		}
 	}
@@ -57,6 +57,11 @@
 	return len(pt.crashes) >= minCrashes && now.Sub(pt.repeatedAt) >= repeatInterval && tr.meetsThreshold(now, pt)
 }
 
+// hasUnsent reports whether a crash is to be sent now.
+func (pt *part) hasUnsent(now time.Time) bool {
+	return slices.ContainsFunc(pt.unsent, func(us unsentCrash) bool { return !us.due.After(now) })
+}
+
 // takeNew appends the new evidence about a part as long as there is room for it.
 func (tr *Tracker) takeNew(now time.Time, hash chestnutroad.PartHash, items []chestnutroad.PartEvidence) []chestnutroad.PartEvidence {
 	pt := tr.parts[hash]
@@ -64,13 +69,21 @@
 		items = append(items, chestnutroad.PartEvidence{Part: hash, Age: now.Sub(tr.served.lastUse(hash))})
 		pt.statementDue = false
 	}
-	for len(pt.unsent) > 0 && len(items) < maxMessageItems {
-		index := slices.IndexFunc(pt.crashes, func(cr crash) bool { return cr.id == pt.unsent[0] })
-		if index >= 0 {
-			items = append(items, chestnutroad.PartEvidence{Part: hash, Crash: pt.unsent[0], Age: now.Sub(pt.crashes[index].at)})
+	pending := pt.unsent[:0]
+	for _, us := range pt.unsent {
+		index := slices.IndexFunc(pt.crashes, func(cr crash) bool { return cr.id == us.id })
+		switch {
+		case index < 0:
+		case us.due.After(now) || len(items) >= maxMessageItems:
+			pending = append(pending, us)
+		default:
+			items = append(items, chestnutroad.PartEvidence{Part: hash, Crash: us.id, Age: now.Sub(pt.crashes[index].at)})
+			if !us.last {
+				pending = append(pending, unsentCrash{id: us.id, due: now.Add(repeatInterval), last: true})
+			}
 		}
-		pt.unsent = pt.unsent[1:]
 	}
+	pt.unsent = pending
 	return items
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -65,14 +65,22 @@
 	at time.Time
 }
 
+// unsentCrash is a crash that this host saw. It is sent twice, since a message may be lost, or its relay may be stopping.
+type unsentCrash struct {
+	id  chestnutroad.CrashID
+	due time.Time
+	// last is true when it was sent before.
+	last bool
+}
+
 // part holds the evidence about a prompt part.
 type part struct {
 	// crashes are sorted by time; all are later than servedAt.
 	crashes []crash
 	// targets are the targets that this host saw crash, for the log.
 	targets []chestnutroad.TargetID
-	// unsent are the crashes that other hosts have not been told of.
-	unsent []chestnutroad.CrashID
+	// unsent are the crashes that other hosts are to be told of.
+	unsent []unsentCrash
 	// servedAt is the latest time at which any host is known to have served the part.
 	servedAt time.Time
 	// statementDue is true when other hosts are to be told that this host has served the part.
@@ -132,7 +140,7 @@
 			pt.servedAt, pt.statementDue = used, now.Sub(used) < provenWindow
 		}
 		if id := CrashOf(entry); pt.addCrash(id, now) {
-			pt.unsent = append(pt.unsent, id)
+			pt.unsent = append(pt.unsent, unsentCrash{id: id, due: now})
 		}
 		if !slices.Contains(pt.targets, entry.ID) && len(pt.targets) < maxCrashes {
 			pt.targets = append(pt.targets, entry.ID)
@@ -234,7 +242,7 @@
 func (pt *part) clear(at time.Time) {
 	pt.servedAt = later(pt.servedAt, at)
 	pt.crashes = slices.DeleteFunc(pt.crashes, func(cr crash) bool { return !cr.at.After(pt.servedAt) })
-	pt.unsent = slices.DeleteFunc(pt.unsent, func(id chestnutroad.CrashID) bool { return !pt.has(id) })
+	pt.unsent = slices.DeleteFunc(pt.unsent, func(us unsentCrash) bool { return !pt.has(us.id) })
 	if len(pt.crashes) == 0 {
 		pt.targets = nil
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -101,6 +101,29 @@
 	}
 }
 
+// TestLostMessage guards against a part whose crashes no host learns of because the first message about each was lost.
+func TestLostMessage(t *testing.T) {
+	t.Parallel()
+	first, second := quarantine.New(), quarantine.New()
+	first.Crashed(at(0), prompt("a"), targetEntry(1))
+	second.Crashed(at(0.5), prompt("a"), targetEntry(2))
+	sent := len(first.Take(at(0.5))) + len(second.Take(at(0.5)))
+	for tick := 0.65; tick < 2; tick += 0.15 {
+		one, other := first.Take(at(tick)), second.Take(at(tick))
+		sent += len(one) + len(other)
+		first.Merge(at(tick), other)
+		second.Merge(at(tick), one)
+	}
+	for _, tr := range []*quarantine.Tracker{first, second} {
+		if got := tr.Check(at(2), prompt("a"), "r-1"); !got.Refuse || got.Crashes != 2 {
+			t.Errorf("got %+v, want two crashes", got)
+		}
+	}
+	if sent > 8 {
+		t.Errorf("%d items were sent about two crashes", sent)
+	}
+}
+
 // TestLastPart guards against a suspicion of the last part of a prompt, which no other request has.
 func TestLastPart(t *testing.T) {
 	t.Parallel()
