Send no 400 on a connection that is being closed as idle

A request that arrived on a new connection just as a host closed it as idle could be answered with 400, which tells the caller not to send it again: net/http answers errors of reads with 400 unless they are of the kind that net.TCPConn returns, and the reads of callers' connections returned others. They return that kind now.

internal/entry TestNoAnswerOnClosingConnection before: got "HTTP/1.1 400 Bad Request\r\n..." It passes now, twice in a row with the race detector. The window is that between the mark and the close, a few microseconds; no run of a whole host has shown it.

--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -53,19 +53,26 @@
 	})
 	switch {
 	case err != nil:
-		return 0, err
-	case errors.Is(readErr, net.ErrClosed):
-		return 0, readErr
+		return 0, cn.readError(err)
 	case readErr != nil:
-		return 0, &net.OpError{
-			Op: "read", Net: "tcp", Source: cn.LocalAddr(), Addr: cn.RemoteAddr(), Err: os.NewSyscallError("read", readErr),
-		}
+		return 0, cn.readError(readErr)
 	case count == 0:
 		return 0, io.EOF
 	}
 	return count, nil
 }
 
+// readError returns an error as those of net.TCPConn. net/http answers others with 400, also on a connection that is being closed.
+func (cn *callerConn) readError(err error) error {
+	if opError := (*net.OpError)(nil); errors.As(err, &opError) {
+		err = opError.Err
+	}
+	if errno := syscall.Errno(0); errors.As(err, &errno) {
+		err = os.NewSyscallError("read", errno)
+	}
+	return &net.OpError{Op: "read", Net: "tcp", Source: cn.LocalAddr(), Addr: cn.RemoteAddr(), Err: err}
+}
+
 func (cn *callerConn) readSocket(fd int, data []byte) (int, error) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
--- a/internal/entry/closerace_test.go
+++ b/internal/entry/closerace_test.go
@@ -66,3 +66,49 @@
 		t.Fatal("the connection was not closed after 10 s")
 	}
 }
+
+// oneConnListener accepts one connection.
+type oneConnListener struct {
+	net.Listener
+	conns chan net.Conn
+}
+
+func (ol *oneConnListener) Close() error { return nil }
+
+func (ol *oneConnListener) Accept() (net.Conn, error) {
+	conn, open := <-ol.conns
+	if !open {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+
+// TestNoAnswerOnClosingConnection guards against a 400 to a request that arrives while its new connection is closed as idle.
+func TestNoAnswerOnClosingConnection(t *testing.T) {
+	t.Parallel()
+	near, far := connPair(t)
+	cc := newCallerConns()
+	started := make(chan struct{}, 1)
+	server := &http.Server{ReadHeaderTimeout: headerTimeout, ConnState: func(conn net.Conn, state http.ConnState) {
+		cc.connState(conn, state)
+		if state == http.StateNew {
+			started <- struct{}{}
+		}
+	}}
+	listener := &oneConnListener{conns: make(chan net.Conn, 1)}
+	listener.conns <- near
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { close(listener.conns) })
+	<-started
+	if closed, _ := near.markClosed(time.Now().Add(time.Minute), time.Second); !closed {
+		t.Fatal("the connection does not count as idle")
+	}
+	if _, err := far.Write([]byte("GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	_ = far.SetReadDeadline(time.Now().Add(5 * time.Second))
+	answer := make([]byte, 100)
+	if count, err := far.Read(answer); count > 0 || err == nil {
+		t.Errorf("got %q", answer[:count])
+	}
+}
