Send the events of TestCallerThatPausesKeepsItsTarget without gaps

At a load average of 39 the stream had not ended after the rule's timeout of 4 s: got 8151048 bytes, error unexpected EOF, want 8216786 bytes. The stand-in slept before each of 1,000 events. The events still exceed the socket buffers, and the test still fails when the stall timer runs while the host waits for the caller: the targets ran 2 requests, want 1.

--- a/internal/entry/stall_test.go
+++ b/internal/entry/stall_test.go
@@ -269,7 +269,7 @@
 	st.store.Configure(3, 1, "k-1", "k-2")
 	runners := []*standin.Runner{st.runner("i-1", standin.ModelService), st.runner("i-2", standin.ModelService)}
 	for _, rn := range runners {
-		rn.Events, rn.EventPadding = events, padding
+		rn.Events, rn.EventPadding, rn.Gap = events, padding, 0
 	}
 	ht := st.start("host-1", true)
 	req, err := standin.NewRequest(t.Context(), ht.address, &standin.Call{
