Read KNOWN-RED.txt in one place

Package knownred has it once; the listed tests of internal/replay are skipped and printed as before.

--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/chestnutroad/chestnutroad/internal/knownred"
 	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
 
@@ -38,7 +39,7 @@
 // against sound requests with the same key and first part that are refused with them.
 func TestPartThatCrashesTargets(t *testing.T) {
 	t.Parallel()
-	skipKnownRed(t)
+	knownred.Skip(t, "internal/entry")
 	cases := []struct {
 		name     string
 		prefix   string
--- a/internal/replay/redirect_test.go
+++ b/internal/replay/redirect_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/knownred"
 	"github.com/chestnutroad/chestnutroad/internal/pool"
 )
 
@@ -19,7 +20,7 @@
 // Guards against an owner that admits the next turn of a chat that it redirected. The chat's context is in the other shard,
 // where a redirected chat must stay; this shard would have to process the whole prompt again.
 func TestGoalRedirectedChatStaysInItsShard(t *testing.T) {
-	skipKnownRed(t)
+	knownred.Skip(t, "internal/replay")
 	servicePool := chestnutroad.PoolID{Site: "north", Service: "assistant"}
 	shard := chestnutroad.ShardID{Pool: servicePool, DataCentre: "a"}
 	other := chestnutroad.ShardID{Pool: servicePool, DataCentre: "b"}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/knownred"
 	"github.com/chestnutroad/chestnutroad/internal/replay"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 	"github.com/chestnutroad/chestnutroad/internal/trace"
@@ -71,7 +72,7 @@
 	for _, st := range sites {
 		t.Run(st.user, func(t *testing.T) {
 			t.Parallel()
-			skipKnownRed(t)
+			knownred.Skip(t, "internal/replay")
 			check(t, st)
 		})
 	}
--- a/test/operating/drain_test.go
+++ b/test/operating/drain_test.go
@@ -4,6 +4,8 @@
 	"os"
 	"strings"
 	"testing"
+
+	"github.com/chestnutroad/chestnutroad/internal/knownred"
 )
 
 // removeServiceScript publishes a configuration without the service search while host-2 owns its shard, and drains host-2. It
@@ -25,7 +27,7 @@
 // TestDrainAfterServiceIsRemoved guards against a drain that never ends. A host that owns a shard of a service must release the
 // shard when the service is removed from the configuration; otherwise its drain waits for the shard.
 func TestDrainAfterServiceIsRemoved(t *testing.T) {
-	skipKnownRed(t)
+	knownred.Skip(t, "test/operating")
 	page, err := os.ReadFile(pagePath)
 	if err != nil {
 		t.Fatal(err)
@@ -40,17 +42,3 @@
 	}
 	runBlock(t, directory, environment, removeServiceScript)
 }
-
-// skipKnownRed skips a test that KNOWN-RED.txt lists, and prints its entry.
-func skipKnownRed(t *testing.T) {
-	t.Helper()
-	data, err := os.ReadFile("../../KNOWN-RED.txt")
-	if err != nil && !os.IsNotExist(err) {
-		t.Fatal(err)
-	}
-	for _, entry := range strings.Split(string(data), "\n\n") {
-		if heading, _, _ := strings.Cut(entry, "\n"); heading == "test/operating "+t.Name() {
-			t.Skipf("KNOWN-RED.txt: %s", entry)
-		}
-	}
-}
