Read the limit that targets name in their answers

Server-Limit was read nowhere. An answer states a limit in requests a second, none, or nonsense (zero, negative, not a number, several values), which is told apart from none.

--- a/call.go
+++ b/call.go
@@ -61,6 +61,10 @@
 	// RetryAfter is the time for which a target that refused the request wants no more requests from this host; zero when
 	// the headers state no time.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the target takes from all hosts together; zero when the answer states none.
+	Limit RequestRate
+	// InvalidLimit is true when the answer states a limit that is no positive number.
+	InvalidLimit bool
 }
 
 // Wire reads and writes the HTTP headers by which a platform's callers, hosts and targets exchange metadata.
