--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -53,6 +53,9 @@
 	// Evidence is what hosts have observed of prompt parts that may crash targets; package siblings encodes it in a binary form
 	// instead.
 	Evidence []chestnutroad.PartEvidence `json:"-"`
+	// Rates are the requests sent to targets that limit them: the host's own in a report, the sums of the data centre in an
+	// exchange, and of all hosts in a beacon. Package siblings encodes them in a binary form instead.
+	Rates []chestnutroad.TargetRate `json:"-"`
 }
 
 // Send is a message with the address that it goes to.
@@ -75,6 +78,8 @@
 	Residences []chestnutroad.Residence
 	// Evidence about prompt parts is sent to other hosts with the messages of this tick.
 	Evidence []chestnutroad.PartEvidence
+	// Rates are the host's own requests for targets that limit them.
+	Rates []chestnutroad.TargetRate
 }
 
 const (
@@ -101,6 +106,8 @@
 	// view is the peer's last view in the order of a recent list of this host; nil after a beacon.
 	view   *View
 	viewAt time.Time
+	// rates are the peer's rates, or those of its data centre.
+	rates rateTable
 }
 
 // Node decides for one host whether it relays and which messages it sends. It is not safe for concurrent use.
@@ -129,11 +136,16 @@
 	remoteEvidence evidenceQueue
 	// rotation is the start index among the hosts of a data centre whose relay is not known.
 	rotation int
+	// ownRates are the rates that this host told last, totalRates the sums of all hosts. ratesTurn counts the ticks.
+	ownRates, totalRates rateTable
+	ratesTurn            int
 }
 
 // New returns the node of a host that starts now.
 func New(self Host, now time.Time) *Node {
-	nd := &Node{self: self, startedAt: now, peers: map[chestnutroad.HostID]*peer{}}
+	nd := &Node{
+		self: self, startedAt: now, peers: map[chestnutroad.HostID]*peer{}, ownRates: rateTable{}, totalRates: rateTable{},
+	}
 	nd.SetHosts(nil)
 	return nd
 }
@@ -150,7 +162,7 @@
 		if existing := nd.peers[hs.ID]; existing != nil {
 			existing.Host = hs
 		} else {
-			nd.peers[hs.ID] = &peer{Host: hs}
+			nd.peers[hs.ID] = &peer{Host: hs, rates: rateTable{}}
 		}
 		if hs.DataCentre == nd.self.DataCentre {
 			localHosts = append(localHosts, hs)
@@ -237,9 +249,16 @@
 	if pr == nil {
 		return false
 	}
+	if pr.lastMessage.Kind != message.Kind {
+		// The rates of an exchange are the sums of a data centre, those of a report a host's own.
+		clear(pr.rates)
+	}
 	pr.lastMessage = *message
 	pr.receivedAt = now
 	view := nd.viewOf(message)
+	if message.Kind != Beacon {
+		pr.rates.update(now, message.Rates)
+	}
 	switch {
 	case message.Kind == Beacon:
 		// The counts of a beacon are the sums of all hosts rather than the sender's own.
@@ -259,8 +278,11 @@
 	case Beacon:
 	}
 	pr.beaconAt = now
-	if relay, _, found := nd.Relay(now); found && relay.ID == message.From && view != nil {
-		nd.total, nd.totalAt = view, now
+	if relay, _, found := nd.Relay(now); found && relay.ID == message.From {
+		nd.totalRates.update(now, message.Rates)
+		if view != nil {
+			nd.total, nd.totalAt = view, now
+		}
 	}
 	return true
 }
@@ -283,6 +305,8 @@
 // Tick decides whether this host relays and returns the messages to send; the caller calls it every TickInterval.
 func (nd *Node) Tick(now time.Time, state *LocalState) []Send {
 	nd.lists.add(state.Own.List)
+	nd.ratesTurn++
+	nd.ownRates.update(now, state.Rates)
 	nd.relaying = nd.shouldRelay(now, state)
 	if !nd.relaying {
 		nd.localResidences, nd.remoteResidences = nil, nil
@@ -352,6 +376,7 @@
 	report := nd.message(Report, state, &state.Own)
 	report.Residences = state.Residences
 	report.Evidence = state.Evidence
+	report.Rates = rotation(state.Rates, maxRates, nd.ratesTurn)
 	return []Send{{Address: relay.Address, Message: report}}
 }
 
@@ -359,7 +384,15 @@
 func (nd *Node) relay(now time.Time, state *LocalState) []Send {
 	nd.reported = &state.Own
 	dataCentreTotal, total := state.Own.clone(), state.Own.clone()
+	dataCentreRates, totalRates := rateTable{}, rateTable{}
+	dataCentreRates.add(now, nd.ownRates)
 	for _, pr := range nd.peers {
+		if pr.DataCentre == nd.self.DataCentre && pr.lastMessage.Kind == Report {
+			dataCentreRates.add(now, pr.rates)
+		}
+		if pr.DataCentre != nd.self.DataCentre && pr.lastMessage.Kind == Exchange {
+			totalRates.add(now, pr.rates)
+		}
 		if pr.view == nil || now.Sub(pr.viewAt) >= messageTTL {
 			continue
 		}
@@ -372,6 +405,8 @@
 		}
 	}
 	nd.total, nd.totalAt = total, now
+	totalRates.add(now, dataCentreRates)
+	nd.totalRates = totalRates
 	nd.rotation += remoteCandidates
 	sends := make([]Send, 0, len(nd.peers))
 	local := mergeResidences(nd.localResidences, state.Residences)
@@ -383,6 +418,8 @@
 	exchange.Evidence = nd.localEvidence.items(now)
 	beacon.Evidence = append(nd.remoteEvidence.items(now), exchange.Evidence...)
 	nd.localEvidence, nd.remoteEvidence = nil, nil
+	exchange.Rates = rotation(dataCentreRates.without(now, nil), maxRates, nd.ratesTurn)
+	beacon.Rates = rotation(totalRates.without(now, nil), maxBeaconRates, nd.ratesTurn)
 	for _, hs := range nd.localHosts {
 		if hs.ID != nd.self.ID {
 			sends = append(sends, Send{Address: hs.Address, Message: beacon})
--- a/internal/siblings/datagram.go
+++ b/internal/siblings/datagram.go
@@ -34,6 +34,8 @@
 	Parts []byte `json:",omitempty"`
 	// Crashes is the encoded evidence about prompt parts, see encodeEvidence. Hosts of earlier versions ignore the field.
 	Crashes []byte `json:",omitempty"`
+	// Limits are the encoded rates of targets with limits, see encodeRates. Hosts of earlier versions ignore the field.
+	Limits []byte `json:",omitempty"`
 }
 
 // residenceSize is the size of an encoded residence in bytes.
@@ -139,6 +141,7 @@
 	dg.Notices, dg.NoticeSize = sk.compress(message.Notices)
 	dg.Parts = encodeResidences(message.Residences)
 	dg.Crashes = encodeEvidence(message.Evidence)
+	dg.Limits = encodeRates(message.Rates)
 	data, err := json.Marshal(&dg)
 	return data, errors.Wrap(err, "encode datagram")
 }
@@ -190,6 +193,7 @@
 	}
 	dg.Residences = decodeResidences(dg.Parts)
 	dg.Evidence = decodeEvidence(dg.Crashes)
+	dg.Rates = decodeRates(dg.Limits)
 	return &dg.Message, nil
 }
 
