Send targets no more requests a second than they name

Callers saw nothing, but targets in need got up to twice what they take. Cause: no host knew of the limits, and what hosts tell each other are running requests, which say nothing about requests a second: an engine that answers in 40 ms at 17 requests a second is far below the load bound. Now each send, retries, resumed streams and probes included, asks whether the target takes it; if not, the next target in the order of the policy is tried. Parts stay or move as a whole, costly ones stay longest, and where all targets have limits urgent requests come first and the others are refused at once.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -51,6 +51,7 @@
 		return 0
 	})
 	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
+	set.NewGauge("chestnutroad_targets_limited", func() float64 { return float64(en.state.limitedCount()) })
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
 	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
@@ -77,6 +78,17 @@
 	}
 }
 
+// countLimited counts a choice in which targets were passed over for their limits of requests a second, by whether another one
+// was found.
+func (cn *counters) countLimited(service string, found bool) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_choices_limited_total{service=%q,found=\"%t\"}", service, found)).Inc()
+}
+
+// countInvalidLimit counts an answer that states a limit that is no positive number.
+func (cn *counters) countInvalidLimit(service string) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_target_limits_invalid_total{service=%q}", service)).Inc()
+}
+
 // countSend counts a finished send to a target; err is nil when it was answered.
 func (cn *counters) countSend(service string, err error) {
 	end := "Answered"
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -38,6 +38,8 @@
 	failure *bufferedAnswer
 	// targetCounts counts the service's targets by state, for the log, when none was left to choose.
 	targetCounts *placement.TargetCounts
+	// limitsReached is the number of targets at their limits, for the log, when none was left to choose.
+	limitsReached int
 	// suspect describes the prompt part for which the request was refused, for the log.
 	suspect *quarantine.Decision
 	// trail lists the target, duration and error of each send, for the log.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -60,8 +60,12 @@
 			return en.concludeQuarantined(ex, err)
 		}
 		choice, found := en.choose(ex)
-		en.updateRefusalRate(ex, !found && choice.Full)
+		en.updateRefusalRate(ex, !found && (choice.Full || choice.Limited))
+		if choice.LimitsReached > 0 {
+			en.counters.countLimited(string(ex.service), found)
+		}
 		if !found {
+			ex.limitsReached = choice.LimitsReached
 			return en.concludeWithoutTarget(ex, &choice)
 		}
 		ex.choice = choice
@@ -215,6 +219,9 @@
 	if choice.Full {
 		return en.overloadRefusal(ex, "no target has a place")
 	}
+	if choice.Limited {
+		return en.overloadRefusal(ex, "all targets get as many requests as they take")
+	}
 	counts := en.state.countTargets(en.now(), ex.service)
 	ex.targetCounts = &counts
 	if choice.RetryAfter > 0 {
@@ -375,7 +382,13 @@
 func (en *Entry) applyAnswerMetadata(entry *chestnutroad.TargetEntry, metadata *chestnutroad.AnswerMetadata) {
 	now := en.now()
 	en.state.observeLoad(now, entry.ID, metadata)
-	if metadata.WrongTarget || !en.state.applyNotice(now, entry, metadata) {
+	if metadata.WrongTarget {
+		return
+	}
+	if metadata.Target == "" || metadata.Target == entry.ID {
+		en.observeLimit(entry, metadata)
+	}
+	if !en.state.applyNotice(now, entry, metadata) {
 		return
 	}
 	en.logger.Info("target wants no requests", "Target", entry.ID, "Service", entry.Service, "Address", entry.Address,
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -96,6 +96,7 @@
 		ln.mu.Lock()
 		listed := ln.node.Receive(ln.entry.now(), message)
 		others := ln.node.PeerView(ln.entry.now())
+		rates, ratesKnown := ln.node.PeerRates(ln.entry.now())
 		ln.mu.Unlock()
 		if !listed {
 			ln.fetchUnknown(from.String())
@@ -106,6 +107,9 @@
 		if message.Kind == relay.Beacon && others != nil {
 			ln.entry.state.setRemoteView(ln.entry.now(), others)
 		}
+		if message.Kind == relay.Beacon && ratesKnown {
+			ln.entry.mergeRates(ln.entry.now(), rates)
+		}
 	}
 }
 
@@ -126,15 +130,20 @@
 		status := ln.entry.localStatus()
 		status.Residences = ln.entry.state.pendingResidences(now)
 		status.Evidence = ln.entry.state.pendingEvidence(now)
+		status.Rates = ln.entry.state.pendingRates(now)
 		ln.entry.logSuspects(now)
 		ln.mu.Lock()
 		sends := ln.node.Tick(now, &status)
 		relaying := ln.node.Relaying()
 		others := ln.node.PeerView(now)
+		rates, ratesKnown := ln.node.PeerRates(now)
 		ln.mu.Unlock()
 		if relaying && others != nil {
 			ln.entry.state.setRemoteView(now, others)
 		}
+		if relaying && ratesKnown {
+			ln.entry.mergeRates(now, rates)
+		}
 		if relaying != wasRelaying {
 			ln.entry.logger.Info("relaying changed", "Relaying", relaying, "Version", status.Version, "Fresh", status.Fresh)
 			wasRelaying = relaying
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -80,6 +80,12 @@
 		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound,
 			"Preference", ex.choice.Preference, "Trial", ex.choice.Probe)
 	}
+	if limit := &ex.choice.Limit; limit.Limit > 0 {
+		fields = append(fields, "LimitPerSecond", limit.Limit, "LimitSent", limit.Sent, "LimitWanted", limit.Wanted, "LimitShare", limit.Share)
+	}
+	if reached := max(ex.limitsReached, ex.choice.LimitsReached); reached > 0 {
+		fields = append(fields, "LimitsReached", reached)
+	}
 	if len(ex.stalls) > 0 {
 		fields = append(fields, "Stalls", ex.stalls)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -104,11 +104,17 @@
 	defer st.mu.Unlock()
 	choice, found := st.pool.Choose(now, criteria)
 	if found {
-		st.pool.Start(choice.Entry.ID)
+		st.start(now, choice.Entry.ID)
 	}
 	return choice, found
 }
 
+// start counts a request that is sent to a target; st.mu must be held.
+func (st *state) start(now time.Time, id chestnutroad.TargetID) {
+	st.pool.Start(id)
+	st.pool.CountSent(now, id)
+}
+
 // finish ends a request at a target, records its outcome, and returns the change of the target's reachability, if any.
 func (st *state) finish(now time.Time, id chestnutroad.TargetID, outcome placement.Outcome) placement.ReachabilityChange {
 	st.mu.Lock()
@@ -196,7 +202,7 @@
 		},
 	})
 	if end == attempt.StallRetried {
-		st.pool.Start(choice.Entry.ID)
+		st.start(now, choice.Entry.ID)
 		if !unlimited {
 			budget.TakeRetry(now, share)
 		}
@@ -218,6 +224,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.hostCount = count
+	st.pool.SetHostCount(count)
 	st.suspects.SetHostCount(count)
 }
 
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -35,6 +35,8 @@
 	Reachability Name = "Reach"
 	// Quarantine refuses requests with prompt parts that are suspected of crashing targets.
 	Quarantine Name = "Quarantine"
+	// TargetLimits sends targets no more requests a second than they state that they take.
+	TargetLimits Name = "Limits"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -47,7 +49,7 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
+	"github.com/chestnutroad/chestnutroad/internal/ratelimit"
 )
 
 // Request holds the properties of a request that determine its target.
@@ -52,6 +53,12 @@
 	Probe bool
 	// NewConnection is true when the request should not reuse an idle connection.
 	NewConnection bool
+	// Limit is the target's own limit of requests a second, and what the decision on it was based on.
+	Limit ratelimit.Decision
+	// LimitsReached is the number of targets that were passed over since they get as many requests a second as they take.
+	LimitsReached int
+	// Limited is true when no target was chosen because all that have a free slot get as many requests a second as they take.
+	Limited bool
 	// Full is true when no target was chosen because none of the eligible ones has a free slot.
 	Full bool
 	// RetryAfter is set when no target was chosen because all eligible ones refuse requests for a time; it is the shortest
@@ -87,7 +94,12 @@
 	if len(healthy) == 0 {
 		return Choice{Full: true}, false
 	}
-	choice := pl.applyPolicy(now, healthy, req, sticky, bound, mean, len(all), suspect)
+	choice, found := pl.chooseWithinLimits(now, healthy, req, func(targets []*target, lim *limits) Choice {
+		return pl.applyPolicy(now, targets, req, sticky, lim, mean, suspect)
+	}, pl.limits(now, req, bound, mean, len(all)))
+	if !found {
+		return choice, false
+	}
 	if sticky != nil && choice.Entry.ID != sticky.entry.ID {
 		pl.residences.recordOverflow(now, partHash(req.Affinity), sticky, pl.targets[choice.Entry.ID])
 	}
@@ -126,22 +138,31 @@
 	return pl.resolveResidence(now, usable, req)
 }
 
-// applyPolicy selects one of the healthy targets; count is the number of all targets of the service.
+// limits returns the limits for a request; count is the number of all targets of the service. It counts a use of the request's
+// shared part.
+func (pl *Pool) limits(now time.Time, req *Request, bound int, mean float64, count int) *limits {
+	lim := &limits{bound: bound}
+	if baselines[pl.policy] == nil && req.Affinity != "" && !pl.disabled.Off(mechanism.Affinity) {
+		lim.spread = pl.spread(now, req, mean, count)
+		if !pl.disabled.Off(mechanism.Margin) {
+			lim.margin = pl.margin(req.Service).width
+		}
+	}
+	return lim
+}
+
+// applyPolicy selects one of the healthy targets.
 func (pl *Pool) applyPolicy(
-	now time.Time, healthy []*target, req *Request, sticky *target, bound int, mean float64, count int, suspect bool,
+	now time.Time, healthy []*target, req *Request, sticky *target, lim *limits, mean float64, suspect bool,
 ) Choice {
 	if choose := baselines[pl.policy]; choose != nil {
 		tg := choose(now, healthy, req)
-		return Choice{Entry: tg.entry, Load: tg.load(now), Bound: bound, Suspect: suspect}
+		return Choice{Entry: tg.entry, Load: tg.load(now), Bound: lim.bound, Suspect: suspect}
 	}
 	if req.Affinity != "" && !pl.disabled.Off(mechanism.Affinity) {
-		lim := limits{bound: bound, margin: pl.margin(req.Service).width, spread: pl.spread(now, req, mean, count)}
-		if pl.disabled.Off(mechanism.Margin) {
-			lim.margin = 0
-		}
-		return preferCached(now, newRanking(now, healthy, req.Affinity, sticky), req, &lim, suspect)
+		return preferCached(now, newRanking(now, healthy, req.Affinity, sticky), req, lim, suspect)
 	}
-	return pl.preferNear(now, healthy, req, bound, mean, suspect)
+	return pl.preferNear(now, healthy, req, lim.bound, mean, suspect)
 }
 
 func hasModel(entry *chestnutroad.TargetEntry, model string) bool {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
+	"github.com/chestnutroad/chestnutroad/internal/ratelimit"
 )
 
 // Pool holds the state of the targets of all services of an installation, as one host sees it. It is not safe for concurrent
@@ -24,6 +25,9 @@
 	residences   *residenceTable
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[chestnutroad.ServiceID]*utilisation
+	limiter      *ratelimit.Limiter
+	// unnamed counts the requests without an id that were tried at targets with limits.
+	unnamed uint64
 }
 
 // Option configures a Pool.
@@ -54,6 +58,7 @@
 		popularity:   newPopularity(),
 		margins:      map[chestnutroad.ServiceID]*margin{},
 		utilisations: map[chestnutroad.ServiceID]*utilisation{},
+		limiter:      ratelimit.New(),
 	}
 	pl.residences = newResidenceTable(pl.targets)
 	for _, opt := range opts {
@@ -81,6 +86,7 @@
 	pl.Remove(entry.ID)
 	tg := &target{entry: *entry, hash: chestnutroad.HashID(string(entry.ID))}
 	pl.attachNotice(tg)
+	pl.limiter.Register(tg.shortHash(), entry.Incarnation)
 	pl.targets[entry.ID] = tg
 	pl.services[entry.Service] = append(pl.services[entry.Service], tg)
 	slices.SortFunc(pl.services[entry.Service], func(a, b *target) int {
