--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -54,12 +54,12 @@
 			changes = append(changes, MergedChange{Target: rate.Target, Change: change})
 		}
 		if tg := lm.targets[rate.Target]; tg != nil {
-			tg.peers, tg.peersAt = rate, now
+			tg.setPeers(now, rate)
 		}
 	}
 	for hash, tg := range lm.targets {
 		if !listed[hash] && now.Sub(tg.startedAt) >= shareStateTime {
-			tg.peers, tg.peersAt = chestnutroad.TargetRate{}, now
+			tg.setPeers(now, chestnutroad.TargetRate{})
 		}
 	}
 	return changes
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -90,7 +90,7 @@
 	}
 	tg.limit = limit
 	if before <= 0 && limit > 0 {
-		*tg = target{limit: limit, statedAt: statedAt, startedAt: now, incarnation: tg.incarnation}
+		tg.start(now, statedAt, limit)
 	}
 	return Change{Changed: true, Before: before, After: limit}
 }
--- a/internal/ratelimit/target.go
+++ b/internal/ratelimit/target.go
@@ -41,6 +41,10 @@
 	// statedAt is when the latest answer was received, by any host, that stated the limit or its end; startedAt is when the limit was
 	// first stated.
 	statedAt, startedAt time.Time
+	// before is the number of requests that are assumed to have been sent in the time before startedAt, which no host counted.
+	before float64
+	// known is true when the limit had been in force at other hosts for some time before this host learned of it.
+	known bool
 	// ownStatementAt is when this host last received a statement that changed the limit.
 	ownStatementAt time.Time
 	sent           counter
@@ -79,15 +83,34 @@
 	return tg.sentBefore(now) + sent + peerSent, wanted
 }
 
-// sentBefore returns what is left of the requests before the limit started, which were not counted: they are taken to have been as
-// many as the limit allows, so that the target neither stands idle nor gets a burst at first.
+// start starts a limit. The requests before it, which were not counted, are taken to have been as many as the limit allows, so that
+// the target neither stands idle nor gets a burst at first.
+func (tg *target) start(now, statedAt time.Time, limit chestnutroad.RequestRate) {
+	*tg = target{limit: limit, statedAt: statedAt, startedAt: now, incarnation: tg.incarnation}
+	tg.before = float64(limit) * tg.sentTime().Seconds()
+}
+
+// setPeers records the sums of the other hosts. The first ones tell whether the limit started long before this host learned of it,
+// as for a host that has just started.
+func (tg *target) setPeers(now time.Time, rate chestnutroad.TargetRate) {
+	if tg.peersAt.IsZero() {
+		tg.known = rate.Sent >= tg.before/2
+		tg.before = max(0, tg.before-rate.Sent)
+	}
+	tg.peers, tg.peersAt = rate, now
+}
+
+// sentBefore returns what is left of the requests before the limit started.
 func (tg *target) sentBefore(now time.Time) float64 {
-	before := counter{value: float64(tg.limit) * tg.sentTime().Seconds(), updatedAt: tg.startedAt}
+	before := counter{value: tg.before, updatedAt: tg.startedAt}
 	return before.valueAt(now, tg.sentTime())
 }
 
 // observedShare returns the share of the present demand that the counts show: they start at zero with the limit.
 func (tg *target) observedShare(now time.Time) float64 {
+	if tg.known {
+		return 1
+	}
 	return 1 - math.Exp(-max(minObservedTime, now.Sub(tg.startedAt)).Seconds()/demandTime.Seconds())
 }
 
