--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -26,6 +26,8 @@
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[chestnutroad.ServiceID]*utilisation
 	limiter      *ratelimit.Limiter
+	// sharedTokens is the moving average of the shared tokens of each service's requests.
+	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
 	unnamed uint64
 }
@@ -59,6 +61,7 @@
 		margins:      map[chestnutroad.ServiceID]*margin{},
 		utilisations: map[chestnutroad.ServiceID]*utilisation{},
 		limiter:      ratelimit.New(),
+		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
 	pl.residences = newResidenceTable(pl.targets)
 	for _, opt := range opts {
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -62,7 +62,7 @@
 		return targets
 	}
 	if req.Affinity != "" && !pl.disabled.Off(mechanism.StrictAffinity) &&
-		req.hasCostlyPart() && crowded(now, targets) {
+		req.SharedTokens > costlyPartRatio*req.MaxOutputTokens && crowded(now, targets) {
 		targets = newRanking(now, targets, req.Affinity, sticky).top(min(crowdedTargets, len(targets)))
 	}
 	return slices.DeleteFunc(targets, func(tg *target) bool { return !tg.hasSlot(now, req) })
--- a/internal/placement/targetlimit.go
+++ b/internal/placement/targetlimit.go
@@ -19,10 +19,11 @@
 func (pl *Pool) chooseWithinLimits(
 	now time.Time, targets []*target, req *Request, policy func([]*target, *limits) Choice, lim *limits,
 ) (Choice, bool) {
+	costly := pl.hasCostlyPart(req)
 	if pl.disabled.Off(mechanism.TargetLimits) || pl.limiter.Limited() == 0 {
 		return policy(targets, lim), true
 	}
-	classes := pl.classes(targets, req)
+	classes := pl.classes(targets, req, costly)
 	remaining := slices.Clone(targets)
 	for trial := range min(maxLimitTrials, len(targets)) {
 		choice := policy(remaining, lim)
@@ -44,16 +45,28 @@
 }
 
 // classes returns the function from whether a target is the preferred one to the request's class there.
-func (pl *Pool) classes(targets []*target, req *Request) func(preferred bool) ratelimit.Class {
+func (pl *Pool) classes(targets []*target, req *Request, costly bool) func(preferred bool) ratelimit.Class {
 	spare := slices.ContainsFunc(targets, func(tg *target) bool { return pl.limiter.Limit(tg.shortHash()) == 0 })
 	return func(preferred bool) ratelimit.Class {
 		if spare {
-			return ratelimit.ClassByCost(req.hasCostlyPart(), preferred)
+			return ratelimit.ClassByCost(costly, preferred)
 		}
 		return ratelimit.ClassByRank(req.Rank, preferred)
 	}
 }
 
+// sharedTokensWeight is the weight of a request in the moving average of the shared tokens of a service's requests.
+const sharedTokensWeight = 1.0 / 64
+
+// hasCostlyPart reports whether the request's shared parts take longer to read again than those of the service's average request,
+// which it updates.
+func (pl *Pool) hasCostlyPart(req *Request) bool {
+	mean := pl.sharedTokens[req.Service]
+	tokens := float64(req.SharedTokens)
+	pl.sharedTokens[req.Service] = mean + sharedTokensWeight*(tokens-mean)
+	return tokens > mean
+}
+
 // admitAt asks whether a target takes the request within its limit.
 func (pl *Pool) admitAt(now time.Time, tg *target, req *Request, class ratelimit.Class) ratelimit.Decision {
 	id := req.ID
