Name what crash evidence is kept about a subject

A subject is a prompt part today and can be a whole request. The tracker takes a request with its features in place of a list of prompt parts. Nothing else changes; messages between hosts stay as they are.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -532,7 +532,7 @@
 		return sendResult{end: attempt.TargetFailed, failure: answer, err: errTargetFailed, outcome: placement.Failed}
 	}
 	if an.Status == http.StatusOK && metadata.Receipt && len(body) > 0 {
-		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+		en.state.recordProgress(en.now(), ex.features())
 	}
 	if err := en.deliver(ex, answer); err != nil {
 		return sendResult{end: attempt.Broken, err: err, outcome: placement.Served}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -21,6 +21,11 @@
 	progressEvents = 2
 )
 
+// features returns what the exchange's request may be suspected for.
+func (ex *exchange) features() *quarantine.Request {
+	return &quarantine.Request{Parts: ex.callMetadata.Parts}
+}
+
 // concludeQuarantined ends an exchange that must not be sent to a target, with the answer of an earlier one if there is one.
 func (en *Entry) concludeQuarantined(ex *exchange, refusal error) error {
 	if ex.failure != nil && !ex.answerStarted() {
@@ -57,7 +62,7 @@
 	if en.settings.Without.Off(mechanism.Quarantine) {
 		return true
 	}
-	accused, repeatable := en.state.recordCrash(en.now(), ex.callMetadata.Parts, entry)
+	accused, repeatable := en.state.recordCrash(en.now(), ex.features(), entry)
 	en.counters.crashEvidence.Add(accused)
 	return repeatable
 }
@@ -83,38 +88,38 @@
 func (st *state) checkQuarantine(now time.Time, ex *exchange) quarantine.Decision {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.suspects.Check(now, ex.callMetadata.Parts, ex.callMetadata.ID)
+	return st.suspects.Check(now, ex.features(), ex.callMetadata.ID)
 }
 
 // recordCrash records a crash and returns the number of accused parts and whether the request may be sent to another target.
 func (st *state) recordCrash(
-	now time.Time, parts []chestnutroad.PromptPart, entry *chestnutroad.TargetEntry,
+	now time.Time, request *quarantine.Request, entry *chestnutroad.TargetEntry,
 ) (accused int, repeatable bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	accused = st.suspects.Crashed(now, parts, entry)
-	return accused, st.suspects.Repeatable(now, parts)
+	accused = st.suspects.Crashed(now, request, entry)
+	return accused, st.suspects.Repeatable(now, request)
 }
 
 // recordProgress records that a target made progress on the answer to a request with the parts.
-func (st *state) recordProgress(now time.Time, parts []chestnutroad.PromptPart) {
-	if len(parts) == 0 || st.disabled.Off(mechanism.Quarantine) {
+func (st *state) recordProgress(now time.Time, request *quarantine.Request) {
+	if st.disabled.Off(mechanism.Quarantine) {
 		return
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.suspects.Served(now, parts)
+	st.suspects.Served(now, request)
 }
 
 // pendingEvidence returns the evidence about prompt parts to send to other hosts now.
-func (st *state) pendingEvidence(now time.Time) []chestnutroad.PartEvidence {
+func (st *state) pendingEvidence(now time.Time) []chestnutroad.CrashEvidence {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	return st.suspects.Take(now)
 }
 
 // mergeEvidence merges the evidence about prompt parts that another host sent.
-func (st *state) mergeEvidence(now time.Time, items []chestnutroad.PartEvidence) {
+func (st *state) mergeEvidence(now time.Time, items []chestnutroad.CrashEvidence) {
 	if len(items) == 0 || st.disabled.Off(mechanism.Quarantine) {
 		return
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -132,7 +132,7 @@
 	before := ex.stream.received
 	ex.stream.received += countEvents(events)
 	if before < progressEvents && ex.stream.received >= progressEvents {
-		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+		en.state.recordProgress(en.now(), ex.features())
 	}
 }
 
@@ -176,7 +176,7 @@
 		en.startStream(ex, an.Header)
 	}
 	if ex.stream.received > 0 && ex.stream.received < progressEvents && an.Framed {
-		en.state.recordProgress(en.now(), ex.callMetadata.Parts)
+		en.state.recordProgress(en.now(), ex.features())
 	}
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.recordStream(ex.stream.events, ex.callMetadata.Output) })
 	return sendResult{done: true, outcome: placement.Served}
--- a/internal/quarantine/change.go
+++ b/internal/quarantine/change.go
@@ -10,7 +10,7 @@
 
 // Change is the start or the end of the suspicion against a part.
 type Change struct {
-	Part      chestnutroad.PartHash
+	Part      chestnutroad.SubjectHash
 	Suspected bool
 	// Crashes is the number of targets known to have crashed; Targets are those that this host saw itself.
 	Crashes int
@@ -20,13 +20,13 @@
 // Changes returns the parts whose suspicion started or ended since the last call.
 func (tr *Tracker) Changes(now time.Time) []Change {
 	var changes []Change
-	for hash, pt := range tr.parts {
-		suspected := tr.isSuspect(now, pt)
-		if suspected == pt.suspected {
+	for hash, sb := range tr.subjects {
+		suspected := tr.isSuspect(now, sb)
+		if suspected == sb.suspected {
 			continue
 		}
-		pt.suspected = suspected
-		changes = append(changes, Change{Part: hash, Suspected: suspected, Crashes: len(pt.crashes), Targets: slices.Clone(pt.targets)})
+		sb.suspected = suspected
+		changes = append(changes, Change{Part: hash, Suspected: suspected, Crashes: len(sb.crashes), Targets: slices.Clone(sb.targets)})
 	}
 	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Part, b.Part) })
 	return changes
--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -19,31 +19,31 @@
 
 // Check decides whether a request is refused because one of its parts is suspected of crashing targets. During trials, a growing
 // share of the requests is admitted by the hash of their ids.
-func (tr *Tracker) Check(now time.Time, parts []chestnutroad.PromptPart, id chestnutroad.RequestID) Decision {
-	for _, pp := range shared(parts) {
-		pt := tr.parts[hashOf(pp)]
-		if pt == nil || !tr.isSuspect(now, pt) || !tr.holdsGroup(now, pt, parts) {
+func (tr *Tracker) Check(now time.Time, rq *Request, id chestnutroad.RequestID) Decision {
+	features := rq.features()
+	for _, ft := range features {
+		sb := tr.subjects[ft.hash]
+		if sb == nil || !tr.isSuspect(now, sb) || !tr.holdsGroup(now, sb, features) {
 			continue
 		}
-		wait := pt.refusal() - now.Sub(pt.lastCrash())
+		wait := sb.refusal() - now.Sub(sb.lastCrash())
 		if wait <= 0 && trialHash(id) < tr.trialShare(-wait) {
 			continue
 		}
-		return Decision{Refuse: true, Part: pp.ID, Crashes: len(pt.crashes), RetryAfter: max(0, wait)}
+		return Decision{Refuse: true, Part: ft.name, Crashes: len(sb.crashes), RetryAfter: max(0, wait)}
 	}
 	return Decision{}
 }
 
 // Repeatable reports whether a request whose target crashed may be sent to another target: all of its shared parts were served
 // within provenWindow and none is suspected.
-func (tr *Tracker) Repeatable(now time.Time, parts []chestnutroad.PromptPart) bool {
-	for _, pp := range shared(parts) {
-		hash := hashOf(pp)
-		pt, servedAt := tr.parts[hash], tr.served.lastUse(hash)
-		if pt != nil {
-			servedAt = later(servedAt, pt.servedAt)
+func (tr *Tracker) Repeatable(now time.Time, rq *Request) bool {
+	for _, ft := range rq.features() {
+		sb, servedAt := tr.subjects[ft.hash], tr.served.lastUse(ft.hash)
+		if sb != nil {
+			servedAt = later(servedAt, sb.servedAt)
 		}
-		if now.Sub(servedAt) >= provenWindow || pt != nil && tr.isSuspect(now, pt) {
+		if now.Sub(servedAt) >= provenWindow || sb != nil && tr.isSuspect(now, sb) {
 			return false
 		}
 	}
@@ -53,8 +53,8 @@
 // SuspectCount returns the number of suspected parts.
 func (tr *Tracker) SuspectCount(now time.Time) int {
 	count := 0
-	for _, pt := range tr.parts {
-		if tr.isSuspect(now, pt) {
+	for _, sb := range tr.subjects {
+		if tr.isSuspect(now, sb) {
 			count++
 		}
 	}
@@ -73,12 +73,12 @@
 }
 
 // isSuspect reports whether the crashes of the part suffice and no other suspect explains all of them and more.
-func (tr *Tracker) isSuspect(now time.Time, pt *part) bool {
-	if !tr.meetsThreshold(now, pt) {
+func (tr *Tracker) isSuspect(now time.Time, sb *subject) bool {
+	if !tr.meetsThreshold(now, sb) {
 		return false
 	}
-	for _, other := range tr.parts {
-		if len(other.crashes) > len(pt.crashes) && other.covers(pt) && tr.meetsThreshold(now, other) {
+	for _, other := range tr.subjects {
+		if len(other.crashes) > len(sb.crashes) && other.covers(sb) && tr.meetsThreshold(now, other) {
 			return false
 		}
 	}
@@ -87,13 +87,13 @@
 
 // holdsGroup reports whether the prompt holds all suspects with the same crashes as the part. Requests with some of them only
 // are admitted, which tells the parts apart.
-func (tr *Tracker) holdsGroup(now time.Time, pt *part, parts []chestnutroad.PromptPart) bool {
-	held := map[*part]bool{}
-	for _, pp := range shared(parts) {
-		held[tr.parts[hashOf(pp)]] = true
+func (tr *Tracker) holdsGroup(now time.Time, sb *subject, features []feature) bool {
+	held := map[*subject]bool{}
+	for _, ft := range features {
+		held[tr.subjects[ft.hash]] = true
 	}
-	for _, other := range tr.parts {
-		if !held[other] && len(other.crashes) == len(pt.crashes) && other.covers(pt) && tr.meetsThreshold(now, other) {
+	for _, other := range tr.subjects {
+		if !held[other] && len(other.crashes) == len(sb.crashes) && other.covers(sb) && tr.meetsThreshold(now, other) {
 			return false
 		}
 	}
@@ -101,32 +101,32 @@
 }
 
 // meetsThreshold reports whether the part has enough crashes and the refusals and trials after them are not over.
-func (tr *Tracker) meetsThreshold(now time.Time, pt *part) bool {
-	if len(pt.crashes) < minCrashes {
+func (tr *Tracker) meetsThreshold(now time.Time, sb *subject) bool {
+	if len(sb.crashes) < minCrashes {
 		return false
 	}
-	since := now.Sub(pt.lastCrash()) - pt.refusal()
+	since := now.Sub(sb.lastCrash()) - sb.refusal()
 	if since > 0 && tr.trialShare(since) >= 1 {
 		return false
 	}
-	if pt.proven() {
-		return pt.firm() && pt.lastCrash().Sub(pt.crashes[0].at) >= provenSpread
+	if sb.proven() {
+		return sb.firm() && sb.lastCrash().Sub(sb.crashes[0].at) >= provenSpread
 	}
-	return pt.distinctCrashes() >= minCrashes
+	return sb.distinctCrashes() >= minCrashes
 }
 
 // firm reports whether the crashes are so many that the part is hardly a sound one.
-func (pt *part) firm() bool {
-	return len(pt.crashes) >= firmCrashes && pt.distinctCrashes() >= firmDistinct
+func (sb *subject) firm() bool {
+	return len(sb.crashes) >= firmCrashes && sb.distinctCrashes() >= firmDistinct
 }
 
 // proven reports whether the part was served shortly before its first crash.
-func (pt *part) proven() bool { return pt.crashes[0].at.Sub(pt.servedAt) < provenWindow }
+func (sb *subject) proven() bool { return sb.crashes[0].at.Sub(sb.servedAt) < provenWindow }
 
 // covers reports whether all crashes of the other part are also among those of this one.
-func (pt *part) covers(other *part) bool {
+func (sb *subject) covers(other *subject) bool {
 	for _, cr := range other.crashes {
-		if !pt.has(cr.id) {
+		if !sb.has(cr.id) {
 			return false
 		}
 	}
@@ -134,10 +134,10 @@
 }
 
 // distinctCrashes counts the crashes; those within commonCauseWindow of the first of them count as one.
-func (pt *part) distinctCrashes() int {
+func (sb *subject) distinctCrashes() int {
 	count := 0
 	var first time.Time
-	for _, cr := range pt.crashes {
+	for _, cr := range sb.crashes {
 		if count == 0 || cr.at.Sub(first) >= commonCauseWindow {
 			first = cr.at
 			count++
@@ -147,13 +147,13 @@
 }
 
 // refusal returns the time after the last crash for which all requests with the part are refused.
-func (pt *part) refusal() time.Duration {
-	if !pt.firm() {
+func (sb *subject) refusal() time.Duration {
+	if !sb.firm() {
 		return weakRefusal
 	}
 	refusal := firmRefusal
-	for index := 1; index < len(pt.crashes) && refusal < maxRefusal; index++ {
-		if pt.crashes[index].at.Sub(pt.crashes[index-1].at) >= roundGap {
+	for index := 1; index < len(sb.crashes) && refusal < maxRefusal; index++ {
+		if sb.crashes[index].at.Sub(sb.crashes[index-1].at) >= roundGap {
 			refusal *= 2
 		}
 	}
@@ -161,4 +161,4 @@
 }
 
 // ttl returns how long the crashes are kept after the last one.
-func (pt *part) ttl() time.Duration { return max(evidenceTTL, 2*pt.refusal()) }
+func (sb *subject) ttl() time.Duration { return max(evidenceTTL, 2*sb.refusal()) }
--- a/internal/quarantine/merge_test.go
+++ b/internal/quarantine/merge_test.go
@@ -14,12 +14,12 @@
 
 // drawEvidence returns evidence about a few parts, with as many crashes of a part as are kept. The time of a crash follows from
 // its id, as all hosts see it at the same moment.
-func drawEvidence(rt *rapid.T) []chestnutroad.PartEvidence {
-	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) chestnutroad.PartEvidence {
-		item := chestnutroad.PartEvidence{
-			Part:  chestnutroad.PartHash(rapid.IntRange(1, 4).Draw(rt, "part")),
-			Crash: chestnutroad.CrashID(rapid.IntRange(0, maxCrashes).Draw(rt, "crash")),
-			Age:   time.Duration(rapid.IntRange(0, 200).Draw(rt, "age")) * time.Second,
+func drawEvidence(rt *rapid.T) []chestnutroad.CrashEvidence {
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) chestnutroad.CrashEvidence {
+		item := chestnutroad.CrashEvidence{
+			Subject: chestnutroad.SubjectHash(rapid.IntRange(1, 4).Draw(rt, "part")),
+			Crash:   chestnutroad.CrashID(rapid.IntRange(0, maxCrashes).Draw(rt, "crash")),
+			Age:     time.Duration(rapid.IntRange(0, 200).Draw(rt, "age")) * time.Second,
 		}
 		if item.Crash > 0 {
 			item.Age = time.Duration(item.Crash*37%200) * time.Second
@@ -30,9 +30,9 @@
 
 // evidence returns a text of the evidence that a tracker holds.
 func (tr *Tracker) evidence() string {
-	lines := make([]string, 0, len(tr.parts))
-	for hash, pt := range tr.parts {
-		lines = append(lines, fmt.Sprintln(hash, pt.servedAt, pt.crashes))
+	lines := make([]string, 0, len(tr.subjects))
+	for hash, sb := range tr.subjects {
+		lines = append(lines, fmt.Sprintln(hash, sb.servedAt, sb.crashes))
 	}
 	slices.Sort(lines)
 	return fmt.Sprint(lines)
@@ -48,7 +48,7 @@
 		one, other := New(), New()
 		one.Merge(now, items)
 		for _, item := range shuffled {
-			other.Merge(now, []chestnutroad.PartEvidence{item})
+			other.Merge(now, []chestnutroad.CrashEvidence{item})
 		}
 		if one.evidence() != other.evidence() {
 			rt.Fatalf("got %s\nand %s", one.evidence(), other.evidence())
@@ -63,33 +63,33 @@
 		tr, now := New(), time.Unix(1_000_000, 0)
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
 		for range rapid.IntRange(1, 2).Draw(rt, "rounds") {
-			parts := make([]chestnutroad.PromptPart, 0, maxParts+100)
-			items := make([]chestnutroad.PartEvidence, 0, maxParts+100)
-			for index := range 2 * maxParts {
-				number := 1 + rng.IntN(3*maxParts)
+			parts := make([]chestnutroad.PromptPart, 0, maxSubjects+100)
+			items := make([]chestnutroad.CrashEvidence, 0, maxSubjects+100)
+			for index := range 2 * maxSubjects {
+				number := 1 + rng.IntN(3*maxSubjects)
 				parts = append(parts, chestnutroad.PromptPart{ID: fmt.Sprint(number)})
-				items = append(items, chestnutroad.PartEvidence{
-					Part: chestnutroad.PartHash(number), Crash: chestnutroad.CrashID(index), Age: time.Duration(number-5) * time.Second,
+				items = append(items, chestnutroad.CrashEvidence{
+					Subject: chestnutroad.SubjectHash(number), Crash: chestnutroad.CrashID(index), Age: time.Duration(number-5) * time.Second,
 				})
 			}
-			tr.Served(now, parts)
+			tr.Served(now, &Request{Parts: parts})
 			now = now.Add(time.Duration(rapid.IntRange(0, 90).Draw(rt, "wait")) * time.Second)
-			tr.Crashed(now, parts, &chestnutroad.TargetEntry{ID: "i-1", Incarnation: chestnutroad.Incarnation(now.Unix())})
+			tr.Crashed(now, &Request{Parts: parts}, &chestnutroad.TargetEntry{ID: "i-1", Incarnation: chestnutroad.Incarnation(now.Unix())})
 			tr.Merge(now, items)
 			sent := tr.Take(now)
-			if len(tr.parts) > maxParts || len(sent) > maxMessageItems || len(tr.served.recent) > maxServedParts {
-				rt.Fatalf("%d parts tracked, %d items sent, %d parts remembered", len(tr.parts), len(sent), len(tr.served.recent))
+			if len(tr.subjects) > maxSubjects || len(sent) > maxMessageItems || len(tr.served.recent) > maxServed {
+				rt.Fatalf("%d parts tracked, %d items sent, %d parts remembered", len(tr.subjects), len(sent), len(tr.served.recent))
 			}
-			for _, pt := range tr.parts {
-				if len(pt.crashes) > maxCrashes || len(pt.unsent) > maxCrashes || len(pt.targets) > maxCrashes {
-					rt.Fatalf("%d crashes, %d unsent, %d targets of one part", len(pt.crashes), len(pt.unsent), len(pt.targets))
+			for _, sb := range tr.subjects {
+				if len(sb.crashes) > maxCrashes || len(sb.unsent) > maxCrashes || len(sb.targets) > maxCrashes {
+					rt.Fatalf("%d crashes, %d unsent, %d targets of one part", len(sb.crashes), len(sb.unsent), len(sb.targets))
 				}
 			}
 		}
 		now = now.Add(2*maxRefusal + provenWindow + time.Second)
 		tr.Take(now)
-		if len(tr.parts) > 0 {
-			rt.Fatalf("%d parts are still tracked", len(tr.parts))
+		if len(tr.subjects) > 0 {
+			rt.Fatalf("%d parts are still tracked", len(tr.subjects))
 		}
 	})
 }
@@ -99,7 +99,7 @@
 func TestLearning(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1_000_000, 0)
-	parts := []chestnutroad.PromptPart{{ID: "a"}, {ID: "own"}}
+	parts := &Request{Parts: []chestnutroad.PromptPart{{ID: "a"}, {ID: "own"}}}
 	first, second, late := New(), New(), New()
 	for index := range 5 {
 		first.Crashed(now, parts, &chestnutroad.TargetEntry{ID: chestnutroad.TargetID(fmt.Sprint("i-", index)), Incarnation: 1})
--- a/internal/quarantine/site_test.go
+++ b/internal/quarantine/site_test.go
@@ -33,7 +33,7 @@
 
 type simRequest struct {
 	host     *quarantine.Tracker
-	parts    []chestnutroad.PromptPart
+	parts    *quarantine.Request
 	id       chestnutroad.RequestID
 	deadly   *deadlyPart
 	sends    int
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// maxParts limits the parts with crash evidence. A target that ends leaves evidence against about 30 parts, most of which
+	// maxSubjects limits the parts with crash evidence. A target that ends leaves evidence against about 30 parts, most of which
 	// are served again within seconds.
-	maxParts = 512
-	// evictedParts is the number of parts that are dropped at once when the table is full.
-	evictedParts = 64
+	maxSubjects = 512
+	// evictedSubjects is the number of parts that are dropped at once when the table is full.
+	evictedSubjects = 64
 	// maxCrashes limits the crashes kept of a part, the newest ones. Five make it a firm suspect, and each later round adds one
 	// or two.
 	maxCrashes = 24
@@ -74,7 +74,7 @@
 }
 
 // part holds the evidence about a prompt part.
-type part struct {
+type subject struct {
 	// crashes are sorted by time; all are later than servedAt.
 	crashes []crash
 	// targets are the targets that this host saw crash, for the log.
@@ -94,28 +94,19 @@
 // Tracker tracks the crash evidence against prompt parts. It is not safe for concurrent use.
 type Tracker struct {
 	hosts     int
-	parts     map[chestnutroad.PartHash]*part
-	served    servedParts
+	subjects  map[chestnutroad.SubjectHash]*subject
+	served    servedSubjects
 	expiredAt time.Time
 }
 
 // New returns a tracker without evidence.
 func New() *Tracker {
-	return &Tracker{hosts: 1, parts: map[chestnutroad.PartHash]*part{}, served: newServedParts()}
+	return &Tracker{hosts: 1, subjects: map[chestnutroad.SubjectHash]*subject{}, served: newServedParts()}
 }
 
 // SetHostCount sets the number of hosts among which trial requests are divided.
 func (tr *Tracker) SetHostCount(count int) { tr.hosts = max(1, count) }
 
-// shared returns the parts of a prompt that can be under suspicion: all but the last, which no other request has.
-func shared(parts []chestnutroad.PromptPart) []chestnutroad.PromptPart {
-	return parts[:max(0, len(parts)-1)]
-}
-
-func hashOf(pp chestnutroad.PromptPart) chestnutroad.PartHash {
-	return chestnutroad.PartHash(chestnutroad.HashID(pp.ID))
-}
-
 // CrashOf returns the id of the crash of an incarnation of a target.
 func CrashOf(entry *chestnutroad.TargetEntry) chestnutroad.CrashID {
 	name := string(entry.ID) + "/" + strconv.FormatUint(uint64(entry.Incarnation), 10)
@@ -124,26 +115,26 @@
 
 // Crashed records that a target ended under a request with the parts before the request had made progress. It returns the
 // number of parts that are accused.
-func (tr *Tracker) Crashed(now time.Time, parts []chestnutroad.PromptPart, entry *chestnutroad.TargetEntry) int {
+func (tr *Tracker) Crashed(now time.Time, rq *Request, entry *chestnutroad.TargetEntry) int {
 	accused := 0
-	for _, pp := range shared(parts) {
-		hash := hashOf(pp)
+	for _, ft := range rq.features() {
+		hash := ft.hash
 		if now.Sub(tr.served.lastUse(hash)) < noAccusationWindow {
 			continue
 		}
 		accused++
-		pt := tr.track(now, hash)
-		if pt == nil {
+		sb := tr.track(now, hash)
+		if sb == nil {
 			continue
 		}
-		if used := tr.served.lastUse(hash); used.After(pt.servedAt) {
-			pt.servedAt, pt.statementDue = used, now.Sub(used) < provenWindow
+		if used := tr.served.lastUse(hash); used.After(sb.servedAt) {
+			sb.servedAt, sb.statementDue = used, now.Sub(used) < provenWindow
 		}
-		if id := CrashOf(entry); pt.addCrash(id, now) {
-			pt.unsent = append(pt.unsent, unsentCrash{id: id, due: now})
+		if id := CrashOf(entry); sb.addCrash(id, now) {
+			sb.unsent = append(sb.unsent, unsentCrash{id: id, due: now})
 		}
-		if !slices.Contains(pt.targets, entry.ID) && len(pt.targets) < maxCrashes {
-			pt.targets = append(pt.targets, entry.ID)
+		if !slices.Contains(sb.targets, entry.ID) && len(sb.targets) < maxCrashes {
+			sb.targets = append(sb.targets, entry.ID)
 		}
 	}
 	return accused
@@ -151,50 +142,49 @@
 
 // Served records that a target made progress on the answer to a request with the parts. Earlier evidence against them is
 // dropped, here and at other hosts.
-func (tr *Tracker) Served(now time.Time, parts []chestnutroad.PromptPart) {
-	for _, pp := range shared(parts) {
-		hash := hashOf(pp)
-		tr.served.record(now, hash)
-		if pt := tr.parts[hash]; pt != nil && len(pt.crashes) > 0 {
-			pt.clear(now)
-			pt.statementDue = true
+func (tr *Tracker) Served(now time.Time, rq *Request) {
+	for _, ft := range rq.features() {
+		tr.served.record(now, ft.hash)
+		if sb := tr.subjects[ft.hash]; sb != nil && len(sb.crashes) > 0 {
+			sb.clear(now)
+			sb.statementDue = true
 		}
 	}
 }
 
 // track returns the part and starts to track it if needed. While the table is full of parts with several crashes, it returns nil.
-func (tr *Tracker) track(now time.Time, hash chestnutroad.PartHash) *part {
-	if pt := tr.parts[hash]; pt != nil {
-		return pt
+func (tr *Tracker) track(now time.Time, hash chestnutroad.SubjectHash) *subject {
+	if sb := tr.subjects[hash]; sb != nil {
+		return sb
 	}
-	if len(tr.parts) >= maxParts {
+	if len(tr.subjects) >= maxSubjects {
 		tr.evict(now)
 	}
-	if len(tr.parts) >= maxParts {
+	if len(tr.subjects) >= maxSubjects {
 		return nil
 	}
-	pt := &part{}
-	tr.parts[hash] = pt
-	return pt
+	sb := &subject{}
+	tr.subjects[hash] = sb
+	return sb
 }
 
-// evict drops the parts without valid evidence, or else evictedParts of those below minCrashes, the ones with the oldest evidence.
+// evict drops the parts without valid evidence, or else evictedSubjects of those below minCrashes, the ones with the oldest evidence.
 func (tr *Tracker) evict(now time.Time) {
 	tr.expire(now)
-	if len(tr.parts) < maxParts {
+	if len(tr.subjects) < maxSubjects {
 		return
 	}
-	var candidates []chestnutroad.PartHash
-	for hash, pt := range tr.parts {
-		if len(pt.crashes) < minCrashes {
+	var candidates []chestnutroad.SubjectHash
+	for hash, sb := range tr.subjects {
+		if len(sb.crashes) < minCrashes {
 			candidates = append(candidates, hash)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b chestnutroad.PartHash) int {
-		return cmp.Or(tr.parts[a].lastEvidence().Compare(tr.parts[b].lastEvidence()), cmp.Compare(a, b))
+	slices.SortFunc(candidates, func(a, b chestnutroad.SubjectHash) int {
+		return cmp.Or(tr.subjects[a].lastEvidence().Compare(tr.subjects[b].lastEvidence()), cmp.Compare(a, b))
 	})
-	for _, hash := range candidates[:min(len(candidates), evictedParts)] {
-		delete(tr.parts, hash)
+	for _, hash := range candidates[:min(len(candidates), evictedSubjects)] {
+		delete(tr.subjects, hash)
 	}
 }
 
@@ -204,64 +194,64 @@
 		return
 	}
 	tr.expiredAt = now
-	for hash, pt := range tr.parts {
-		if len(pt.crashes) > 0 && now.Sub(pt.lastCrash()) >= pt.ttl() {
-			pt.crashes, pt.unsent = nil, nil
+	for hash, sb := range tr.subjects {
+		if len(sb.crashes) > 0 && now.Sub(sb.lastCrash()) >= sb.ttl() {
+			sb.crashes, sb.unsent = nil, nil
 		}
-		if len(pt.crashes) == 0 && !pt.suspected && now.Sub(pt.servedAt) >= provenWindow {
-			delete(tr.parts, hash)
+		if len(sb.crashes) == 0 && !sb.suspected && now.Sub(sb.servedAt) >= provenWindow {
+			delete(tr.subjects, hash)
 		}
 	}
 }
 
 // addCrash adds a crash, or corrects its time to an earlier one, and reports whether it is new. A crash before the part was
 // served is ignored.
-func (pt *part) addCrash(id chestnutroad.CrashID, at time.Time) bool {
-	if !at.After(pt.servedAt) {
+func (sb *subject) addCrash(id chestnutroad.CrashID, at time.Time) bool {
+	if !at.After(sb.servedAt) {
 		return false
 	}
-	index := slices.IndexFunc(pt.crashes, func(cr crash) bool { return cr.id == id })
+	index := slices.IndexFunc(sb.crashes, func(cr crash) bool { return cr.id == id })
 	if index >= 0 {
-		pt.crashes[index].at = earlier(pt.crashes[index].at, at)
+		sb.crashes[index].at = earlier(sb.crashes[index].at, at)
 	} else {
-		pt.crashes = append(pt.crashes, crash{id: id, at: at})
+		sb.crashes = append(sb.crashes, crash{id: id, at: at})
 	}
-	slices.SortFunc(pt.crashes, func(a, b crash) int {
+	slices.SortFunc(sb.crashes, func(a, b crash) int {
 		if order := a.at.Compare(b.at); order != 0 {
 			return order
 		}
 		return int(int64(a.id) - int64(b.id))
 	})
-	if len(pt.crashes) > maxCrashes {
-		pt.crashes = slices.Delete(pt.crashes, 0, len(pt.crashes)-maxCrashes)
+	if len(sb.crashes) > maxCrashes {
+		sb.crashes = slices.Delete(sb.crashes, 0, len(sb.crashes)-maxCrashes)
 	}
 	return index < 0
 }
 
 // clear records that the part was served and drops the crashes before that.
-func (pt *part) clear(at time.Time) {
-	pt.servedAt = later(pt.servedAt, at)
-	pt.crashes = slices.DeleteFunc(pt.crashes, func(cr crash) bool { return !cr.at.After(pt.servedAt) })
-	pt.unsent = slices.DeleteFunc(pt.unsent, func(us unsentCrash) bool { return !pt.has(us.id) })
-	if len(pt.crashes) == 0 {
-		pt.targets = nil
+func (sb *subject) clear(at time.Time) {
+	sb.servedAt = later(sb.servedAt, at)
+	sb.crashes = slices.DeleteFunc(sb.crashes, func(cr crash) bool { return !cr.at.After(sb.servedAt) })
+	sb.unsent = slices.DeleteFunc(sb.unsent, func(us unsentCrash) bool { return !sb.has(us.id) })
+	if len(sb.crashes) == 0 {
+		sb.targets = nil
 	}
 }
 
-func (pt *part) has(id chestnutroad.CrashID) bool {
-	return slices.ContainsFunc(pt.crashes, func(cr crash) bool { return cr.id == id })
+func (sb *subject) has(id chestnutroad.CrashID) bool {
+	return slices.ContainsFunc(sb.crashes, func(cr crash) bool { return cr.id == id })
 }
 
 // lastCrash returns the time of the last crash, or zero.
-func (pt *part) lastCrash() time.Time {
-	if len(pt.crashes) == 0 {
+func (sb *subject) lastCrash() time.Time {
+	if len(sb.crashes) == 0 {
 		return time.Time{}
 	}
-	return pt.crashes[len(pt.crashes)-1].at
+	return sb.crashes[len(sb.crashes)-1].at
 }
 
 // lastEvidence returns the time of the last crash or of the last answer.
-func (pt *part) lastEvidence() time.Time { return later(pt.lastCrash(), pt.servedAt) }
+func (sb *subject) lastEvidence() time.Time { return later(sb.lastCrash(), sb.servedAt) }
 
 func earlier(one, other time.Time) time.Time {
 	if other.Before(one) {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -14,12 +14,12 @@
 func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
 
 // prompt returns a prompt with the parts and a last one of its own.
-func prompt(ids ...string) []chestnutroad.PromptPart {
+func prompt(ids ...string) *quarantine.Request {
 	parts := make([]chestnutroad.PromptPart, 0, len(ids)+1)
 	for _, id := range append(ids, "own") {
 		parts = append(parts, chestnutroad.PromptPart{ID: id, Tokens: 100})
 	}
-	return parts
+	return &quarantine.Request{Parts: parts}
 }
 
 func targetEntry(number int) *chestnutroad.TargetEntry {
@@ -131,7 +131,7 @@
 	only := prompt()
 	tr.Crashed(at(0), only, targetEntry(1))
 	tr.Crashed(at(1), only, targetEntry(2))
-	if got := tr.Check(at(2), only, "r-1"); got.Refuse || !tr.Repeatable(at(2), only) || !tr.Repeatable(at(2), nil) {
+	if got := tr.Check(at(2), only, "r-1"); got.Refuse || !tr.Repeatable(at(2), only) || !tr.Repeatable(at(2), &quarantine.Request{}) {
 		t.Errorf("a prompt with one part is suspected: %+v", got)
 	}
 }
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -12,7 +12,7 @@
 
 // receivedEvidence is evidence with the time at which it arrived.
 type receivedEvidence struct {
-	chestnutroad.PartEvidence
+	chestnutroad.CrashEvidence
 	at time.Time
 }
 
@@ -20,17 +20,17 @@
 type evidenceQueue []receivedEvidence
 
 // add adds the evidence that is not in the queue yet; several hosts may report the same crash.
-func (eq *evidenceQueue) add(now time.Time, items []chestnutroad.PartEvidence) {
+func (eq *evidenceQueue) add(now time.Time, items []chestnutroad.CrashEvidence) {
 	for _, item := range items {
 		if len(*eq) < maxEvidence && !eq.has(&item) {
-			*eq = append(*eq, receivedEvidence{PartEvidence: item, at: now})
+			*eq = append(*eq, receivedEvidence{CrashEvidence: item, at: now})
 		}
 	}
 }
 
-func (eq *evidenceQueue) has(item *chestnutroad.PartEvidence) bool {
+func (eq *evidenceQueue) has(item *chestnutroad.CrashEvidence) bool {
 	for _, held := range *eq {
-		if held.Part == item.Part && held.Crash == item.Crash && (item.Crash > 0 || held.Age <= item.Age) {
+		if held.Subject == item.Subject && held.Crash == item.Crash && (item.Crash > 0 || held.Age <= item.Age) {
 			return true
 		}
 	}
@@ -38,11 +38,11 @@
 }
 
 // items returns the evidence with its present age.
-func (eq *evidenceQueue) items(now time.Time) []chestnutroad.PartEvidence {
-	items := make([]chestnutroad.PartEvidence, 0, len(*eq))
+func (eq *evidenceQueue) items(now time.Time) []chestnutroad.CrashEvidence {
+	items := make([]chestnutroad.CrashEvidence, 0, len(*eq))
 	for _, held := range *eq {
 		held.Age += now.Sub(held.at)
-		items = append(items, held.PartEvidence)
+		items = append(items, held.CrashEvidence)
 	}
 	return items
 }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -52,7 +52,7 @@
 	Residences []chestnutroad.Residence `json:"-"`
 	// Evidence is what hosts have observed of prompt parts that may crash targets; package siblings encodes it in a binary form
 	// instead.
-	Evidence []chestnutroad.PartEvidence `json:"-"`
+	Evidence []chestnutroad.CrashEvidence `json:"-"`
 	// Rates are the requests sent to targets that limit them: the host's own in a report, the sums of the data centre in an
 	// exchange, and of all hosts in a beacon. Package siblings encodes them in a binary form instead.
 	Rates []chestnutroad.TargetRate `json:"-"`
@@ -77,7 +77,7 @@
 	// Residences are sent to other hosts once, with the messages of this tick.
 	Residences []chestnutroad.Residence
 	// Evidence about prompt parts is sent to other hosts with the messages of this tick.
-	Evidence []chestnutroad.PartEvidence
+	Evidence []chestnutroad.CrashEvidence
 	// Rates are the host's own requests for targets that limit them.
 	Rates []chestnutroad.TargetRate
 }
--- a/internal/relay/node_test.go
+++ b/internal/relay/node_test.go
@@ -24,7 +24,7 @@
 	// residences is the number of residences that each host received.
 	residences map[chestnutroad.HostID]int
 	// evidence is the evidence about prompt parts that each host received.
-	evidence map[chestnutroad.HostID][]chestnutroad.PartEvidence
+	evidence map[chestnutroad.HostID][]chestnutroad.CrashEvidence
 }
 
 func newCluster(dataCentres, perCentre int) *cluster {
@@ -300,12 +300,12 @@
 	t.Parallel()
 	cl := newCluster(3, 4)
 	cl.run(3 * time.Second)
-	crash := chestnutroad.PartEvidence{Part: 1 << 60, Crash: 7, Age: time.Second}
+	crash := chestnutroad.CrashEvidence{Subject: 1 << 60, Crash: 7, Age: time.Second}
 	sources := []chestnutroad.HostID{cl.hosts[6].ID, cl.hosts[7].ID}
 	for _, source := range sources {
-		cl.states[source].Evidence = []chestnutroad.PartEvidence{crash, {Part: 5, Age: time.Millisecond}}
+		cl.states[source].Evidence = []chestnutroad.CrashEvidence{crash, {Subject: 5, Age: time.Millisecond}}
 	}
-	cl.evidence = map[chestnutroad.HostID][]chestnutroad.PartEvidence{}
+	cl.evidence = map[chestnutroad.HostID][]chestnutroad.CrashEvidence{}
 	cl.run(relay.TickInterval)
 	for _, source := range sources {
 		cl.states[source].Evidence = nil
@@ -317,7 +317,7 @@
 			// The relay of the sources gets the evidence from both.
 			got = got[2:]
 		}
-		if len(got) != 2 || got[0].Part != crash.Part || got[0].Crash != crash.Crash || got[1].Part != 5 || got[1].Crash != 0 {
+		if len(got) != 2 || got[0].Subject != crash.Subject || got[0].Crash != crash.Crash || got[1].Subject != 5 || got[1].Crash != 0 {
 			t.Errorf("%s received %+v, want each item once", hs.ID, got)
 			continue
 		}
--- a/internal/siblings/evidence_test.go
+++ b/internal/siblings/evidence_test.go
@@ -21,7 +21,7 @@
 		t.Fatal(err)
 	}
 	socket := &Socket{compressor: compressor, decompressor: flate.NewReader(bytes.NewReader(nil))}
-	want := []chestnutroad.PartEvidence{{Part: 1<<63 + 7, Crash: 1<<31 + 3, Age: 40 * time.Minute}, {Part: 9, Age: time.Millisecond}}
+	want := []chestnutroad.CrashEvidence{{Subject: 1<<63 + 7, Crash: 1<<31 + 3, Age: 40 * time.Minute}, {Subject: 9, Age: time.Millisecond}}
 	encoded, err := socket.encode(&relay.Message{Kind: relay.Report, From: "h", Evidence: want})
 	if err != nil {
 		t.Fatal(err)
@@ -29,7 +29,7 @@
 	cases := []struct {
 		name string
 		text string
-		want []chestnutroad.PartEvidence
+		want []chestnutroad.CrashEvidence
 	}{
 		{"evidence", string(encoded), want},
 		{"a host of an earlier version", `{"Kind":"Report","From":"h","Position":"0/1"}`, nil},
