Count the crash of a target on a connection that was in use

A target that ends at once under a request on a reused connection left no evidence: the connection was taken for one that had ended as idle, in each data centre anew. One that was idle for less than a second is now evidence, and a request that was sent on a reused connection that ended goes on over a new one, which tells the two apart.

--- a/internal/entry/crashed_test.go
+++ b/internal/entry/crashed_test.go
@@ -22,6 +22,7 @@
 		{"end of the connection", errors.Wrap(io.EOF, "answer head"), true},
 		{"reset", errors.Wrap(syscall.ECONNRESET, "answer head"), true},
 		{"reused connection that ends late", errors.Mark(io.EOF, targetconn.ErrStaleConn), true},
+		{"reused connection that had just been used", errors.Mark(errors.Mark(io.EOF, targetconn.ErrStaleConn), targetconn.ErrActiveConn), true},
 		{"not sent", &targetconn.NotSentError{Cause: syscall.ECONNREFUSED}, false},
 		{"bad answer", targetconn.ErrBadAnswer, false},
 		{"no acknowledgement", errors.Wrap(syscall.ETIMEDOUT, "answer head"), false},
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -40,6 +40,9 @@
 	targetCounts *placement.TargetCounts
 	// limitsReached is the number of targets at their limits, for the log, when none was left to choose.
 	limitsReached int
+	// sentStale is true once a send ended on a reused connection. Further ones use new connections, on which the end of the target is
+	// told from that of the connection.
+	sentStale bool
 	// fingerprint identifies the request by team, path and body.
 	fingerprint chestnutroad.SubjectHash
 	// suspect describes the suspicion for which the request was refused, for the log.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -184,6 +184,7 @@
 	}
 	ex.criteria.Excluded = append(ex.criteria.Excluded, choice.Entry.ID)
 	ex.allowReturn(res.end)
+	ex.sentStale = ex.sentStale || res.outcome == placement.StaleConnection
 	pr.MayHaveRun = pr.MayHaveRun || res.end == attempt.Broken || res.end == attempt.TargetFailed
 	pr.Remaining = ex.remaining(en.now())
 	// A request that may have crashed its target may crash any other.
@@ -360,7 +361,7 @@
 	if errors.As(err, &notSent) || errors.Is(err, targetconn.ErrBadAnswer) || networkFailed(err) {
 		return false
 	}
-	return !errors.Is(err, targetconn.ErrStaleConn) || wait >= staleConnWindow
+	return !errors.Is(err, targetconn.ErrStaleConn) || errors.Is(err, targetconn.ErrActiveConn) || wait >= staleConnWindow
 }
 
 // networkFailed reports whether a connection ended because the target's machine could not be reached. The machine of a target that
@@ -421,7 +422,7 @@
 	return &targetconn.Request{
 		Address: choice.Entry.Address,
 		ID:      string(ex.callMetadata.ID),
-		Fresh:   choice.NewConnection || choice.Probe,
+		Fresh:   choice.NewConnection || choice.Probe || ex.sentStale,
 		// An answer to a request without an id can't be told from a late answer to another one without an id.
 		SingleUse:   ex.callMetadata.ID == "",
 		DialTimeout: dialTimeout,
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -22,6 +22,9 @@
 	// keepAlive is the Keep-Alive timeout that the target stated, or zero.
 	keepAlive time.Duration
 	reused    bool
+	// usedAt is when the last answer on the connection ended, and idleTime the time from then until its reuse.
+	usedAt   time.Time
+	idleTime time.Duration
 	// failed are the ids of the requests on this connection that were answered with an error.
 	failed []string
 }
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -66,6 +66,13 @@
 // network between the two ends may have lost the state of this connection, and of others.
 var ErrStaleConn = errors.New("the reused connection had ended")
 
+// ErrActiveConn marks the failure of a request that was sent on a reused connection which had been idle for less than activeTime: it
+// is hardly one that had ended as idle before.
+var ErrActiveConn = errors.New("a connection in use has ended")
+
+// activeTime is the idle time of a connection below which no target closes it as idle; Keep-Alive timeouts are whole seconds.
+const activeTime = time.Second
+
 // Answer is a target's answer; it must be closed.
 type Answer struct {
 	Status int
@@ -126,6 +133,9 @@
 		if an.Reused && ctx.Err() == nil && !errors.Is(err, ErrBadAnswer) {
 			pl.CloseIdle(rq.Address)
 			err = errors.Mark(err, ErrStaleConn)
+			if cn.idleTime < activeTime {
+				err = errors.Mark(err, ErrActiveConn)
+			}
 		}
 		return nil, err
 	}
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -97,7 +97,7 @@
 			break
 		}
 		if pl.now().Before(cn.expires) && !cn.mayRepeat(rq.ID) && cn.usable() {
-			cn.reused = true
+			cn.reused, cn.idleTime = true, pl.now().Sub(cn.usedAt)
 			return cn, nil
 		}
 		cn.close()
@@ -134,7 +134,8 @@
 	if cn.keepAlive > 0 {
 		idleTime = min(idleTime, time.Duration(keepAliveFraction*float64(cn.keepAlive)))
 	}
-	cn.expires = pl.now().Add(idleTime)
+	cn.usedAt = pl.now()
+	cn.expires = cn.usedAt.Add(idleTime)
 	pl.keep(address, cn)
 }
 
