Fail an answer without a length that ends with its head

Other operators reported callers that got a 200 with an empty body, framed as whole, when a target stopped around the end of its answer's head. It could happen here for one case: a head that states neither a length nor chunks, after which the connection ended, became a 200 with Content-Length 0. Such an answer of a target is now broken, as a stream without events already was.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -517,6 +517,9 @@
 			end: attempt.Broken, err: errCutOff, outcome: placement.Failed,
 			crashed: err != nil && !errors.Is(err, errBuffersFull) && !networkFailed(err),
 		}
+	case !an.Framed && len(body) == 0 && an.Status == http.StatusOK && ex.request.Method != http.MethodHead:
+		// The connection ends such an answer, and the target may have ended with it just after the head.
+		return sendResult{end: attempt.Broken, err: errCutOff, outcome: placement.Failed, crashed: true}
 	case ex.answerStarted():
 		// An answer that is no stream must not follow the events that the caller has.
 		return sendResult{end: attempt.Broken, err: errNotResumed, outcome: placement.Failed}
