Test that a late order in a planned stop is refused

Other operators reported requests that were taken late in a planned stop and cut off without an answer, among them some that must not be repeated. Here they are refused: a request whose time may reach past the end of the stop is not passed on. The test now also sends an order; it passes on the present code.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -164,29 +164,34 @@
 }
 
 // TestLateRequestDuringDrain guards against a request that is cut off at the end of a planned stop although it arrived long
-// after the stop began. Its connection was kept alive since the previous answer had begun before the stop, without
-// Connection: close.
+// after the stop began, also one that may not be repeated. Its connection was kept alive since the previous answer had begun before
+// the stop, without Connection: close.
 func TestLateRequestDuringDrain(t *testing.T) {
 	t.Parallel()
-	st := newSite(t)
-	st.store.Configure(3, 1, "k-1", "k-2")
-	rn := st.runner("i-1", "model")
-	rn.Events, rn.Gap = 20, 140*time.Millisecond
-	st.runner("i-2", "desk")
-	ht := st.start("host-1", true)
-	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-	call := func(path, id string) reply {
-		return ht.callWith(t.Context(), client, standin.Call{Method: http.MethodPost, Path: path, ID: id, Key: "k-1", Body: "b"})
-	}
-	time.AfterFunc(200*time.Millisecond, ht.stop)
-	if got := call("/once/x", "r-1"); got.err != nil || got.body != standin.Events(20) {
-		t.Fatalf("the stream ended with %q, %v", got.body, got.err)
-	}
-	got := call("/once/x", "r-2")
-	if got.err == nil && (got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "") {
-		t.Errorf("a stream that the stop would cut off got status %d", got.status)
-	}
-	if len(rn.Runs()) != 1 {
-		t.Errorf("the late request ran: %q, %v", got.body, got.err)
+	for _, path := range []string{"/once/x", "/order/x"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			rn := st.runner("i-1", "model")
+			rn.Events, rn.Gap = 20, 140*time.Millisecond
+			desk := st.runner("i-2", "desk")
+			ht := st.start("host-1", true)
+			client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+			call := func(path, id string) reply {
+				return ht.callWith(t.Context(), client, standin.Call{Method: http.MethodPost, Path: path, ID: id, Key: "k-1", Body: "b"})
+			}
+			time.AfterFunc(200*time.Millisecond, ht.stop)
+			if got := call("/once/x", "r-1"); got.err != nil || got.body != standin.Events(20) {
+				t.Fatalf("the stream ended with %q, %v", got.body, got.err)
+			}
+			got := call(path, "r-2")
+			if got.err == nil && (got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "") {
+				t.Errorf("a request that the stop would cut off got status %d", got.status)
+			}
+			if len(rn.Runs()) != 1 || len(desk.Runs()) != 0 {
+				t.Errorf("the late request ran: %q, %v", got.body, got.err)
+			}
+		})
 	}
 }
