--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -203,13 +203,14 @@
 		standin.Unframed, standin.Hang, standin.BusyWithoutNotRun,
 		standin.ServeLate, standin.Dribble, standin.EndlessHeader, standin.EndlessBody, standin.EndlessMismatch,
 	}
+	limits := []string{"2", "20", "0", "many"}
 	storeFaults := []standin.Fault{standin.Busy, standin.Silent, standin.Resets, standin.LosesAnswers, standin.Garbage}
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+rnd.IntN(500)) * time.Millisecond)
 		pr, runnerProxy := tb.hosts[rnd.IntN(len(tb.hosts))], tb.runnerProxies[rnd.IntN(len(tb.runnerProxies))]
 		span := time.Duration(200+rnd.IntN(1300)) * time.Millisecond
 		behaviour, fault := behaviours[rnd.IntN(len(behaviours))], storeFaults[rnd.IntN(len(storeFaults))]
-		runner := tb.runners[rnd.IntN(len(tb.runners))]
+		runner, limit := tb.runners[rnd.IntN(len(tb.runners))], limits[rnd.IntN(len(limits))]
 		plan := standin.RestorePlan{
 			BackupAge: time.Duration(300+rnd.IntN(3000)) * time.Millisecond, Downtime: time.Duration(rnd.IntN(400)) * time.Millisecond,
 			RewriteTime: time.Duration(rnd.IntN(1200)) * time.Millisecond,
@@ -272,6 +273,7 @@
 			func() { tb.store.Compact() },
 			func() { runner.SetDefault(behaviour); time.Sleep(span); runner.SetDefault(standin.Serve) },
 			func() { runner.SetNext(behaviour, behaviour) },
+			func() { runner.SetLimit(limit); time.Sleep(span); runner.SetLimit("") },
 		}
 		inject := faults[rnd.IntN(len(faults))]
 		active.Go(inject)
