Leave the free slots of limited targets out of the crowding

Free slots of targets with limits no longer count, and the targets to which costly parts are confined then are those without a limit. Nothing changes where no target has a limit. TestFreeSlotsOfLimitedTargets has the admission.

--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -62,22 +62,47 @@
 		return targets
 	}
 	if req.Affinity != "" && !pl.disabled.Off(mechanism.StrictAffinity) &&
-		req.SharedTokens > costlyPartRatio*req.MaxOutputTokens && crowded(now, targets) {
-		targets = newRanking(now, targets, req.Affinity, sticky).top(min(crowdedTargets, len(targets)))
+		req.SharedTokens > costlyPartRatio*req.MaxOutputTokens && pl.crowded(now, targets) {
+		targets = pl.firstTargets(newRanking(now, targets, req.Affinity, sticky))
 	}
 	return slices.DeleteFunc(targets, func(tg *target) bool { return !tg.hasSlot(now, req) })
 }
 
-// crowded reports whether more than crowdedShare of the targets' slots are in use.
-func crowded(now time.Time, targets []*target) bool {
+// firstTargets returns the first targets of a ranking, up to crowdedTargets that have no limit of requests a second; the others
+// between them take only a part of the requests.
+func (pl *Pool) firstTargets(rk *ranking) []*target {
+	count := 0
+	for rank := range rk.entries {
+		if !pl.limited(rk.at(rank)) {
+			count++
+		}
+		if count == crowdedTargets {
+			return rk.top(rank + 1)
+		}
+	}
+	return rk.top(len(rk.entries))
+}
+
+// crowded reports whether more than crowdedShare of the targets' slots are in use. The free slots of a target with a limit of
+// requests a second don't count, since it would not take requests for them.
+func (pl *Pool) crowded(now time.Time, targets []*target) bool {
 	used, slots := 0, 0
 	for _, tg := range targets {
-		used += min(tg.load(now), tg.entry.Slots)
-		slots += tg.entry.Slots
+		load := min(tg.load(now), tg.entry.Slots)
+		used += load
+		slots += pl.usableSlots(tg, load, tg.entry.Slots)
 	}
 	return float64(used) > crowdedShare*float64(slots)
 }
 
+// usableSlots returns the slots of a target, or the part of them that is in use if the target has a limit of requests a second.
+func (pl *Pool) usableSlots(tg *target, load, slots int) int {
+	if pl.limited(tg) {
+		return min(load, slots)
+	}
+	return slots
+}
+
 // utilisationTimeConstant is the time constant with which utilisation is smoothed; the counts of other hosts arrive every
 // 0.15 s and are up to 0.4 s old.
 const utilisationTimeConstant = 500 * time.Millisecond
@@ -94,8 +119,9 @@
 	used, slots := 0, 0
 	for _, tg := range pl.services[req.Service] {
 		if tg.usable() && !pl.unreachable(now, tg) && tg.notice.retryAfter(now) == 0 {
-			used += tg.load(now)
-			slots += tg.slotLimit(now, req)
+			load := tg.load(now)
+			used += load
+			slots += pl.usableSlots(tg, load, tg.slotLimit(now, req))
 		}
 	}
 	ut := pl.utilisations[req.Service]
--- a/internal/placement/targetlimit.go
+++ b/internal/placement/targetlimit.go
@@ -46,7 +46,7 @@
 
 // classes returns the function from whether a target is the preferred one to the request's class there.
 func (pl *Pool) classes(targets []*target, req *Request, costly bool) func(preferred bool) ratelimit.Class {
-	spare := slices.ContainsFunc(targets, func(tg *target) bool { return pl.limiter.Limit(tg.shortHash()) == 0 })
+	spare := slices.ContainsFunc(targets, func(tg *target) bool { return !pl.limited(tg) })
 	return func(preferred bool) ratelimit.Class {
 		if spare {
 			return ratelimit.ClassByCost(costly, preferred)
@@ -58,6 +58,11 @@
 // sharedTokensWeight is the weight of a request in the moving average of the shared tokens of a service's requests.
 const sharedTokensWeight = 1.0 / 64
 
+// limited reports whether the target has a limit of requests a second.
+func (pl *Pool) limited(tg *target) bool {
+	return !pl.disabled.Off(mechanism.TargetLimits) && pl.limiter.Limit(tg.shortHash()) > 0
+}
+
 // hasCostlyPart reports whether the request's shared parts take longer to read again than those of the service's average request,
 // which it updates.
 func (pl *Pool) hasCostlyPart(req *Request) bool {
--- a/internal/placement/targetlimit_test.go
+++ b/internal/placement/targetlimit_test.go
@@ -80,3 +80,22 @@
 		t.Errorf("%d of 800 requests were refused at four times the limits, want about 600", tally.refused)
 	}
 }
+
+// TestFreeSlotsOfLimitedTargets guards against a service that admits requests for the free slots of targets that don't take them for
+// their limits, so that the other targets are overloaded.
+func TestFreeSlotsOfLimitedTargets(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1_000_000, 0)
+	pl := limitedPool(now, 3)
+	req := &placement.Request{Service: "s", RequireSlot: true}
+	for range 64 {
+		pl.Start(entry(3, "a", 64).ID)
+	}
+	for range 40 {
+		now = now.Add(100 * time.Millisecond)
+		pl.Utilisation(now, req)
+	}
+	if got := pl.Utilisation(now, req); got < 0.95 {
+		t.Errorf("the only target without a limit has no free slot, but %.2f of the slots count as used", got)
+	}
+}
