--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -33,7 +33,7 @@
 	Ejection Name = "Ejection"
 	// Reachability stops sending to targets and data centres that can't be reached.
 	Reachability Name = "Reach"
-	// Quarantine refuses requests with prompt parts that are suspected of crashing targets.
+	// Quarantine refuses requests that are, or have prompt parts that are, suspected of crashing targets.
 	Quarantine Name = "Quarantine"
 	// TargetLimits sends targets no more requests a second than they state that they take.
 	TargetLimits Name = "Limits"
--- a/internal/quarantine/check.go
+++ b/internal/quarantine/check.go
@@ -58,7 +58,7 @@
 	return true
 }
 
-// SuspectCount returns the number of suspected parts.
+// SuspectCount returns the number of suspected subjects.
 func (tr *Tracker) SuspectCount(now time.Time) int {
 	count := 0
 	for _, sb := range tr.subjects {
@@ -80,7 +80,7 @@
 	return math.Exp2(float64(elapsed)/float64(trialDoubling)) / float64(tr.hosts)
 }
 
-// isSuspect reports whether the crashes of the part suffice and no other suspect explains all of them and more.
+// isSuspect reports whether the crashes of the subject suffice and no other suspect explains all of them and more.
 func (tr *Tracker) isSuspect(now time.Time, sb *subject) bool {
 	if !tr.meetsThreshold(now, sb) {
 		return false
@@ -108,7 +108,7 @@
 	return true
 }
 
-// meetsThreshold reports whether the part has enough crashes and the refusals and trials after them are not over.
+// meetsThreshold reports whether the subject has enough crashes and the refusals and trials after them are not over.
 func (tr *Tracker) meetsThreshold(now time.Time, sb *subject) bool {
 	if len(sb.crashes) < minCrashes {
 		return false
@@ -131,10 +131,10 @@
 	return len(sb.crashes) >= firmCrashes && sb.distinctCrashes() >= firmDistinct
 }
 
-// proven reports whether the part was served shortly before its first crash.
+// proven reports whether the subject was served shortly before its first crash.
 func (sb *subject) proven() bool { return sb.crashes[0].at.Sub(sb.servedAt) < provenWindow }
 
-// covers reports whether all crashes of the other part are also among those of this one.
+// covers reports whether all crashes of the other subject are also among those of this one.
 func (sb *subject) covers(other *subject) bool {
 	for _, cr := range other.crashes {
 		if !sb.has(cr.id) {
@@ -157,7 +157,7 @@
 	return count
 }
 
-// refusal returns the time after the last crash for which all requests with the part are refused.
+// refusal returns the time after the last crash for which all requests with the subject are refused.
 func (sb *subject) refusal() time.Duration {
 	if !sb.firm() {
 		return weakRefusal
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -11,7 +11,7 @@
 const (
 	// maxMessageItems limits the evidence in one message: 24 items take 0.5 KB as text, and the rest follows with the next one.
 	maxMessageItems = 24
-	// maxRepeatedCrashes limits the crashes of a part that are sent again; firmCrashes of them decide.
+	// maxRepeatedCrashes limits the crashes of a subject that are sent again; firmCrashes of them decide.
 	maxRepeatedCrashes = 8
 	// repeatInterval is the time after which a crash is sent a second time, and those of a suspect are sent again and again, for
 	// hosts that start or return from a network partition, unless another host has done so.
@@ -27,7 +27,7 @@
 			hashes = append(hashes, hash)
 		}
 	}
-	// The parts with the most crashes come first, and the order is the same each time.
+	// The subjects with the most crashes come first, and the order is the same each time.
 	slices.SortFunc(hashes, func(a, b chestnutroad.SubjectHash) int {
 		return cmp.Or(cmp.Compare(len(tr.subjects[b].crashes), len(tr.subjects[a].crashes)), cmp.Compare(a, b))
 	})
@@ -52,7 +52,7 @@
 	return items
 }
 
-// repeatDue reports whether the crashes of the part are to be sent again.
+// repeatDue reports whether the crashes of the subject are to be sent again.
 func (tr *Tracker) repeatDue(now time.Time, sb *subject) bool {
 	return len(sb.crashes) >= minCrashes && now.Sub(sb.repeatedAt) >= repeatInterval && tr.meetsThreshold(now, sb)
 }
@@ -62,7 +62,7 @@
 	return slices.ContainsFunc(sb.unsent, func(us unsentCrash) bool { return !us.due.After(now) })
 }
 
-// takeNew appends the new evidence about a part as long as there is room for it.
+// takeNew appends the new evidence about a subject as long as there is room for it.
 func (tr *Tracker) takeNew(now time.Time, hash chestnutroad.SubjectHash, items []chestnutroad.CrashEvidence) []chestnutroad.CrashEvidence {
 	sb := tr.subjects[hash]
 	if sb.statementDue && len(items) < maxMessageItems {
@@ -88,7 +88,7 @@
 }
 
 // Merge adds the evidence of another host. Its order and repetition make no difference: a crash keeps its earliest time, and a
-// part the latest time at which it was served. Negative and very old ages are ignored.
+// subject the latest time at which it was served. Negative and very old ages are ignored.
 func (tr *Tracker) Merge(now time.Time, items []chestnutroad.CrashEvidence) {
 	heard := map[chestnutroad.SubjectHash]int{}
 	for _, item := range items {
@@ -113,7 +113,7 @@
 	}
 }
 
-// mergeCrash adds a crash that another host reported. If this host has served the part, the others are told when.
+// mergeCrash adds a crash that another host reported. If this host has served the subject, the others are told when.
 func (tr *Tracker) mergeCrash(now time.Time, sb *subject, item chestnutroad.CrashEvidence) {
 	if own := tr.served.lastUse(item.Subject); own.After(sb.servedAt) && now.Sub(own) < provenWindow {
 		sb.clear(own)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -10,28 +10,28 @@
 )
 
 const (
-	// maxSubjects limits the parts with crash evidence. A target that ends leaves evidence against about 30 parts, most of which
-	// are served again within seconds.
+	// maxSubjects limits the subjects with crash evidence. A target that ends leaves evidence against about 30 parts, most of which
+	// are served again within seconds, and against each request that it had not answered.
 	maxSubjects = 512
-	// evictedSubjects is the number of parts that are dropped at once when the table is full.
+	// evictedSubjects is the number of subjects that are dropped at once when the table is full.
 	evictedSubjects = 64
-	// maxCrashes limits the crashes kept of a part, the newest ones. Five make it a firm suspect, and each later round adds one
+	// maxCrashes limits the crashes kept of a subject, the newest ones. Five make it a firm suspect, and each later round adds one
 	// or two.
 	maxCrashes = 24
-	// evidenceTTL is how long evidence is kept at least. It is longer than the first refusals, so that a part that crashes targets
+	// evidenceTTL is how long evidence is kept at least. It is longer than the first refusals, so that a subject that crashes targets
 	// at long intervals still becomes a firm suspect.
 	evidenceTTL = 2 * time.Minute
-	// expireInterval is the time between two passes over all parts.
+	// expireInterval is the time between two passes over all subjects.
 	expireInterval = time.Second
 	// noAccusationWindow is how long after a part was served by this host its crashes are put down to other parts.
 	noAccusationWindow = 5 * time.Second
-	// provenWindow is how long a part counts as proven after it was served. Returning chats come within a minute.
+	// provenWindow is how long a subject counts as proven after it was served. Returning chats come within a minute.
 	provenWindow = time.Minute
 )
 
 const (
-	// minCrashes is the number of crashes from which on a part is suspected: a single crash does not distinguish it from the
-	// other parts that were at the target.
+	// minCrashes is the number of crashes from which on a subject is suspected: a single crash does not distinguish it from the
+	// other subjects that were at the target.
 	minCrashes = 2
 	// firmCrashes is the number of crashes, at firmDistinct different times, from which on refusals last for firmRefusal.
 	firmCrashes  = 5
@@ -48,7 +48,7 @@
 )
 
 const (
-	// weakRefusal is the time for which all requests with a part that is not a firm suspect are refused after its last crash.
+	// weakRefusal is the time for which all requests with a subject that is not a firm suspect are refused after its last crash.
 	// Requests that are running at other targets end them within about this time.
 	weakRefusal = 2 * time.Second
 	// firmRefusal is the same for a firm suspect. Each round of crashes, when requests are admitted again, doubles it up to
@@ -59,7 +59,7 @@
 	roundGap = 50 * time.Second
 	// trialDoubling is the time in which the share of admitted requests doubles after the refusals. All hosts know of a crash
 	// within about this time of the request's arrival, so that about two requests are sent until the first one has crashed its
-	// target, whatever their rate, and a sound part is free again 2*log2(hosts) seconds later.
+	// target, whatever their rate, and a sound subject is free again 2*log2(hosts) seconds later.
 	trialDoubling = 2 * time.Second
 )
 
@@ -86,9 +86,9 @@
 	targets []chestnutroad.TargetID
 	// unsent are the crashes that other hosts are to be told of.
 	unsent []unsentCrash
-	// servedAt is the latest time at which any host is known to have served the part.
+	// servedAt is the latest time at which any host is known to have served the subject.
 	servedAt time.Time
-	// statementDue is true when other hosts are to be told that this host has served the part.
+	// statementDue is true when other hosts are to be told that this host has served the subject.
 	statementDue bool
 	// repeatedAt is when this host last sent the crashes again, or heard another host do so.
 	repeatedAt time.Time
@@ -96,7 +96,7 @@
 	suspected bool
 }
 
-// Tracker tracks the crash evidence against prompt parts. It is not safe for concurrent use.
+// Tracker tracks the crash evidence against prompt parts and requests. It is not safe for concurrent use.
 type Tracker struct {
 	hosts     int
 	subjects  map[chestnutroad.SubjectHash]*subject
@@ -118,8 +118,8 @@
 	return max(1, chestnutroad.CrashID(chestnutroad.HashID(name)))
 }
 
-// Crashed records that a target ended under a request with the parts before the request had made progress. It returns the
-// number of parts that are accused.
+// Crashed records that a target ended under a request with the subjects before the request had made progress. It returns the
+// number of subjects that are accused.
 func (tr *Tracker) Crashed(now time.Time, rq *Request, entry *chestnutroad.TargetEntry) int {
 	accused := 0
 	for _, ft := range rq.features() {
@@ -145,7 +145,7 @@
 	return accused
 }
 
-// Served records that a target made progress on the answer to a request with the parts. Earlier evidence against them is
+// Served records that a target made progress on the answer to a request with the subjects. Earlier evidence against them is
 // dropped, here and at other hosts.
 func (tr *Tracker) Served(now time.Time, rq *Request) {
 	for _, ft := range rq.features() {
@@ -157,7 +157,7 @@
 	}
 }
 
-// track returns the part and starts to track it if needed. While the table is full of parts with several crashes, it returns nil.
+// track returns the subject and starts to track it if needed. While the table is full of subjects with several crashes, it returns nil.
 func (tr *Tracker) track(now time.Time, hash chestnutroad.SubjectHash) *subject {
 	if sb := tr.subjects[hash]; sb != nil {
 		return sb
@@ -173,7 +173,7 @@
 	return sb
 }
 
-// evict drops the parts without valid evidence, or else evictedSubjects of those below minCrashes, the ones with the oldest evidence.
+// evict drops the subjects without valid evidence, or else evictedSubjects of those below minCrashes, the ones with the oldest evidence.
 func (tr *Tracker) evict(now time.Time) {
 	tr.expire(now)
 	if len(tr.subjects) < maxSubjects {
@@ -193,7 +193,7 @@
 	}
 }
 
-// expire drops the parts whose evidence no longer counts.
+// expire drops the subjects whose evidence no longer counts.
 func (tr *Tracker) expire(now time.Time) {
 	if now.Sub(tr.expiredAt) < expireInterval {
 		return
@@ -209,7 +209,7 @@
 	}
 }
 
-// addCrash adds a crash, or corrects its time to an earlier one, and reports whether it is new. A crash before the part was
+// addCrash adds a crash, or corrects its time to an earlier one, and reports whether it is new. A crash before the subject was
 // served is ignored.
 func (sb *subject) addCrash(id chestnutroad.CrashID, at time.Time) bool {
 	if !at.After(sb.servedAt) {
@@ -233,7 +233,7 @@
 	return index < 0
 }
 
-// clear records that the part was served and drops the crashes before that.
+// clear records that the subject was served and drops the crashes before that.
 func (sb *subject) clear(at time.Time) {
 	sb.servedAt = later(sb.servedAt, at)
 	sb.crashes = slices.DeleteFunc(sb.crashes, func(cr crash) bool { return !cr.at.After(sb.servedAt) })
