--- a/review/bed/relay.go
+++ b/review/bed/relay.go
@@ -11,7 +11,7 @@
 	// settleTime is longer than contactTime, so that all hosts are in touch when the trouble begins.
 	settleTime = 6 * time.Second
 	// stopDelay is the time from the cut to the planned stop of the same host.
-	stopDelay = 1400 * time.Millisecond
+	stopDelay = 1500 * time.Millisecond
 	// watchTime is the time after the store's ack in which the outcome is watched.
 	watchTime = 4 * time.Second
 )
