Review: requests reach a leaving runner after two of three hosts were killed

A running host that reads more than one page of the runners for the first time leaves the read, takes it for done and reads again 0.8 s later. A script plays it with a list that grew from 443 to 553 runners.

--- a/review/bed/main.go
+++ b/review/bed/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(ctx context.Context, st *site, trouble bool) verdict{
 	"drain":  playDrain,
 	"revoke": playRevoke,
+	"pages":  playPages,
 }
 
 func main() { os.Exit(play()) }
@@ -40,7 +41,7 @@
 		return notRun
 	}
 	defer rec.close()
-	st, err := newSite(rec, os.Args[2])
+	st, err := newSite(rec, os.Args[2], os.Args[1] == "pages")
 	if st != nil {
 		defer st.close()
 	}
--- a/review/bed/site.go
+++ b/review/bed/site.go
@@ -32,6 +32,9 @@
 	hostCount   = 3
 	runnerCount = 3
 	startLimit  = 15 * time.Second
+	// startAssistants are the runners of the other service at the start, moreAssistants those that are added.
+	startAssistants = 440
+	moreAssistants  = 110
 )
 
 // host is one entry host, as a process.
@@ -55,25 +58,43 @@
 	err     error
 }
 
+// store is what the site uses of a stand-in of the platform's store.
+type store interface {
+	PutConfiguration(text string)
+	PutTarget(id, text string)
+	Configure(version, orderAttempts int, keys ...string)
+	Address() netip.AddrPort
+	Close()
+}
+
 // site is a small installation.
 type site struct {
 	rec     *recorder
-	store   *standin.Store
+	store   store
 	runners []*runner
 	hosts   []*host
 	folder  string
 	binary  string
 
+	// assistants is the number of runners of the other service.
+	assistants int
+
 	mu       sync.Mutex
 	requests []*request
 }
 
-func newSite(rec *recorder, binary string) (*site, error) {
+func newSite(rec *recorder, binary string, large bool) (*site, error) {
 	folder, err := os.MkdirTemp("", "review-bed")
 	if err != nil {
 		return nil, err
 	}
 	st := &site{rec: rec, store: standin.NewStore(), folder: folder, binary: binary}
+	if large {
+		st.store.Close()
+		if st.store, err = newPagedStore(); err != nil {
+			return nil, err
+		}
+	}
 	st.store.Configure(3, 1, "k-1", "k-2")
 	for index := range runnerCount {
 		rn, err := newRunner(fmt.Sprintf("i-%d", index+1), standin.DeskService, zoneName, rec)
@@ -83,6 +104,11 @@
 		st.runners = append(st.runners, rn)
 		st.store.PutTarget(rn.id, rn.entry())
 	}
+	if large {
+		if err := st.addAssistants(startAssistants); err != nil {
+			return st, err
+		}
+	}
 	ports, err := freePorts()
 	if err != nil {
 		return st, err
@@ -101,6 +127,20 @@
 	return st, nil
 }
 
+// addAssistants adds runners of another service, to which no requests are sent.
+func (st *site) addAssistants(count int) error {
+	for range count {
+		st.assistants++
+		rn, err := newRunner(fmt.Sprintf("j-%d", st.assistants), standin.ModelService, zoneName, st.rec)
+		if err != nil {
+			return err
+		}
+		st.runners = append(st.runners, rn)
+		st.store.PutTarget(rn.id, rn.entry())
+	}
+	return nil
+}
+
 // freePorts returns ports that are free on the addresses of all hosts: for callers, for readiness checks and between hosts.
 func freePorts() ([3]uint16, error) {
 	var ports [3]uint16
@@ -204,12 +244,20 @@
 			return fmt.Errorf("%d of %d hosts are ready", ready, len(st.hosts))
 		}
 	}
-	for _, rn := range st.runners {
-		go st.beat(ctx, rn)
-	}
+	st.beatAll(ctx, 0)
 	return nil
 }
 
+// beatAll starts the heartbeats of the runners from the index on, spread over one interval.
+func (st *site) beatAll(ctx context.Context, first int) {
+	for index, rn := range st.runners[first:] {
+		go func() {
+			time.Sleep(heartbeat * time.Duration(index) / time.Duration(len(st.runners)))
+			st.beat(ctx, rn)
+		}()
+	}
+}
+
 func isReady(ctx context.Context, hs *host) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+hs.ready+"/readyz", http.NoBody)
 	if err != nil {
