--- a/review/bed/pages.go
+++ b/review/bed/pages.go
@@ -11,11 +11,13 @@
 	killDelay = 630 * time.Millisecond
 	// downTime is the time from the kill to the next start of the killed hosts.
 	downTime = 2 * time.Second
-	// survivor is the index of the host that is not killed.
-	survivor = 2
 )
 
-// playPages adds runners until their list takes two pages of the store, lets a runner leave, and with trouble kills all hosts but one.
+// isVictim reports whether the host with the index is one of the two of four that are killed: the one that reads the list, and the one
+// that would be the next to do so.
+func isVictim(index int) bool { return index == 0 || index == 3 }
+
+// playPages adds runners until their list takes two pages of the store, lets a runner leave, and with trouble kills two hosts.
 func playPages(ctx context.Context, st *site, trouble bool) verdict {
 	first := len(st.runners)
 	if err := st.addAssistants(moreAssistants); err != nil {
@@ -24,7 +26,7 @@
 	st.beatAll(ctx, first)
 	time.Sleep(settleTime)
 	reader := st.awaitListReader(5 * time.Second)
-	if reader == nil || reader == st.hosts[survivor] {
+	if reader != st.hosts[3] {
 		return verdict{err: errNoReader}
 	}
 	for before := reader.store.lastListRead(); reader.store.lastListRead().Equal(before); {
@@ -39,14 +41,14 @@
 	time.Sleep(killDelay)
 	if trouble {
 		for index, hs := range st.hosts {
-			if index != survivor {
+			if isVictim(index) {
 				_ = hs.command.Process.Signal(syscall.SIGKILL)
 				st.rec.sayf("kill     %s", hs.name)
 			}
 		}
 		time.Sleep(downTime)
 		for index, hs := range st.hosts {
-			if index == survivor {
+			if !isVictim(index) {
 				continue
 			}
 			<-hs.exited
@@ -59,11 +61,11 @@
 	late, hosts := 0, st.hostOf()
 	for _, rn := range leaving.allRuns() {
 		after := rn.at.Sub(acknowledged)
-		if hosts[rn.id] == st.hosts[survivor] && after > drainTime {
+		if from := hosts[rn.id]; after > drainTime && (from == st.hosts[1] || from == st.hosts[2]) {
 			late++
 			st.rec.linef(rn.at, "late     %s reached %s %d ms after the ack", rn.id, leaving.id, after.Milliseconds())
 		}
 	}
-	st.rec.sayf("%d requests reached %s more than %s after the ack, from the host that nothing had happened to", late, leaving.id, drainTime)
+	st.rec.sayf("%d requests reached %s more than %s after the ack, from hosts that nothing had happened to", late, leaving.id, drainTime)
 	return verdict{broken: late > 0}
 }
--- a/review/bed/site.go
+++ b/review/bed/site.go
@@ -29,7 +29,8 @@
 )
 
 const (
-	hostCount   = 3
+	smallHosts  = 3
+	largeHosts  = 4
 	runnerCount = 3
 	startLimit  = 15 * time.Second
 	// startAssistants are the runners of the other service at the start, moreAssistants those that are added.
@@ -109,7 +110,11 @@
 			return st, err
 		}
 	}
-	ports, err := freePorts()
+	hostCount := smallHosts
+	if large {
+		hostCount = largeHosts
+	}
+	ports, err := freePorts(hostCount)
 	if err != nil {
 		return st, err
 	}
@@ -142,7 +147,7 @@
 }
 
 // freePorts returns ports that are free on the addresses of all hosts: for callers, for readiness checks and between hosts.
-func freePorts() ([3]uint16, error) {
+func freePorts(hostCount int) ([3]uint16, error) {
 	var ports [3]uint16
 	for attempt := range 100 {
 		base := uint16(21000 + (os.Getpid()*7+attempt*31)%8000)
