Log why a host begins and stops reading the store itself

Hosts log each change of the reason why they read a stream of the store: Relaying, NoRelay, RelayNotFresh, FetchFailed, NotReady, or FollowsRelay while another host reads for them. Without it the log does not tell whether a host that uses an outdated configuration still hears its relay, or has begun to read and gets no answer. The decision itself is unchanged.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,7 +14,6 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
-	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
@@ -307,7 +306,7 @@
 func (en *Entry) followStore(ctx context.Context) {
 	configuration := &follower{
 		store: en.store, stream: chestnutroad.KeyedConfiguration, longPollWait: longPollWait, logger: en.logger, eras: en.eras,
-		shouldRead: en.needsStoreRead,
+		shouldRead: en.whyReadStore,
 		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 			en.confirmConfiguration(ctx, next.Era)
 			en.applyConfiguration(records, "store")
@@ -319,7 +318,7 @@
 	}
 	targets := &follower{
 		store: en.store, stream: chestnutroad.KeyedTargets, pollInterval: targetPollInterval, logger: en.logger, eras: en.eras,
-		shouldRead: en.needsStoreRead, beforeNextPage: en.awaitPeerRecords(), apply: en.applyTargets,
+		shouldRead: en.whyReadStore, beforeNextPage: en.awaitPeerRecords(), apply: en.applyTargets,
 		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 			en.resetTargets(records, next, "store")
 		},
@@ -329,27 +328,6 @@
 	targets.run(ctx)
 }
 
-// fetchFailureWindow is how long a host reads the store itself after it failed to fetch newer state from another host:
-// enough to read a configuration of 1,850 rules, and to repeat the read once.
-const fetchFailureWindow = 2 * time.Second
-
-// needsStoreRead reports whether this host has to read the store itself, and the longest pause after failed reads.
-func (en *Entry) needsStoreRead() (needed bool, pause time.Duration) {
-	if en.settings.Without.Off(mechanism.Relay) {
-		return true, maxBackoff
-	}
-	fresh, found := en.link.remoteRelay()
-	if !en.state.ready() {
-		return true, maxBackoff
-	}
-	if found && !fresh {
-		// The relay can't reach the store either: most likely the store is down for all hosts, and each call to it is charged.
-		return true, outageMaxBackoff
-	}
-	// A relay that does not answer in time may have a slow link, over which this host would miss a change.
-	return !fresh || en.isRecent(&en.lastFetchFailure, fetchFailureWindow), maxBackoff
-}
-
 // peerRecordsTimeout is how long a host waits, once after the first page of the targets, for another host to send it all.
 const peerRecordsTimeout = 2 * time.Second
 
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -38,8 +38,8 @@
 	longPollWait time.Duration
 	pollInterval time.Duration
 	logger       *log.Logger
-	// shouldRead reports whether this host has to read the store itself, and the longest pause after a failure.
-	shouldRead func() (bool, time.Duration)
+	// shouldRead returns why this host has to read the store itself, if it does, and the longest pause after a failure.
+	shouldRead func() (readReason, time.Duration)
 	// beforeNextPage is called between the pages of a read of all newest records; an error ends the read.
 	beforeNextPage func(ctx context.Context) error
 	// eras tracks the eras of the store from all streams and from other hosts.
@@ -55,10 +55,14 @@
 // run follows the stream until ctx ends.
 func (fl *follower) run(ctx context.Context) {
 	next, synced := chestnutroad.Position{}, false
-	pause := time.Duration(0)
+	pause, lastReason := time.Duration(0), followsRelay
 	for sleep(ctx, pause) {
-		needed, maxPause := fl.shouldRead()
-		if !needed {
+		reason, maxPause := fl.shouldRead()
+		if reason != lastReason {
+			fl.logger.Info("reading of the store changed", "Stream", fl.stream, "Reason", reason, "Before", lastReason)
+			lastReason = reason
+		}
+		if reason == followsRelay {
 			// Another host reads the changes from now on, so that the position is not current when this host reads again.
 			synced = false
 			pause = readCheckInterval
