Limit the lines of an answer's head

A target that sends short headers without end, up to just below the limit of a head, and then goes on slowly, made a host hold some 1 MB for each of its callers until their time was over: the process of the smallest host of all sites (136 MB) grew beyond its memory, which ends it with the requests of all other callers.

Cause: a head was limited to 64 KiB of bytes. Each header takes some 150 bytes of memory beside its text, whatever its length.

Change: a head ends with an error after 256 lines as well. Bytes that arrive with the last line are kept for the body.

--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -8,8 +8,6 @@
 	"strings"
 	"syscall"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // conn is one connection to a target; it carries one exchange at a time.
@@ -41,41 +39,15 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limit, readBufferSize), head: limit}
 }
 
-// maxHeadBytes limits each head of an answer, interim or final: a target may send bytes without end, which http.ReadResponse
-// would keep in memory. The limit for callers' requests is the same.
-const maxHeadBytes = 64 << 10
-
-var errHeadTooLong = errors.New("the answer head is too long")
-
-// headLimit reads from a connection and fails once a head exceeds maxHeadBytes.
-type headLimit struct {
-	conn net.Conn
-	// remaining is the number of bytes that the head may still have while limited is true.
-	remaining int
-	limited   bool
-}
-
-// begin starts to count the bytes of a head; end stops the count.
-func (hl *headLimit) begin() { hl.remaining, hl.limited = maxHeadBytes, true }
-
-func (hl *headLimit) end() { hl.limited = false }
-
-// Read reads from the connection; it fails with errHeadTooLong once the limit is reached.
-func (hl *headLimit) Read(data []byte) (int, error) {
-	if hl.limited && hl.remaining <= 0 {
-		return 0, errHeadTooLong
-	}
-	count, err := hl.conn.Read(data)
-	hl.remaining -= count
-	return count, err
-}
+// buffered returns the number of bytes that were received and not yet read.
+func (cn *conn) buffered() int { return cn.reader.Buffered() + len(cn.head.rest) }
 
 func (cn *conn) close() { _ = cn.Close() }
 
 // usable reports whether an idle connection is still open and has no unread bytes, which would belong to no request. A
 // connection without a file descriptor counts as open.
 func (cn *conn) usable() bool {
-	if cn.reader.Buffered() > 0 {
+	if cn.buffered() > 0 {
 		return false
 	}
 	sc, ok := cn.Conn.(syscall.Conn)
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -240,7 +240,7 @@
 		// The target answered before the whole body was sent, and would take a later request for the rest of the body.
 		return false
 	}
-	return len(an.conn.failed) < maxFailed && !an.mismatched && !an.singleUse && !an.response.Close && an.conn.reader.Buffered() == 0
+	return len(an.conn.failed) < maxFailed && !an.mismatched && !an.singleUse && !an.response.Close && an.conn.buffered() == 0
 }
 
 // Close closes the connection, unless it was released.
--- a/test/cost/host_test.go
+++ b/test/cost/host_test.go
@@ -40,11 +40,47 @@
 	address string
 	client  *http.Client
 	pid     int
+	// ended is closed when the process has ended.
+	ended chan struct{}
+}
+
+// deployment is what differs between the hosts of the tests.
+type deployment struct {
+	// memory is the host's memory in MB.
+	memory int
+	// runners are the runners of each service; those of the model service send streams.
+	runners map[string][]*standin.Runner
+}
+
+// newDeployment starts a number of runners for each service.
+func newDeployment(tb testing.TB, memory, runnersPerService int) *deployment {
+	tb.Helper()
+	dp := &deployment{memory: memory, runners: map[string][]*standin.Runner{}}
+	for _, service := range []string{"desk", "model"} {
+		for index := range runnersPerService {
+			rn, err := standin.NewRunner(fmt.Sprintf("i-%s-%d", service, index))
+			if err != nil {
+				tb.Fatal(err)
+			}
+			tb.Cleanup(rn.Close)
+			if service == "model" {
+				rn.Events, rn.Gap = eventCount, time.Millisecond
+			}
+			dp.runners[service] = append(dp.runners[service], rn)
+		}
+	}
+	return dp
 }
 
 // newHost builds and starts a host that writes its log to output, and waits until it serves. The number selects the host's
 // loopback address and must be unique in the package.
 func newHost(tb testing.TB, number byte, output io.Writer) *host {
+	tb.Helper()
+	return newDeployment(tb, memoryBound, 1).start(tb, number, output)
+}
+
+// start builds and starts a host in front of the deployment's runners, as newHost does.
+func (dp *deployment) start(tb testing.TB, number byte, output io.Writer) *host {
 	tb.Helper()
 	address := standin.Loopback(addressGroup, number).String()
 	directory := tb.TempDir()
@@ -56,16 +92,10 @@
 	store := standin.NewStore()
 	tb.Cleanup(store.Close)
 	store.Configure(3, 2, "k-1")
-	for _, service := range []string{"desk", "model"} {
-		rn, err := standin.NewRunner("i-" + service)
-		if err != nil {
-			tb.Fatal(err)
-		}
-		tb.Cleanup(rn.Close)
-		if service == "model" {
-			rn.Events, rn.Gap = eventCount, time.Millisecond
+	for service, runners := range dp.runners {
+		for _, rn := range runners {
+			store.PutTarget(rn.ID, rn.Entry(service, "dc-a", "ready"))
 		}
-		store.PutTarget(rn.ID, rn.Entry(service, "dc-a", "ready"))
 	}
 	path := filepath.Join(directory, "settings.toml")
 	settings := fmt.Sprintf(`[Entry]
@@ -76,8 +106,8 @@
 PeerPort = %[4]d
 MetricsPort = %[5]d
 StoreAddress = "%[6]s"
-Memory = "206MB"
-`, address, callerPort, readyPort, peerPort, metricsPort, store.Address())
+Memory = "%[7]dMB"
+`, address, callerPort, readyPort, peerPort, metricsPort, store.Address(), dp.memory)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		tb.Fatal(err)
 	}
@@ -91,11 +121,16 @@
 	hs := &host{
 		tb: tb, address: address, pid: command.Process.Pid,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}},
+		ended:  make(chan struct{}),
 	}
+	go func() {
+		_ = command.Wait()
+		close(hs.ended)
+	}()
 	tb.Cleanup(func() {
 		hs.client.CloseIdleConnections()
 		_ = command.Process.Kill()
-		_ = command.Wait()
+		<-hs.ended
 	})
 	for end := time.Now().Add(10 * time.Second); hs.call("stock", "ready") != nil; time.Sleep(20 * time.Millisecond) {
 		if time.Now().After(end) {
@@ -106,12 +141,15 @@
 }
 
 // call sends one call and reads the whole answer; it returns an error unless the status is 200.
-func (hs *host) call(kind, id string) error {
+func (hs *host) call(kind, id string) error { return hs.callWithPrefix(kind, id, "a:10,b:20") }
+
+// callWithPrefix does the same for a prompt with the parts.
+func (hs *host) callWithPrefix(kind, id, prefix string) error {
 	ctx, cancel := context.WithTimeout(hs.tb.Context(), callBudget)
 	defer cancel()
 	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", hs.address, callerPort), &standin.Call{
 		Method: http.MethodPost, Path: "/" + kind + "/x", ID: id, Key: "k-1", Body: id,
-		Budget: callBudget, Prefix: "a:10,b:20",
+		Budget: callBudget, Prefix: prefix,
 	})
 	if err != nil {
 		return err
