Count incomplete events against the memory for buffers

A target that begins a large event on a stream and then goes on slowly made the host hold up to 256 KiB for each of its callers until their time was over, outside of the bound on buffered requests and answers.

Cause: the bound, a sixteenth of the host's memory, counted requests and whole answers, and not the events that a stream holds back until they are complete.

Change: incomplete events count as well, beyond 16 KiB each.

--- a/internal/entry/buffered.go
+++ b/internal/entry/buffered.go
@@ -18,38 +18,50 @@
 
 var errBuffersFull = errors.New("memory for buffered requests and answers is exhausted")
 
-// bufferBudget bounds the bytes of all requests and answers that the host buffers, so that many large or endless ones at
-// once don't exhaust its memory.
+// bufferBudget bounds the bytes of all requests, answers and incomplete events that the host buffers, so that many large or
+// endless ones at once don't exhaust its memory.
 type bufferBudget struct {
 	// limit is the most bytes; zero means no limit.
 	limit int64
 	used  atomic.Int64
 }
 
+// reservation is the part of the budget that one request, answer or event uses until it is released.
+type reservation struct {
+	budget *bufferBudget
+	size   int64
+}
+
+// resize sets the bytes that are used. It fails when the budget is exhausted and they exceed guaranteedBufferSize.
+func (rv *reservation) resize(size int64) error {
+	used := rv.budget.used.Add(size - rv.size)
+	grows := size > rv.size
+	rv.size = size
+	if grows && rv.budget.limit > 0 && used > rv.budget.limit && size > guaranteedBufferSize {
+		return errBuffersFull
+	}
+	return nil
+}
+
+func (rv *reservation) release() { _ = rv.resize(0) }
+
 // reader returns a reader of source that counts against the budget.
 func (bb *bufferBudget) reader(source io.Reader) *budgetedReader {
-	return &budgetedReader{source: source, budget: bb}
+	return &budgetedReader{source: source, reservation: reservation{budget: bb}}
 }
 
 // budgetedReader counts the bytes of one request or answer against the budget until it is released.
 type budgetedReader struct {
+	reservation
+
 	source io.Reader
-	budget *bufferBudget
-	size   int64
 }
 
 // Read reads from the source. It fails when the budget is exhausted and more than guaranteedBufferSize was read.
 func (br *budgetedReader) Read(data []byte) (int, error) {
 	count, err := br.source.Read(data)
-	br.size += int64(count)
-	used := br.budget.used.Add(int64(count))
-	if br.budget.limit > 0 && used > br.budget.limit && br.size > guaranteedBufferSize {
-		return 0, errBuffersFull
+	if budgetErr := br.resize(br.size + int64(count)); budgetErr != nil {
+		return 0, budgetErr
 	}
 	return count, err
 }
-
-func (br *budgetedReader) release() {
-	br.budget.used.Add(-br.size)
-	br.size = 0
-}
--- a/internal/entry/endless_test.go
+++ b/internal/entry/endless_test.go
@@ -215,3 +215,33 @@
 		t.Errorf("got status %d, body %q, error %v\n%s", got.status, got.body, got.err, ht.log)
 	}
 }
+
+// TestSlowEventsMemory guards against streams that hold the start of a large event for as long as their callers wait, of which
+// many at once exhaust the host's memory.
+func TestSlowEventsMemory(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	rn := st.runner("i-1", "model")
+	rn.EndlessBurst = 200 << 10
+	// A sixteenth of the memory holds less than the burst.
+	ht := st.start("host-1", true, withMemory(1<<20))
+	rn.SetNext(standin.EndlessEvent)
+	start := time.Now()
+	got := ht.call(t.Context(), standin.Call{
+		Method: http.MethodPost, Path: standin.LongPath + "x", ID: "r-1", Key: "k-1", Body: "b", Budget: 10 * time.Second,
+	})
+	if got.err == nil && got.status != http.StatusBadGateway {
+		t.Errorf("got status %d, body %.80q, want status 502\n%s", got.status, got.body, ht.log)
+	}
+	if elapsed := time.Since(start); elapsed > time.Second {
+		t.Errorf("the event was held for %s, want at most 1s", elapsed)
+	}
+	rn.Events = 2
+	got = ht.call(t.Context(), standin.Call{
+		Method: http.MethodPost, Path: standin.LongPath + "x", ID: "r-2", Key: "k-1", Body: "b", Budget: 10 * time.Second,
+	})
+	if got.err != nil || got.body != standin.Events(2) {
+		t.Errorf("got status %d, body %q, error %v after the large event\n%s", got.status, got.body, got.err, ht.log)
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -88,6 +88,8 @@
 // the end of the stream from that of the target.
 func (en *Entry) forwardStream(ex *exchange, an *targetconn.Answer, stall *stallTimer) sendResult {
 	splitter, hasEvent := eventSplitter{}, false
+	partial := reservation{budget: en.bufferBudget}
+	defer partial.release()
 	buffer := make([]byte, streamReadSize)
 	for {
 		count, err := an.Body.Read(buffer)
@@ -124,6 +126,9 @@
 		case splitter.size() > maxEventSize:
 			return sendResult{end: attempt.Broken, err: errEventTooLong, outcome: placement.Failed}
 		}
+		if err := partial.resize(int64(splitter.size())); err != nil {
+			return sendResult{end: attempt.Broken, err: err, outcome: placement.Failed}
+		}
 	}
 }
 
