--- a/test/soak/outdated_test.go
+++ b/test/soak/outdated_test.go
@@ -54,6 +54,9 @@
 			time.Sleep(settleTime)
 			reader, others := tb.findReader()
 			stop := tb.callWithRevocableKey(others)
+			for end := time.Now().Add(5 * time.Second); len(leaving.Arrivals()) == 0 && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
 			if !reader.storeProxy.awaitListRead(5 * time.Second) {
 				t.Fatal("no host reads the list of targets")
 			}
