--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -85,7 +85,7 @@
 	return en.link.tracker.Age(en.elapsed(), stream, held)
 }
 
-// streams are the streams of the store by the names that metrics and logs use.
+// streams are the streams whose age is tracked by those of the store.
 var streams = map[chestnutroad.KeyedStream]freshness.Stream{
 	chestnutroad.KeyedConfiguration: freshness.Configuration,
 	chestnutroad.KeyedTargets:       freshness.Targets,
