Read all pages of the targets on a host that runs

Cause: between two pages of the targets a host that is not one of the first two of its data centre waits, once, for another host to send it all, and leaves the read when it has targets. This is meant for hosts that start. A host whose reads had one page so far met it later, when the list had grown and the hosts that read it for the others were killed: it had long had targets, left the read and read again 0.8 s later.

Change: only a host that had no targets when its read began waits for another one. A host that had them reads on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -311,9 +311,10 @@
 		},
 		onRead: func(bool) {},
 	}
+	start := &startRead{entry: en}
 	targets := &follower{
 		store: en.store, stream: chestnutroad.KeyedTargets, pollInterval: targetPollInterval, logger: en.logger, eras: en.eras,
-		elapsed: en.elapsed, beforeNextPage: en.awaitPeerRecords(), apply: en.applyTargets,
+		elapsed: en.elapsed, beforeRead: start.begin, beforeNextPage: start.awaitPeerRecords, apply: en.applyTargets,
 		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 			en.resetTargets(records, next, "store")
 		},
@@ -329,32 +330,6 @@
 	targets.run(ctx)
 }
 
-// peerRecordsTimeout is how long a host waits, once after the first page of the targets, for another host to send it all.
-const peerRecordsTimeout = 2 * time.Second
-
-// awaitPeerRecords returns the check that decides between two pages of the targets whether this host reads on. Only the
-// first startReaders hosts of a data centre read on at once. The others first wait up to peerRecordsTimeout for another host
-// to send them the targets compressed, which ends the read: if 300 hosts that start together all read 3,000 targets, the store
-// sends 0.5 GB, which takes it 6 s.
-func (en *Entry) awaitPeerRecords() func(ctx context.Context) error {
-	waited := false
-	return func(ctx context.Context) error {
-		if waited {
-			return nil
-		}
-		waited = true
-		for end := en.elapsed() + peerRecordsTimeout; en.elapsed() < end && !en.link.isStartReader(); {
-			if !sleep(ctx, readCheckInterval) {
-				return ctx.Err()
-			}
-			if en.state.targetsLoaded.Load() {
-				return errLoadedFromHost
-			}
-		}
-		return nil
-	}
-}
-
 // applyConfiguration activates the configuration in the records if its version is higher than the active one's. The source is
 // logged.
 func (en *Entry) applyConfiguration(records []chestnutroad.KeyedRecord, source string) {
--- a/internal/entry/follower.go
+++ b/internal/entry/follower.go
@@ -46,7 +46,9 @@
 	shouldRead func() (freshness.Reason, time.Duration)
 	// reasonChanged is called when the reason to read changes.
 	reasonChanged func(before, reason freshness.Reason)
-	// beforeNextPage is called between the pages of a read of all newest records; an error ends the read.
+	// beforeRead is called before a read of all newest records, beforeNextPage between its pages, where an error ends the read. They
+	// may be nil.
+	beforeRead     func()
 	beforeNextPage func(ctx context.Context) error
 	// eras tracks the eras of the store from all streams and from other hosts.
 	eras *eraTracker
@@ -140,6 +142,9 @@
 ) (chestnutroad.KeyedBatch, error) {
 	timeout := wait + readMargin
 	if !synced {
+		if fl.beforeRead != nil {
+			fl.beforeRead()
+		}
 		return fl.store.Newest(ctx, fl.stream, chestnutroad.PageOptions{Timeout: timeout, Continue: fl.beforeNextPage})
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
