Decode loads of four figures and estimate the pace of targets

The fourth figure of Chestnutroad-Instance-Load, how long work takes at the target now, made hosts discard the header, so that they learned no load from answers on the new installations. Loads of three and four figures are decoded; an invalid header is counted, logged once for each incarnation of a target, and ignored; an invalid fourth figure leaves the load valid.

placement estimates each target's pace. How long a statement remains informative is learned from pairs of successive statements, by their distance in time, so that figures that change with each answer have no effect. A target whose expected pace is three times the usual one is passed over by requests without a prompt part when another target of its data centre has no more requests. Mechanism Pace, gauge chestnutroad_targets_slow.

The effect on a site was not measured.

--- a/call.go
+++ b/call.go
@@ -56,6 +56,12 @@
 	Running int
 	Waiting int
 	HasLoad bool
+	// InvalidLoad is true when the answer states a load that can't be read.
+	InvalidLoad bool
+	// Pace is how long work takes at the target at this moment, as a multiple of the usual time; zero when the answer states none.
+	Pace float64
+	// InvalidPace is true when the answer states a pace that is no positive number; its load may still be valid.
+	InvalidPace bool
 	// Leaving is true when the target announces that it is leaving.
 	Leaving bool
 	// RetryAfter is the time for which a target that refused the request wants no more requests from this host; zero when
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -58,6 +58,7 @@
 	})
 	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
 	set.NewGauge("chestnutroad_targets_limited", func() float64 { return float64(en.state.limitedCount()) })
+	set.NewGauge("chestnutroad_targets_slow", func() float64 { return float64(en.state.slowCount(en.now())) })
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
 	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -384,6 +384,7 @@
 func (en *Entry) applyAnswerMetadata(entry *chestnutroad.TargetEntry, metadata *chestnutroad.AnswerMetadata) {
 	now := en.now()
 	en.state.observeLoad(now, entry.ID, metadata)
+	en.recordInvalidLoad(entry, metadata)
 	if metadata.WrongTarget {
 		return
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -145,6 +145,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.pool.SetReportedLoad(now, id, metadata.Running, metadata.Waiting)
+	st.pool.SetPace(now, id, metadata.Pace)
 }
 
 // applyNotice records that a target announced in an answer that it is leaving or wants no requests for some time, and reports
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -37,6 +37,8 @@
 	Quarantine Name = "Quarantine"
 	// TargetLimits sends targets no more requests a second than they state that they take.
 	TargetLimits Name = "Limits"
+	// Pace passes over targets that state that their work takes several times as long as usual, where another is as good.
+	Pace Name = "Pace"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -49,7 +51,7 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, Pace, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -94,6 +94,7 @@
 	if len(healthy) == 0 {
 		return Choice{Full: true}, false
 	}
+	healthy = pl.withoutSlow(now, healthy, req)
 	choice, found := pl.chooseWithinLimits(now, healthy, req, func(targets []*target, lim *limits) Choice {
 		return pl.applyPolicy(now, targets, req, sticky, lim, mean, suspect)
 	}, pl.limits(now, req, bound, mean, len(all)))
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -26,6 +26,8 @@
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[chestnutroad.ServiceID]*utilisation
 	limiter      *ratelimit.Limiter
+	// paces holds what was learned of the pace that each service's targets state.
+	paces map[chestnutroad.ServiceID]*pacePersistence
 	// sharedTokens is the moving average of the shared tokens of each service's requests.
 	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
@@ -61,6 +63,7 @@
 		margins:      map[chestnutroad.ServiceID]*margin{},
 		utilisations: map[chestnutroad.ServiceID]*utilisation{},
 		limiter:      ratelimit.New(),
+		paces:        map[chestnutroad.ServiceID]*pacePersistence{},
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
 	pl.residences = newResidenceTable(pl.targets)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -39,6 +39,9 @@
 	// reportedExcess is the target's own count of running and waiting requests minus ownCount at the time of the report.
 	reportedExcess int
 	reportedAt     time.Time
+	// pace is the latest statement of the target's pace; invalidLoad is true once it stated a load or pace that can't be read.
+	pace        paceStatement
+	invalidLoad bool
 	// notice is the target's notice to this host; nil when there is none.
 	notice *notice
 	// peerLeaving and peerHoldUntil are from notices to other hosts: that the target leaves, and until when it refuses
