Name the engine from which a prompt's KV cache can be fetched

Hosts now remember up to four holders of each shared part, from answers to their own requests, and name one in Kv-Fetch where a fetch is expected to be faster: by size, link, and the transfers that the host knows to be queued at the source. Holders that are unreachable, ejected, of another incarnation, or refuse requests are not named, and nothing is named for a prompt that is suspected of crashing targets.

The configuration's kv_bytes, link_mbps and replicas of an engine are decoded one by one: an invalid one counts as missing, is logged and counted, and does not discard the configuration. Setting KVFetch (Auto, On, Off), mechanism KVFetch, log fields FetchFrom, FetchReason, FetchTokens, metrics chestnutroad_kv_fetches_total and chestnutroad_kv_fetch_bytes_total.

The effect on a site is not measured here.

--- a/call.go
+++ b/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -35,6 +36,8 @@
 	Remaining time.Duration
 	Rank      int
 	HasRank   bool
+	// FetchFrom is the address of the engine from which the target should fetch the KV cache of the prompt; invalid for none.
+	FetchFrom netip.AddrPort
 	// ResumeAfter is the id of the last event that was delivered; empty for a stream that begins at its start.
 	ResumeAfter string
 }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -19,6 +19,8 @@
 	// quarantined counts the requests refused for a suspected prompt part, and crashEvidence the parts accused of crashes.
 	quarantined   *metrics.Counter
 	crashEvidence *metrics.Counter
+	// ignoredFields counts the fields of configurations whose values can't be used.
+	ignoredFields *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -26,6 +28,7 @@
 	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
 	cn.quarantined = cn.set.NewCounter("chestnutroad_requests_quarantined_total")
 	cn.crashEvidence = cn.set.NewCounter("chestnutroad_part_crash_evidence_total")
+	cn.ignoredFields = cn.set.NewCounter("chestnutroad_configuration_fields_ignored_total")
 	return cn
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -346,6 +346,7 @@
 		if en.state.activateIfNewer(cf, record.Value) {
 			en.logger.Info("configuration in force", "Version", cf.Version, "Source", source,
 				"Rules", len(cf.Rules), "Teams", len(cf.Teams))
+			en.recordIgnored(cf)
 		}
 	}
 }
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -6,6 +6,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
+	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/quarantine"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
@@ -30,6 +31,8 @@
 	progress attempt.State
 	criteria placement.Request
 	choice   placement.Choice
+	// fetch holds the figures by which fetches of the prompt's KV cache are judged; zero disables them.
+	fetch kvfetch.Profile
 	// stalledTarget is the target that the current one replaced when it stalled; empty when there is none.
 	stalledTarget chestnutroad.TargetID
 	// connection is the connection for the next send; nil when there is none yet.
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -120,6 +120,7 @@
 		ex.criteria.Precedence = en.dropPrecedence(ex)
 		if spec := ex.table.Service(ex.service); spec != nil && spec.Engine != nil {
 			ex.criteria.RequireSlot = !en.settings.Without.Off(mechanism.SlotLimit)
+			ex.setFetchProfile(en.settings.KVFetch, spec.Engine)
 		}
 		return next(ex)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -71,6 +71,7 @@
 		}
 		ex.choice = choice
 		en.counters.countChoice(string(ex.service), &choice)
+		en.counters.countFetch(string(ex.service), &choice.Fetch)
 		sent := en.now()
 		res := en.send(ex, &choice.Entry)
 		en.logReachability(&choice.Entry, en.state.finish(en.now(), choice.Entry.ID, res.outcome), res.err)
@@ -98,6 +99,7 @@
 // choose picks a target for the next send: the replacement, if one was chosen during the last send.
 func (en *Entry) choose(ex *exchange) (placement.Choice, bool) {
 	if ex.replacement == nil {
+		ex.criteria.Fetch = en.fetchProfile(ex)
 		return en.state.choose(en.now(), &ex.criteria)
 	}
 	choice := ex.replacement.choice
@@ -344,6 +346,9 @@
 		// Whether the request has run is not certain, also when a refusal was mixed with the answer to another request.
 		return sendResult{end: attempt.Broken, err: errContradictory, outcome: placement.Failed}
 	}
+	if an.Status == http.StatusOK && metadata.Receipt {
+		en.state.confirmParts(en.now(), &ex.criteria, entry)
+	}
 	if ex.rule.Streaming && an.Status == http.StatusOK && metadata.Receipt && an.Header.Get("Content-Encoding") == "" &&
 		ex.acceptsStream(an.Header) {
 		res := en.forwardStream(ex, an, stall)
@@ -435,6 +440,7 @@
 	entry := &ex.choice.Entry
 	directives := chestnutroad.CallDirectives{
 		Target: entry.ID, Remaining: ex.remaining(en.now()), ResumeAfter: ex.stream.lastID,
+		FetchFrom: ex.choice.Fetch.Address,
 	}
 	if ex.team != nil {
 		directives.Team = ex.team.Name
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -27,6 +27,11 @@
 	en.counters.countLimited("service", true)
 	en.counters.countLimited("service", false)
 	en.counters.countInvalidLimit("service")
+	en.counters.countInvalidLoad("service", "Load")
+	en.counters.countInvalidLoad("service", "Pace")
+	for _, reason := range placement.FetchReasons {
+		en.counters.countFetch("service", &placement.Fetch{Target: "i-1", Reason: reason})
+	}
 	en.counters.countChoice("service", &placement.Choice{Load: 2, Bound: 1})
 	en.counters.countSend("service", nil)
 	en.counters.countSend("service", errors.New("unlisted"))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -79,6 +79,9 @@
 		fields = append(fields, "Target", ex.choice.Entry.ID, "Load", ex.choice.Load, "Bound", ex.choice.Bound,
 			"Preference", ex.choice.Preference, "Trial", ex.choice.Probe)
 	}
+	if fetch := &ex.choice.Fetch; fetch.Target != "" {
+		fields = append(fields, "FetchFrom", fetch.Target, "FetchReason", fetch.Reason, "FetchTokens", fetch.Tokens)
+	}
 	if limit := &ex.choice.Limit; limit.Limit > 0 {
 		fields = append(fields, "LimitPerSecond", limit.Limit, "LimitSent", limit.Sent, "LimitWanted", limit.Wanted, "LimitShare", limit.Share)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -111,15 +111,16 @@
 	defer st.mu.Unlock()
 	choice, found := st.pool.Choose(now, criteria)
 	if found {
-		st.start(now, choice.Entry.ID)
+		st.start(now, criteria, &choice)
 	}
 	return choice, found
 }
 
 // start counts a request that is sent to a target; st.mu must be held.
-func (st *state) start(now time.Time, id chestnutroad.TargetID) {
-	st.pool.Start(id)
-	st.pool.CountSent(now, id)
+func (st *state) start(now time.Time, criteria *placement.Request, choice *placement.Choice) {
+	st.pool.Start(choice.Entry.ID)
+	st.pool.CountSent(now, choice.Entry.ID)
+	st.pool.StartParts(now, criteria, choice)
 }
 
 // finish ends a request at a target, records its outcome, and returns the change of the target's reachability, if any.
@@ -210,7 +211,7 @@
 		},
 	})
 	if end == attempt.StallRetried {
-		st.start(now, choice.Entry.ID)
+		st.start(now, criteria, &choice)
 		if !unlimited {
 			budget.TakeRetry(now, share)
 		}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -39,6 +39,8 @@
 	TargetLimits Name = "Limits"
 	// Pace passes over targets that state that their work takes several times as long as usual, where another is as good.
 	Pace Name = "Pace"
+	// KVFetch names, for requests at a target that lacks their prompt part, another one from which it can fetch the KV cache.
+	KVFetch Name = "KVFetch"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -51,7 +53,7 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, Pace, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, Pace, KVFetch, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/ratelimit"
 )
@@ -20,6 +21,10 @@
 	// SharedTokens is the number of prompt tokens shared with other requests, MaxOutputTokens the limit on generated tokens.
 	SharedTokens, MaxOutputTokens chestnutroad.Tokens
 	Model                         string
+	// SharedParts are the parts of the prompt that it shares with other requests, in order. Fetch holds the figures by which fetches
+	// of their KV cache are judged; zero disables them.
+	SharedParts []chestnutroad.PromptPart
+	Fetch       kvfetch.Profile
 	// ID seeds the pseudo-random choices, so that otherwise equal requests are spread over targets.
 	ID chestnutroad.RequestID
 	// Excluded lists the targets that the request was already sent to.
@@ -53,6 +58,8 @@
 	Probe bool
 	// NewConnection is true when the request should not reuse an idle connection.
 	NewConnection bool
+	// Fetch is the source from which the target should fetch a part of the prompt's KV cache.
+	Fetch Fetch
 	// Limit is the target's own limit of requests a second, and what the decision on it was based on.
 	Limit ratelimit.Decision
 	// LimitsReached is the number of targets that were passed over since they get as many requests a second as they take.
@@ -101,6 +108,7 @@
 	if !found {
 		return choice, false
 	}
+	choice.Fetch = pl.fetchSource(now, req, pl.targets[choice.Entry.ID], sticky)
 	if sticky != nil && choice.Entry.ID != sticky.entry.ID {
 		pl.residences.recordOverflow(now, partHash(req.Affinity), sticky, pl.targets[choice.Entry.ID])
 	}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/ratelimit"
 )
@@ -23,6 +24,8 @@
 	notices      map[chestnutroad.TargetID]*notice
 	popularity   *popularity
 	residences   *residenceTable
+	holders      *holderTable
+	transfers    *kvfetch.Transfers
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[chestnutroad.ServiceID]*utilisation
 	limiter      *ratelimit.Limiter
@@ -67,6 +70,7 @@
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
 	pl.residences = newResidenceTable(pl.targets)
+	pl.holders, pl.transfers = newHolderTable(), kvfetch.NewTransfers()
 	for _, opt := range opts {
 		opt(pl)
 	}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
@@ -45,6 +46,8 @@
 	Without mechanism.Set
 	// PartMemory is how long after its last use a prompt part stays at the target where it was used.
 	PartMemory time.Duration
+	// KVFetch selects the services for which requests name an engine from which theirs can fetch the prompt's KV cache.
+	KVFetch kvfetch.Mode
 	// RetryRatio, RetrySlack and RetryWindow define the retry budget of each service, which all hosts share: in each window,
 	// RetryRatio retries for each request and RetrySlack more.
 	RetryRatio  float64
@@ -97,6 +100,10 @@
 	for _, policy := range placement.Policies() {
 		policies = append(policies, string(policy))
 	}
+	modes := make([]string, 0, len(kvfetch.Modes()))
+	for _, mode := range kvfetch.Modes() {
+		modes = append(modes, string(mode))
+	}
 	return &Entry{
 		ID:            chestnutroad.HostID(rd.hostID("ID")),
 		DataCentre:    chestnutroad.DataCentreID(rd.hostID("DataCentre")),
@@ -114,6 +121,7 @@
 		Placement:     placement.Policy(rd.choice("Placement", policies[0], policies...)),
 		Without:       rd.mechanismSet("Without"),
 		PartMemory:    rd.duration("PartMemory", placement.DefaultPartMemory, time.Second, maxDuration),
+		KVFetch:       kvfetch.Mode(rd.choice("KVFetch", modes[0], modes...)),
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
 		RetrySlack:    rd.ratio("RetrySlack", 100, 0, maxRetrySlack),
 		RetryWindow:   rd.duration("RetryWindow", 10*time.Second, time.Second, maxDuration),
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -41,6 +41,7 @@
 		{"no unit", minimalEntry + "Grace = 8\n", "Entry.Grace"},
 		{"disabled mechanism", minimalEntry + "Without = [\"Residence\"]\n", ""},
 		{"unknown mechanism", minimalEntry + "Without = [\"Luck\"]\n", "Entry.Without"},
+		{"unknown mode of fetches", minimalEntry + "KVFetch = \"Often\"\n", "Entry.KVFetch"},
 		{"unknown policy", minimalEntry + "Placement = \"Best\"\n", "Entry.Placement"},
 	}
 	for _, tc := range cases {
@@ -98,4 +99,4 @@
 
 // knownEntryKeys lists all keys of an entry host's settings, each between spaces.
 const knownEntryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory " +
-	"Grace Drain CapFactor Placement Without PartMemory RetryRatio RetrySlack RetryWindow LogLevel "
+	"Grace Drain CapFactor Placement Without PartMemory KVFetch RetryRatio RetrySlack RetryWindow LogLevel "
--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -19,6 +19,7 @@
 Placement = "ConsistentHash"
 Without = ["Residence"]
 PartMemory = "77s"
+KVFetch = "On"
 RetryRatio = 0.3
 RetrySlack = 135
 RetryWindow = "11s"
@@ -34,8 +35,8 @@
 	}
 	golden.Text(t, "entry.txt", fmt.Sprintln(
 		en.ID, en.DataCentre, en.CallerAddress, en.ReadyAddress, en.PeerPort, en.MetricsPort, en.StoreAddress, en.Seeds,
-		en.Processors, en.Memory, en.Drain, en.Grace, en.CapFactor, en.Placement, en.Without, en.PartMemory, en.RetryRatio,
-		en.RetrySlack, en.RetryWindow, en.LogLevel,
+		en.Processors, en.Memory, en.Drain, en.Grace, en.CapFactor, en.Placement, en.Without, en.PartMemory, en.KVFetch,
+		en.RetryRatio, en.RetrySlack, en.RetryWindow, en.LogLevel,
 	))
 }
 
--- a/routing.go
+++ b/routing.go
@@ -57,6 +57,12 @@
 	Slots int
 	// KVCapacity is the capacity of an engine's KV cache.
 	KVCapacity Tokens
+	// KVBytes is the size of the KV cache of one token; zero when it is not stated.
+	KVBytes Bytes
+	// LinkMbps is the rate in Mbit/s at which an engine sends its cache to others; zero when it is not stated.
+	LinkMbps float64
+	// Replicas is true when the configuration states that the engines are replicas, which can use each other's caches.
+	Replicas bool
 }
 
 // TeamSpec describes a team and the keys with which it authenticates.
@@ -83,6 +89,8 @@
 	Services []ServiceSpec
 	Teams    []TeamSpec
 	Limits   CallerLimits
+	// Ignored lists the optional fields whose values can't be used; they count as missing.
+	Ignored []string
 }
 
 // TargetEntry is the registration of a target, which the target writes itself.
