Name sources that joined more than 3 s ago

Cause: a target counted as lately joined for as long as parts are remembered, a minute, and so was not named as the source of parts whose requests only other hosts had sent there. On a host that starts before its targets register, that was every target.

Change: it counts as lately joined for 3 s. Parts that were in use elsewhere when it joined have a residence, which all hosts know.

The new case of TestFetchSource fails without the change.

--- a/internal/placement/fetch.go
+++ b/internal/placement/fetch.go
@@ -139,7 +139,7 @@
 }
 
 // isHome reports whether other hosts probably send the requests with the same last shared part to the target: it is the first by
-// hash and has not joined within the part memory, so that the part is in use there if it is in use at all.
+// hash and has not joined lately, so that the part is in use there if it is in use at all.
 func (pl *Pool) isHome(now time.Time, req *Request, tg *target) bool {
 	return tg == pl.firstByHash(req.Service, partHash(req.Affinity)) && !pl.joinedLately(now, tg)
 }
@@ -156,7 +156,7 @@
 }
 
 // homes returns the targets to which other hosts probably send requests with the part: the one where it is in use, and the first by
-// hash if that one gets no more requests but is still there. Targets that joined within the part memory may lack the part.
+// hash if that one gets no more requests but is still there. Targets that joined lately may lack the part.
 func (pl *Pool) homes(now time.Time, req *Request, part chestnutroad.PartHash, sticky *target) []instance {
 	first := pl.firstByHash(req.Service, part)
 	var homes []instance
@@ -168,9 +168,13 @@
 	return homes
 }
 
-// joinedLately reports whether the target joined within the part memory.
+// joinSettleTime is how long after a target joined other hosts may not have sent it the parts that the hash prefers there. Parts in
+// use elsewhere at that time have a residence, which all hosts know.
+const joinSettleTime = 3 * time.Second
+
+// joinedLately reports whether the target joined within joinSettleTime.
 func (pl *Pool) joinedLately(now time.Time, tg *target) bool {
-	return !tg.joinedAt.IsZero() && now.Sub(tg.joinedAt) < pl.residences.ttl
+	return !tg.joinedAt.IsZero() && now.Sub(tg.joinedAt) < joinSettleTime
 }
 
 // canSend reports whether the target is registered and nothing is known that keeps it from sending parts. A target that leaves
--- a/internal/placement/fetch_test.go
+++ b/internal/placement/fetch_test.go
@@ -115,6 +115,15 @@
 			fp.fill(choice.Entry.ID)
 			return choice.Entry.ID
 		}, placement.FetchOverflow},
+		{"overflow on a host that started before all targets", func(fp *fetchPool, _ *placement.Request) chestnutroad.TargetID {
+			for _, en := range fp.Entries() {
+				fp.MarkJoined(fp.now, en.ID)
+			}
+			fp.now = fp.now.Add(5 * time.Second)
+			choice, _ := fp.Choose(fp.now, newRequest("chat", 0))
+			fp.fill(choice.Entry.ID)
+			return choice.Entry.ID
+		}, placement.FetchOverflow},
 		{"joined target", func(fp *fetchPool, _ *placement.Request) chestnutroad.TargetID {
 			choice, _ := fp.Choose(fp.now, newRequest("chat", 0))
 			joined := choice.Entry
