--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -197,7 +197,9 @@
 }
 
 // First returns up to count hosts that come first in the order in which the hosts of the data centre become relay.
-func (nd *Node) First(count int) []Host { return slices.Clone(nd.localHosts[:min(count, len(nd.localHosts))]) }
+func (nd *Node) First(count int) []Host {
+	return slices.Clone(nd.localHosts[:min(count, len(nd.localHosts))])
+}
 
 // Relaying reports whether this host acts as relay.
 func (nd *Node) Relaying() bool { return nd.relaying }
