--- a/internal/caller/exchange.go
+++ b/internal/caller/exchange.go
@@ -21,6 +21,16 @@
 	// HeadSent is true once a status line was sent to the caller.
 	HeadSent bool
 	Started  time.Time
+	// closing reports whether the caller is to be asked not to reuse its connection.
+	closing func() bool
+}
+
+// writeHead sends the status line and the headers.
+func (ex *Exchange) writeHead(status int) {
+	if ex.closing() {
+		ex.Writer.Header().Set("Connection", "close")
+	}
+	ex.Writer.WriteHeader(status)
 }
 
 // Handler serves an exchange or returns the error to answer with.
--- a/internal/caller/output.go
+++ b/internal/caller/output.go
@@ -26,7 +26,7 @@
 		return
 	}
 	ou.ex.HeadSent = true
-	ou.ex.Writer.WriteHeader(status)
+	ou.ex.writeHead(status)
 }
 
 // write sends pieces of the body and flushes them.
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -54,7 +54,7 @@
 	if answer.Status == http.StatusUnauthorized {
 		header.Set("WWW-Authenticate", "Bearer")
 	}
-	ex.Writer.WriteHeader(answer.Status)
+	ex.writeHead(answer.Status)
 	if _, err := ex.Writer.Write(body); err != nil {
 		return
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -28,6 +28,7 @@
 	forwarder    chestnutroad.Forwarder
 	observe      Observer
 	ready        func() bool
+	closing      func() bool
 	now          func() time.Time
 	writeTimeout time.Duration
 	readTimeout  time.Duration
@@ -45,6 +46,9 @@
 // WithReady makes the server refuse requests as Draining while fn returns false.
 func WithReady(fn func() bool) Option { return func(sv *Server) { sv.ready = fn } }
 
+// WithClosing makes answers ask callers not to reuse their connection while fn returns true.
+func WithClosing(fn func() bool) Option { return func(sv *Server) { sv.closing = fn } }
+
 // WithWriteTimeout limits the time for each write to a caller.
 func WithWriteTimeout(limit time.Duration) Option {
 	return func(sv *Server) { sv.writeTimeout = limit }
@@ -67,6 +71,7 @@
 		forwarder:    forwarder,
 		observe:      func(*Exchange, *chestnutroad.Refusal) {},
 		ready:        func() bool { return true },
+		closing:      func() bool { return false },
 		now:          time.Now,
 		writeTimeout: defaultWriteTimeout,
 		readTimeout:  defaultReadTimeout,
@@ -102,7 +107,7 @@
 
 // ServeHTTP serves one request from a caller.
 func (sv *Server) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
-	ex := &Exchange{Writer: writer, HTTP: req, Directory: sv.directory(), Started: sv.now()}
+	ex := &Exchange{Writer: writer, HTTP: req, Directory: sv.directory(), Started: sv.now(), closing: sv.closing}
 	err := sv.handler(ex)
 	var refusal *chestnutroad.Refusal
 	if err != nil {
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -203,6 +204,39 @@
 	}
 }
 
+// TestClosingServer guards against a caller that sends its next request on a connection that a stop closes.
+func TestClosingServer(t *testing.T) {
+	requests := []struct{ name, token, body string }{
+		{"stream", "secret", chatRequest + `true}`},
+		{"buffered answer", "secret", chatRequest + `false}`},
+		{"refusal", "", chatRequest + `true}`},
+	}
+	for _, closing := range []bool{false, true} {
+		// The stop begins while the request is handled.
+		var stopping atomic.Bool
+		server := startServer(t, func(ctx context.Context, call *chestnutroad.Call, answer chestnutroad.Answer) error {
+			stopping.Store(closing)
+			return answerWords("a")(ctx, call, answer)
+		}, WithClosing(stopping.Load))
+		for _, request := range requests {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+chatPath, strings.NewReader(request.body))
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.Header.Set("Authorization", "Bearer "+request.token)
+			resp, err := server.Client().Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.Close != closing {
+				t.Errorf("%s: the answer closes the connection: %t, want %t", request.name, resp.Close, closing)
+			}
+		}
+	}
+}
+
 // TestBrokenStreamIsVisible guards against a caller taking a partial answer for a complete one.
 func TestBrokenStreamIsVisible(t *testing.T) {
 	server := startServer(t, func(_ context.Context, _ *chestnutroad.Call, answer chestnutroad.Answer) error {
--- a/internal/entry/closerace_test.go
+++ b/internal/callerconn/closerace_test.go
@@ -1,4 +1,4 @@
-package entry
+package callerconn
 
 import (
 	"net"
@@ -47,8 +47,8 @@
 		hooked.awaitReads(2)
 	}
 	near.raw = hooked
-	cc := newCallerConns()
-	cc.connState(near, http.StateIdle)
+	pl := NewPool()
+	pl.connState(near, http.StateIdle)
 	read := make(chan error, 1)
 	go func() {
 		_, err := near.Read(make([]byte, 4))
@@ -56,7 +56,7 @@
 	}()
 	hooked.awaitReads(1)
 	closed := make(chan int, 1)
-	go func() { closed <- cc.closeIdle(time.Now().Add(time.Minute), time.Second) }()
+	go func() { closed <- pl.CloseIdle(time.Now().Add(time.Minute), time.Second) }()
 	select {
 	case open := <-closed:
 		if err := <-read; open != 0 || !errors.Is(err, net.ErrClosed) {
@@ -87,10 +87,10 @@
 func TestNoAnswerOnClosingConnection(t *testing.T) {
 	t.Parallel()
 	near, far := connPair(t)
-	cc := newCallerConns()
+	pl := NewPool()
 	started := make(chan struct{}, 1)
-	server := &http.Server{ReadHeaderTimeout: headerTimeout, ConnState: func(conn net.Conn, state http.ConnState) {
-		cc.connState(conn, state)
+	server := &http.Server{ReadHeaderTimeout: HeaderTimeout, ConnState: func(conn net.Conn, state http.ConnState) {
+		pl.connState(conn, state)
 		if state == http.StateNew {
 			started <- struct{}{}
 		}
--- a/internal/entry/callerconn.go
+++ b/internal/callerconn/conn.go
@@ -1,6 +1,7 @@
-package entry
+package callerconn
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -13,9 +14,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// callerConn is a connection of a caller that is closed as idle only while no byte of a request has arrived. net/http reports
+// Conn is a connection of a caller that is closed as idle only while no byte of a request has arrived. net/http reports
 // a connection as active only once it has read a whole head, which may take long on a slow link or a busy host.
-type callerConn struct {
+type Conn struct {
 	net.Conn
 	tcp *net.TCPConn
 	raw syscall.RawConn
@@ -28,20 +29,22 @@
 	// headSince is when the first byte was read since the last answer, or since the connection was accepted; zero when none was.
 	headSince time.Time
 	closed    bool
+	// secure is the TLS connection over this one; nil without TLS.
+	secure *tls.Conn
 	// lingering counts the connections of the server that are closed in the background.
 	lingering *atomic.Int64
 }
 
-func newCallerConn(tcp *net.TCPConn, lingering *atomic.Int64) (*callerConn, error) {
+func newConn(tcp *net.TCPConn, lingering *atomic.Int64) (*Conn, error) {
 	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: tcp, tcp: tcp, raw: raw, lingering: lingering}, nil
+	return &Conn{Conn: tcp, tcp: tcp, raw: raw, lingering: lingering}, nil
 }
 
 // Read reads from the socket and records that bytes have arrived.
-func (cn *callerConn) Read(data []byte) (int, error) {
+func (cn *Conn) Read(data []byte) (int, error) {
 	if len(data) == 0 {
 		return 0, nil
 	}
@@ -63,7 +66,7 @@
 }
 
 // readError returns an error as those of net.TCPConn. net/http answers others with 400, also on a connection that is being closed.
-func (cn *callerConn) readError(err error) error {
+func (cn *Conn) readError(err error) error {
 	if opError := (*net.OpError)(nil); errors.As(err, &opError) {
 		err = opError.Err
 	}
@@ -73,7 +76,7 @@
 	return &net.OpError{Op: "read", Net: "tcp", Source: cn.LocalAddr(), Addr: cn.RemoteAddr(), Err: err}
 }
 
-func (cn *callerConn) readSocket(fd int, data []byte) (int, error) {
+func (cn *Conn) readSocket(fd int, data []byte) (int, error) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	if cn.closed {
@@ -96,7 +99,7 @@
 
 // SetReadDeadline sets the deadline of reads. The server has no IdleTimeout, so that net/http sets a deadline on an idle connection
 // only once it holds the start of the next head, which may have arrived with the request before.
-func (cn *callerConn) SetReadDeadline(deadline time.Time) error {
+func (cn *Conn) SetReadDeadline(deadline time.Time) error {
 	cn.mu.Lock()
 	if cn.state == http.StateIdle && !deadline.IsZero() && cn.headSince.IsZero() {
 		cn.headSince = time.Now()
@@ -106,7 +109,7 @@
 }
 
 // CloseWrite sends the end of the data. net/http uses it to wait for the caller before it closes a connection with unread data.
-func (cn *callerConn) CloseWrite() error { return cn.tcp.CloseWrite() }
+func (cn *Conn) CloseWrite() error { return cn.tcp.CloseWrite() }
 
 const (
 	// lingerTime bounds the time in which the bytes of a caller are discarded before its connection is closed: enough for those
@@ -118,7 +121,7 @@
 
 // Close closes the connection. If bytes have arrived that were not read, it only sends the end of the data and discards them in
 // the background first: the kernel would reset the connection, and drop what it has not sent of the answer.
-func (cn *callerConn) Close() error {
+func (cn *Conn) Close() error {
 	if !cn.hasUnread() {
 		return cn.tcp.Close()
 	}
@@ -135,7 +138,7 @@
 	return nil
 }
 
-func (cn *callerConn) setState(state http.ConnState, now time.Time) {
+func (cn *Conn) setState(state http.ConnState, now time.Time) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	cn.state, cn.stateSince = state, now
@@ -145,7 +148,7 @@
 	}
 }
 
-func (cn *callerConn) isClosed() bool {
+func (cn *Conn) isClosed() bool {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	return cn.closed
@@ -153,9 +156,19 @@
 
 // closeIfIdle closes the connection if it has been without a request for longer than the limit and none arrives. It
 // reports whether the connection is closed.
-func (cn *callerConn) closeIfIdle(now time.Time, limit time.Duration) bool {
+func (cn *Conn) closeIfIdle(now time.Time, limit time.Duration) bool {
 	closed, first := cn.markClosed(now, limit)
-	if first {
+	switch {
+	case !first:
+	case cn.secure != nil:
+		cn.lingering.Add(1)
+		go func() {
+			defer cn.lingering.Add(-1)
+			// A caller that doesn't read may hold up the alert that tells it of the close.
+			_ = cn.secure.CloseWrite()
+			_ = cn.tcp.Close()
+		}()
+	default:
 		// Bytes that arrive now stay unread, so that the caller can tell that its request was not read. The lock is not held,
 		// because Close waits for a read that waits for the lock.
 		_ = cn.tcp.Close()
@@ -165,7 +178,7 @@
 
 // markClosed ends all further reads if the connection is idle, and reports whether it is closed, and whether by this call. One
 // that the server has closed may still send the end of an answer.
-func (cn *callerConn) markClosed(now time.Time, limit time.Duration) (closed, first bool) {
+func (cn *Conn) markClosed(now time.Time, limit time.Duration) (closed, first bool) {
 	cn.mu.Lock()
 	defer cn.mu.Unlock()
 	if cn.closed {
@@ -177,12 +190,12 @@
 
 // hasHead reports whether a head is being received. net/http waits without a limit for the fourth byte of a further request, which
 // never comes from a caller that ends a body with a line.
-func (cn *callerConn) hasHead(now time.Time) bool {
-	return !cn.headSince.IsZero() && now.Sub(cn.headSince) <= headerTimeout
+func (cn *Conn) hasHead(now time.Time) bool {
+	return !cn.headSince.IsZero() && now.Sub(cn.headSince) <= HeaderTimeout
 }
 
 // hasUnread reports whether bytes have arrived that were not read from the socket, as on a host that is short of processor time.
-func (cn *callerConn) hasUnread() bool {
+func (cn *Conn) hasUnread() bool {
 	count := 0
 	err := cn.raw.Control(func(fd uintptr) {
 		var one [1]byte
--- a/internal/entry/callerlistener.go
+++ b/internal/callerconn/listener.go
@@ -1,4 +1,4 @@
-package entry
+package callerconn
 
 import (
 	"net"
@@ -11,20 +11,21 @@
 )
 
 const (
-	// acceptTimeout bounds the time for which a draining host goes on to accept the connections that wait in its queue.
-	acceptTimeout = 500 * time.Millisecond
+	// AcceptTimeout bounds the time for which a draining host goes on to accept the connections that wait in its queue.
+	AcceptTimeout = 500 * time.Millisecond
 	// acceptPoll is the pause between two checks of the queue, in which the server accepts what waits.
 	acceptPoll = time.Millisecond
 )
 
-// callerListener accepts connections as callerConn.
-type callerListener struct {
+// Listener accepts connections as Conn.
+type Listener struct {
 	net.Listener
-	raw     syscall.RawConn
-	callers *callerConns
+	raw  syscall.RawConn
+	pool *Pool
 }
 
-func newCallerListener(listener net.Listener, callers *callerConns, logger *log.Logger) (*callerListener, error) {
+// NewListener returns a listener that accepts the connections of a TCP listener for the pool.
+func NewListener(listener net.Listener, pool *Pool, logger *log.Logger) (*Listener, error) {
 	sc, ok := listener.(syscall.Conn)
 	if !ok {
 		return nil, errors.Newf("a %T has no file descriptor", listener)
@@ -33,11 +34,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: &retryListener{Listener: listener, logger: logger}, raw: raw, callers: callers}, nil
+	return &Listener{Listener: NewRetryListener(listener, logger), raw: raw, pool: pool}, nil
 }
 
 // Accept waits for the next connection.
-func (cl *callerListener) Accept() (net.Conn, error) {
+func (cl *Listener) Accept() (net.Conn, error) {
 	conn, err := cl.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -47,12 +48,12 @@
 		_ = conn.Close()
 		return nil, errors.Newf("a connection is a %T, want TCP", conn)
 	}
-	return newCallerConn(tcp, &cl.callers.lingering)
+	return newConn(tcp, &cl.pool.lingering)
 }
 
-// closeWhenEmpty closes the listener once no connection waits to be accepted, or the limit has passed. The kernel resets
+// CloseWhenEmpty closes the listener once no connection waits to be accepted, or the limit has passed. The kernel resets
 // connections that wait when a listener is closed, with the requests that they carry.
-func (cl *callerListener) closeWhenEmpty(limit time.Duration) {
+func (cl *Listener) CloseWhenEmpty(limit time.Duration) {
 	for end := time.Now().Add(limit); cl.hasWaiting() && time.Now().Before(end); {
 		time.Sleep(acceptPoll)
 	}
@@ -60,7 +61,7 @@
 }
 
 // hasWaiting reports whether a connection waits to be accepted.
-func (cl *callerListener) hasWaiting() bool {
+func (cl *Listener) hasWaiting() bool {
 	count := 0
 	err := cl.raw.Control(func(fd uintptr) {
 		count, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
--- a/internal/entry/callers_test.go
+++ b/internal/callerconn/pool_test.go
@@ -1,4 +1,4 @@
-package entry
+package callerconn
 
 import (
 	"net"
@@ -23,9 +23,9 @@
 		{"opened long ago without a request", http.StateNew, time.Minute, "", "", true},
 		{"idle for a short time", http.StateIdle, time.Millisecond, "", "", false},
 		{"with a request", http.StateActive, time.Minute, "", "", false},
-		{"idle with a part of a head", http.StateIdle, headerTimeout - time.Second, "P", "", false},
-		{"opened long ago with a part of a head", http.StateNew, headerTimeout - time.Second, "P", "", false},
-		{"idle with bytes that became no head in time", http.StateIdle, headerTimeout + time.Second, "\r\n", "", true},
+		{"idle with a part of a head", http.StateIdle, HeaderTimeout - time.Second, "P", "", false},
+		{"opened long ago with a part of a head", http.StateNew, HeaderTimeout - time.Second, "P", "", false},
+		{"idle with bytes that became no head in time", http.StateIdle, HeaderTimeout + time.Second, "\r\n", "", true},
 		{"idle with unread bytes", http.StateIdle, time.Minute, "", "POST", false},
 		{"opened long ago with unread bytes", http.StateNew, time.Minute, "", "POST", false},
 	}
@@ -33,8 +33,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			near, far := connPair(t)
-			cc := newCallerConns()
-			cc.connState(near, tc.state)
+			pl := NewPool()
+			pl.connState(near, tc.state)
 			if tc.received != "" {
 				_, _ = far.Write([]byte(tc.received))
 				if _, err := near.Read(make([]byte, len(tc.received))); err != nil {
@@ -45,13 +45,13 @@
 			for end := time.Now().Add(time.Second); tc.unread != "" && !near.hasUnread() && time.Now().Before(end); {
 				time.Sleep(time.Millisecond)
 			}
-			open := cc.closeIdle(time.Now().Add(tc.idle), time.Second)
+			open := pl.CloseIdle(time.Now().Add(tc.idle), time.Second)
 			if _, err := near.Read(make([]byte, len(tc.unread))); err != nil {
 				t.Errorf("the bytes were not read: %v", err)
 			}
 			// net/http reports the request only after the close.
-			cc.connState(near, http.StateActive)
-			if got := cc.closing(cc.connContext(t.Context(), near)); got != tc.closing {
+			pl.connState(near, http.StateActive)
+			if got := pl.Closing(pl.connContext(t.Context(), near)); got != tc.closing {
 				t.Errorf("closing is %t, want %t", got, tc.closing)
 			}
 			if (open == 0) != tc.closing {
@@ -65,19 +65,19 @@
 func TestConnectionThatCloseIdleSeesClosing(t *testing.T) {
 	t.Parallel()
 	near, _ := connPair(t)
-	cc := newCallerConns()
-	near.lingering = &cc.lingering
-	cc.connState(near, http.StateActive)
+	pl := NewPool()
+	near.lingering = &pl.lingering
+	pl.connState(near, http.StateActive)
 	near.mu.Lock()
 	open := make(chan int)
-	go func() { open <- cc.closeIdle(time.Now(), time.Second) }()
-	for cc.mu.TryLock() {
-		cc.mu.Unlock()
+	go func() { open <- pl.CloseIdle(time.Now(), time.Second) }()
+	for pl.mu.TryLock() {
+		pl.mu.Unlock()
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(50 * time.Millisecond)
-	// Close and the state that follows it, while closeIdle waits.
-	cc.lingering.Add(1)
+	// Close and the state that follows it, while CloseIdle waits.
+	pl.lingering.Add(1)
 	near.closed = true
 	near.mu.Unlock()
 	if got := <-open; got != 1 {
@@ -89,7 +89,7 @@
 }
 
 // connPair returns both ends of a TCP connection; near is the host's.
-func connPair(t *testing.T) (near *callerConn, far net.Conn) {
+func connPair(t *testing.T) (near *Conn, far net.Conn) {
 	t.Helper()
 	var config net.ListenConfig
 	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
@@ -102,7 +102,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	callers, err := newCallerListener(listener, newCallerConns(), discardLog(t))
+	callers, err := NewListener(listener, NewPool(), discardLog(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -111,7 +111,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _, _ = accepted.Close(), far.Close() })
-	return accepted.(*callerConn), far
+	return accepted.(*Conn), far
 }
 
 // TestCloseAcceptsQueuedConnections guards against a listener that is closed while connections wait in its queue, which
@@ -123,7 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := newCallerListener(plain, newCallerConns(), discardLog(t))
+	listener, err := NewListener(plain, NewPool(), discardLog(t))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,7 +138,7 @@
 	}
 	closed := make(chan struct{})
 	go func() {
-		listener.closeWhenEmpty(time.Second)
+		listener.CloseWhenEmpty(time.Second)
 		close(closed)
 	}()
 	for number := range count {
@@ -157,8 +157,8 @@
 	served := 0
 	for index := range count {
 		near, far := connPair(t)
-		cc := newCallerConns()
-		cc.connState(near, http.StateIdle)
+		pl := NewPool()
+		pl.connState(near, http.StateIdle)
 		read := make(chan int, 1)
 		go func() {
 			size, _ := near.Read(make([]byte, 1))
@@ -168,7 +168,7 @@
 		start := make(chan struct{})
 		go func() {
 			<-start
-			closed <- near.closeIfIdle(time.Now().Add(headerTimeout/2), time.Second)
+			closed <- near.closeIfIdle(time.Now().Add(HeaderTimeout/2), time.Second)
 		}()
 		close(start)
 		// The bytes arrive at another moment of the close each time.
--- a/internal/entry/retrylistener_test.go
+++ b/internal/callerconn/retrylistener_test.go
@@ -1,4 +1,4 @@
-package entry
+package callerconn
 
 import (
 	"io"
@@ -50,7 +50,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			listener := &retryListener{
+			listener := &RetryListener{
 				Listener: &failingListener{Listener: plain, failures: []error{failure, failure}}, logger: discardLog(t),
 			}
 			var dialer net.Dialer
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/callerconn"
 	"github.com/chestnutroad/chestnutroad/internal/freshness"
 	"github.com/chestnutroad/chestnutroad/internal/logging"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
@@ -39,7 +40,7 @@
 	state        *state
 	targets      *targetconn.Pool
 	counters     *counters
-	callers      *callerConns
+	callers      *callerconn.Pool
 	open         *openRequests
 	bufferBudget *bufferBudget
 	link         *link
@@ -100,7 +101,7 @@
 		targets:      targetconn.NewPool(),
 		counters:     newCounters(),
 		eras:         &eraTracker{},
-		callers:      newCallerConns(),
+		callers:      callerconn.NewPool(),
 		open:         newOpenRequests(),
 		bufferBudget: &bufferBudget{limit: int64(set.Memory) / bufferMemoryDivisor},
 		now:          time.Now,
@@ -134,8 +135,7 @@
 }
 
 const (
-	// headerTimeout and maxHeaderBytes bound the time and the size of a request's headers, which may be slow or endless.
-	headerTimeout  = 10 * time.Second
+	// maxHeaderBytes bounds the size of a request's headers, which may be endless.
 	maxHeaderBytes = 64 << 10
 	// sweepInterval is the pause between two sweeps of idle connections.
 	sweepInterval = time.Second
@@ -153,16 +153,16 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	callers := en.callerServer()
-	accepted, err := newCallerListener(listeners[0], en.callers, en.logger)
+	accepted, err := callerconn.NewListener(listeners[0], en.callers, en.logger)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	operators := &http.Server{Handler: en.operatorHandler(), ReadHeaderTimeout: headerTimeout}
+	operators := &http.Server{Handler: en.operatorHandler(), ReadHeaderTimeout: callerconn.HeaderTimeout}
 	failed := make(chan error, len(listeners))
 	// accepting is closed when the caller server has registered its last connection.
 	accepting := make(chan struct{})
 	for _, listener := range listeners {
-		server, listening := operators, net.Listener(&retryListener{Listener: listener, logger: en.logger})
+		server, listening := operators, net.Listener(callerconn.NewRetryListener(listener, en.logger))
 		if listener == listeners[0] {
 			server, listening = callers, accepted
 		}
@@ -222,17 +222,12 @@
 	// cutOffWriteTime is the part of stopReserve in which answers that are complete, and failures of requests that were cut off,
 	// are written to their callers.
 	cutOffWriteTime = 300 * time.Millisecond
-	// drainIdleTimeout is how long a connection may be idle during the drain, so that callers that send one request after
-	// the other keep theirs until an answer carries Connection: close.
-	drainIdleTimeout = 300 * time.Millisecond
-	// drainInterval is the pause between two checks of the connections during the drain.
-	drainInterval = 50 * time.Millisecond
 )
 
 // drain shuts the host down gracefully: it first reports that it is not ready, then accepts no more connections, closes
 // idle ones and waits for open requests. The sends of those that remain stopReserve before the end of the grace period are cut
 // off; their callers get a failure, or the end of the connection if a part of the answer was sent.
-func (en *Entry) drain(listener *callerListener, accepting <-chan struct{}) {
+func (en *Entry) drain(listener *callerconn.Listener, accepting <-chan struct{}) {
 	started, initial := en.now(), time.Duration(en.grace.Load())
 	// Changed settings may shorten the grace period of a drain, but not lengthen it: the platform may go by the former one.
 	graceUntil := func(share float64, reserve time.Duration) time.Time {
@@ -242,9 +237,9 @@
 	en.stopping.Store(true)
 	en.logger.Info("draining", "Open", en.open.count())
 	for now := en.now(); now.Before(started.Add(balancerDelay)) && now.Before(graceUntil(acceptShare, 0)); now = en.now() {
-		time.Sleep(drainInterval)
+		time.Sleep(callerconn.DrainInterval)
 	}
-	listener.closeWhenEmpty(acceptTimeout)
+	listener.CloseWhenEmpty(callerconn.AcceptTimeout)
 	cutOff := func() time.Time {
 		end := graceUntil(1, stopReserve)
 		en.cutOffAt.Store(int64(en.elapsed() + end.Sub(en.now())))
@@ -264,10 +259,10 @@
 // awaitCallers closes connections as they become idle, and reports whether none is left before the end, which may change.
 func (en *Entry) awaitCallers(end func() time.Time) bool {
 	for en.now().Before(end()) {
-		if en.callers.closeIdle(en.now(), drainIdleTimeout) == 0 {
+		if en.callers.CloseIdle(en.now(), callerconn.DrainIdleTimeout) == 0 {
 			return true
 		}
-		time.Sleep(drainInterval)
+		time.Sleep(callerconn.DrainInterval)
 	}
 	return false
 }
@@ -278,7 +273,7 @@
 		en.targets.Sweep()
 		if tb := en.state.table.Load(); tb != nil {
 			if limit := tb.Limits().IdleTimeout; limit > 0 {
-				en.callers.closeIdle(en.now(), limit+idleMargin)
+				en.callers.CloseIdle(en.now(), limit+idleMargin)
 			}
 		}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,20 +11,19 @@
 )
 
 func (en *Entry) callerServer() *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		// A ServeMux would redirect unclean paths, which targets must get unchanged.
-		Handler:           en,
-		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         en.callers.connState,
-		ConnContext:       en.callers.connContext,
+		Handler:        en,
+		MaxHeaderBytes: maxHeaderBytes,
 	}
+	en.callers.Attach(server)
+	return server
 }
 
 // ServeHTTP handles one request of a caller.
 func (en *Entry) ServeHTTP(writer http.ResponseWriter, req *http.Request) {
 	ex := &exchange{writer: writer, request: req, started: en.now(), callMetadata: en.wire.ReadCall(req.Header)}
-	if en.callers.closing(req.Context()) {
+	if en.callers.Closing(req.Context()) {
 		en.counters.countIncomplete(incompleteClosing)
 		en.logger.Warn("request arrived on a connection that was being closed", "Request", ex.callMetadata.ID)
 		panic(http.ErrAbortHandler)
--- a/internal/host/forward.go
+++ b/internal/host/forward.go
@@ -94,5 +94,5 @@
 // newCallers returns the server for callers' requests.
 func (ho *Host) newCallers() *caller.Server {
 	return caller.New(ho.currentDirectory, ho, caller.WithObserver(ho.observeExchange),
-		caller.WithReady(func() bool { return !ho.refusing.Load() }))
+		caller.WithReady(func() bool { return !ho.refusing.Load() }), caller.WithClosing(ho.draining.Load))
 }
--- a/internal/host/run.go
+++ b/internal/host/run.go
@@ -131,9 +131,13 @@
 	group, serving := errgroup.WithContext(serving)
 	group.Go(func() error { return link.Run(serving) })
 	group.Go(func() error { return server.Serve(serving, listener) })
-	callerServer := ho.newCallers().HTTPServer()
+	callerServer, err := newCallerServer(ho.newCallers().HTTPServer(), callers, ho.logger)
+	if err != nil {
+		return err
+	}
 	operatorServer := operator.NewServer(ho.newOperators())
-	group.Go(func() error { return ho.serveCallers(callerServer, callers) })
+	group.Go(func() error { return callerServer.serve(ho.settings.CertificateFile, ho.settings.KeyFile) })
+	ho.startController(callerServer.sweepIdle)
 	group.Go(func() error { return ignoreClosed(operatorServer.Serve(operators)) })
 	ho.logger.Info("serving", "Callers", callers.Addr().String(), "Operators", operators.Addr().String())
 	ho.record(timeline.Event{Type: timeline.Started})
@@ -144,7 +148,7 @@
 		}
 		ho.drain(callerServer)
 		stop()
-		return errors.CombineErrors(operatorServer.Close(), callerServer.Close())
+		return errors.CombineErrors(operatorServer.Close(), callerServer.server.Close())
 	})
 	err = group.Wait()
 	ho.cancel()
@@ -158,17 +162,9 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
-// serveCallers serves the callers' listener, with TLS if the settings name a certificate file.
-func (ho *Host) serveCallers(server *http.Server, listener net.Listener) error {
-	if ho.settings.CertificateFile == "" {
-		return ignoreClosed(server.Serve(listener))
-	}
-	return ignoreClosed(server.ServeTLS(listener, ho.settings.CertificateFile, ho.settings.KeyFile))
-}
-
-// ignoreClosed returns nil for the error that a server returns after it was closed.
+// ignoreClosed returns nil for the error that a server returns after it or its listener was closed.
 func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -176,7 +172,7 @@
 
 // drain refuses new requests after balancerGrace and waits, up to the drain timeout, for requests in flight and for the
 // handover of the owned shards.
-func (ho *Host) drain(callers *http.Server) {
+func (ho *Host) drain(callers *callerServer) {
 	ho.logger.Info("draining")
 	ho.record(timeline.Event{Type: timeline.Draining})
 	ho.draining.Store(true)
@@ -185,8 +181,8 @@
 	ho.refusing.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), ho.drainTimeout())
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		ho.logger.Warn("callers' requests were cut off", "Error", err)
+	if !callers.drain(ctx) {
+		ho.logger.Warn("callers' requests were cut off")
 	}
 	for ctx.Err() == nil && ho.busy() {
 		pause(ctx, drainPoll)
