Send no requests to targets of evacuated data centres

Operators evacuate a data centre by a record in their stream of the store, which hosts ignored. Each host now keeps the list of evacuated data centres with the position of the stream up to which it is known (package evacuation). Reports, beacons, exchanges and state calls carry the list once an evacuation was seen; the later position replaces the other list. A beacon's age of the stream counts once the host has the list of the announced position.

The pool takes targets of evacuated data centres for unusable, so that no send reaches them, and leaves them out of the mean and of the slots. Without = ["Evacuation"] disables the part.

go test -race -count=2 -run 'Evacuat|MetricNames|Reach' ./internal/entry: passes, with two and three of three data centres evacuated on three hosts, hosts that start meanwhile with and without the store, and targets that get requests without the part.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -19,6 +19,8 @@
 	// quarantined counts the requests refused for a suspected prompt part, and crashEvidence the parts accused of crashes.
 	quarantined   *metrics.Counter
 	crashEvidence *metrics.Counter
+	// evacuationsInvalid counts the records and lists of evacuations that can't be read, and unknown data centres in them.
+	evacuationsInvalid *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -26,6 +28,7 @@
 	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
 	cn.quarantined = cn.set.NewCounter("chestnutroad_requests_quarantined_total")
 	cn.crashEvidence = cn.set.NewCounter("chestnutroad_part_crash_evidence_total")
+	cn.evacuationsInvalid = cn.set.NewCounter("chestnutroad_evacuations_invalid_total")
 	return cn
 }
 
@@ -58,9 +61,10 @@
 	})
 	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
 	set.NewGauge("chestnutroad_targets_limited", func() float64 { return float64(en.state.limitedCount()) })
+	en.evacuations.registerGauges()
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
-	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
+	for _, state := range []string{"Ready", "Leaving", "Evacuated", "Held", "Suspect", "Unreachable"} {
 		set.NewGauge(fmt.Sprintf("chestnutroad_targets{state=%q}", state), func() float64 {
 			return float64(en.state.targetStates(en.now())[state])
 		})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,8 @@
 type Decoder interface {
 	Configuration(data []byte) (*chestnutroad.Configuration, error)
 	Target(id string, data []byte) (chestnutroad.TargetEntry, error)
+	// Evacuation decodes a record of the operators' stream that evacuates a data centre; found is false for one of another kind.
+	Evacuation(key string, value []byte) (record chestnutroad.EvacuationRecord, found bool, err error)
 	// ConfigurationKey is the key of the configuration in its stream.
 	ConfigurationKey() string
 }
@@ -42,6 +44,7 @@
 	callers      *callerConns
 	open         *openRequests
 	bufferBudget *bufferBudget
+	evacuations  *evacuations
 	link         *link
 	// lastRead and lastReadFailure hold when a read of the targets last succeeded and last failed, as elapsed times; zero
 	// means never.
@@ -112,6 +115,7 @@
 	}
 	en.grace.Store(int64(set.Grace))
 	en.drainTime.Store(int64(set.Drain))
+	en.evacuations = newEvacuations(en)
 	en.registerStateGauges()
 	en.link = newLink(en)
 	en.handler = en.chain()
@@ -310,9 +314,11 @@
 		elapsed: en.elapsed,
 		reset: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
 			en.confirmConfiguration(ctx, next.Era)
+			en.evacuations.reset(records, next)
 			en.applyConfiguration(records, "store")
 		},
-		apply: func(records []chestnutroad.KeyedRecord, _ chestnutroad.Position) {
+		apply: func(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
+			en.evacuations.apply(records, next)
 			en.applyConfiguration(records, "store")
 		},
 		onRead: func(bool) {},
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -218,6 +218,9 @@
 	if ex.progress.MayHaveRun || ex.answerStarted() {
 		return en.failureRefusal(ex, "no further target is left")
 	}
+	if choice.Evacuated {
+		return en.evacuatedRefusal(ex)
+	}
 	if choice.Full {
 		return en.overloadRefusal(ex, "no target has a place")
 	}
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -109,6 +109,7 @@
 			ln.fetchUnknown(from.String())
 			continue
 		}
+		ln.entry.evacuations.merge(message.Evacuations, string(message.From))
 		ln.entry.state.applyResidences(ln.entry.now(), message.Residences)
 		ln.entry.state.mergeEvidence(ln.entry.now(), message.Evidence)
 		if message.Kind == relay.Beacon && others != nil {
@@ -138,6 +139,8 @@
 		status.Residences = ln.entry.state.pendingResidences(now)
 		status.Evidence = ln.entry.state.pendingEvidence(now)
 		status.Rates = ln.entry.state.pendingRates(now)
+		ln.entry.evacuations.refresh()
+		status.Evacuations = ln.entry.evacuations.list()
 		ln.entry.logSuspects(now)
 		ln.mu.Lock()
 		elapsed := ln.entry.elapsed()
@@ -194,6 +197,7 @@
 // State returns what the requesting host lacks: a newer configuration, records of targets and the list of hosts.
 func (ln *link) State(request *siblings.StateRequest) *siblings.State {
 	answer := ln.entry.state.deltaFor(request)
+	answer.Evacuations = ln.entry.evacuations.list()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	if request.HostList != ln.hostListHash() {
@@ -377,6 +381,7 @@
 // mergeState applies the configuration and the targets from another host's answer. Targets of an earlier era than the
 // latest one are ignored.
 func (en *Entry) mergeState(answer *siblings.State, from string) {
+	en.evacuations.merge(answer.Evacuations, from)
 	if len(answer.Configuration) > 0 {
 		text, err := siblings.Decompress(answer.Configuration)
 		if err != nil {
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -24,6 +24,7 @@
 	en.counters.registerDroppedLines(func() uint64 { return 0 })
 	en.counters.countRetry("service", true)
 	en.counters.countRetry("service", false)
+	en.counters.countEvacuated("service")
 	en.counters.countLimited("service", true)
 	en.counters.countLimited("service", false)
 	en.counters.countInvalidLimit("service")
--- a/internal/entry/rulestats.go
+++ b/internal/entry/rulestats.go
@@ -117,7 +117,8 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	utilisation := st.pool.Utilisation(now, criteria)
-	if st.disabled.Off(mechanism.Admission) {
+	if st.disabled.Off(mechanism.Admission) || st.pool.AllEvacuated(criteria.Service, criteria.Model) {
+		// Without a target the choice refuses the request, with the reason.
 		return true
 	}
 	return st.throttle(criteria.Service).Admit(now, criteria.Rank, criteria.Precedence, utilisation, hashFraction(criteria.ID))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -91,6 +91,9 @@
 	if ex.targetCounts != nil {
 		fields = append(fields, "Known", ex.targetCounts.Total, "Leaving", ex.targetCounts.Leaving, "Closed", ex.targetCounts.Unreachable,
 			"Held", ex.targetCounts.Held)
+		if ex.targetCounts.Evacuated > 0 {
+			fields = append(fields, "Evacuated", ex.targetCounts.Evacuated)
+		}
 	}
 	if ex.incomplete != "" {
 		fields = append(fields, "Incomplete", ex.incomplete)
--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -38,9 +38,10 @@
 
 // held returns the configuration version and the position in the records that this host has.
 func (en *Entry) held() freshness.Held {
+	evacuations := en.evacuations.position()
 	en.state.mu.Lock()
 	defer en.state.mu.Unlock()
-	held := freshness.Held{Position: en.state.records.next}
+	held := freshness.Held{Position: en.state.records.next, Evacuations: evacuations}
 	if tb := en.state.table.Load(); tb != nil {
 		held.Version = tb.Version()
 	}
@@ -72,7 +73,13 @@
 	}
 	received := ln.entry.elapsed()
 	announcement := freshness.Announcement{Held: freshness.Held{Version: beacon.Version, Position: beacon.Position}}
-	announcement.ReadAt[freshness.Configuration] = received - beacon.ConfigurationAge
+	if beacon.Evacuations != nil {
+		announcement.Held.Evacuations = beacon.Evacuations.Position
+	}
+	if beacon.Evacuations != nil || !ln.entry.evacuations.seen() {
+		// A relay that has not seen the evacuations that this host has seen confirms nothing of them.
+		announcement.ReadAt[freshness.Configuration] = received - beacon.ConfigurationAge
+	}
 	announcement.ReadAt[freshness.Targets] = received - beacon.TargetsAge
 	ln.tracker.Announce(announcement)
 }
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -11,6 +11,9 @@
 type Held struct {
 	Version  chestnutroad.Version
 	Position chestnutroad.Position
+	// Evacuations is the position of the list of evacuated data centres, which is in the stream of the configuration; zero when no
+	// evacuation has been seen.
+	Evacuations chestnutroad.Position
 }
 
 // Announcement is what a relay states about its copy of the store. All times are elapsed times of the receiving host.
@@ -52,7 +55,8 @@
 // confirm applies the pending announcements of state that the host has by now.
 func (tr *Tracker) confirm(now time.Duration, held Held) {
 	tr.pending = slices.DeleteFunc(tr.pending, func(an Announcement) bool {
-		hasVersion, hasTargets := an.Held.Version <= held.Version, !an.Held.Position.After(held.Position)
+		hasVersion := an.Held.Version <= held.Version && !an.Held.Evacuations.After(held.Evacuations)
+		hasTargets := !an.Held.Position.After(held.Position)
 		if hasVersion {
 			tr.confirmedAt[Configuration] = max(tr.confirmedAt[Configuration], an.ReadAt[Configuration])
 		}
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -35,6 +35,8 @@
 	Reachability Name = "Reach"
 	// Quarantine refuses requests that are, or have prompt parts that are, suspected of crashing targets.
 	Quarantine Name = "Quarantine"
+	// Evacuation sends no requests to targets of evacuated data centres.
+	Evacuation Name = "Evacuation"
 	// TargetLimits sends targets no more requests a second than they state that they take.
 	TargetLimits Name = "Limits"
 	// RetryBudget limits the retries of all hosts.
@@ -49,7 +51,8 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, Evacuation, TargetLimits, RetryBudget, AdaptiveTimeout,
+		Relay,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -59,6 +59,8 @@
 	LimitsReached int
 	// Limited is true when no target was chosen because all that have a free slot get as many requests a second as they take.
 	Limited bool
+	// Evacuated is true when no target was chosen because all targets are in evacuated data centres.
+	Evacuated bool
 	// Full is true when no target was chosen because none of the eligible ones has a free slot.
 	Full bool
 	// RetryAfter is set when no target was chosen because all eligible ones refuse requests for a time; it is the shortest
@@ -81,7 +83,7 @@
 	})
 	candidates, retryAfter := acceptingTargets(now, candidates)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: retryAfter}, false
+		return Choice{RetryAfter: retryAfter, Evacuated: pl.AllEvacuated(req.Service, req.Model)}, false
 	}
 	healthy, suspect := pl.healthy(now, candidates)
 	if len(healthy) == 0 || suspect && req.RequireHealthy {
@@ -96,7 +98,7 @@
 	}
 	choice, found := pl.chooseWithinLimits(now, healthy, req, func(targets []*target, lim *limits) Choice {
 		return pl.applyPolicy(now, targets, req, sticky, lim, mean, suspect)
-	}, pl.limits(now, req, bound, mean, len(all)))
+	}, pl.limits(now, req, bound, mean, len(all)-countEvacuated(all)))
 	if !found {
 		return choice, false
 	}
@@ -138,7 +140,7 @@
 	return pl.resolveResidence(now, usable, req)
 }
 
-// limits returns the limits for a request; count is the number of all targets of the service. It counts a use of the request's
+// limits returns the limits for a request; count is the number of all targets of the service that are not evacuated. It counts a use of the request's
 // shared part.
 func (pl *Pool) limits(now time.Time, req *Request, bound int, mean float64, count int) *limits {
 	lim := &limits{bound: bound}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -13,16 +13,18 @@
 // Pool holds the state of the targets of all services of an installation, as one host sees it. It is not safe for concurrent
 // use.
 type Pool struct {
-	dataCentre   chestnutroad.DataCentreID
-	capFactor    float64
-	policy       Policy
-	disabled     mechanism.Set
-	targets      map[chestnutroad.TargetID]*target
-	services     map[chestnutroad.ServiceID][]*target
-	centres      map[chestnutroad.DataCentreID]*centre
-	notices      map[chestnutroad.TargetID]*notice
-	popularity   *popularity
-	residences   *residenceTable
+	dataCentre chestnutroad.DataCentreID
+	capFactor  float64
+	policy     Policy
+	disabled   mechanism.Set
+	targets    map[chestnutroad.TargetID]*target
+	services   map[chestnutroad.ServiceID][]*target
+	centres    map[chestnutroad.DataCentreID]*centre
+	notices    map[chestnutroad.TargetID]*notice
+	popularity *popularity
+	residences *residenceTable
+	// evacuated are the evacuated data centres.
+	evacuated    []chestnutroad.DataCentreID
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[chestnutroad.ServiceID]*utilisation
 	limiter      *ratelimit.Limiter
@@ -84,10 +86,12 @@
 	if existing != nil && existing.entry.SameIncarnation(entry) {
 		existing.entry = *entry
 		existing.removed = false
+		pl.updateEvacuated(existing)
 		return false
 	}
 	pl.Remove(entry.ID)
 	tg := &target{entry: *entry, hash: chestnutroad.HashID(string(entry.ID))}
+	pl.updateEvacuated(tg)
 	pl.attachNotice(tg)
 	pl.limiter.Register(tg.shortHash(), entry.Incarnation)
 	pl.targets[entry.ID] = tg
@@ -129,7 +133,7 @@
 	return entries
 }
 
-// States counts the targets of all services by state: Leaving, Held (refusing this host's requests for a time), Unreachable,
+// States counts the targets of all services by state: Leaving, Evacuated, Held (refusing this host's requests for a time), Unreachable,
 // Suspect (used only when there is no other) or Ready.
 func (pl *Pool) States(now time.Time) map[string]int {
 	counts := map[string]int{}
@@ -137,6 +141,8 @@
 		switch {
 		case tg.leaving():
 			counts["Leaving"]++
+		case tg.evacuated:
+			counts["Evacuated"]++
 		case tg.notice.retryAfter(now) > 0:
 			counts["Held"]++
 		case pl.unreachable(now, tg):
@@ -264,9 +270,9 @@
 
 // TargetCounts holds the number of targets of a service, in total and by the reason why they get no requests.
 type TargetCounts struct {
-	// Total counts the registered targets, Leaving those that are shutting down, Held those that refuse this host's requests
-	// for a time, and Unreachable those whose breaker, or whose data centre's, is open.
-	Total, Leaving, Held, Unreachable int
+	// Total counts the registered targets, Leaving those that are shutting down, Evacuated those in evacuated data centres, Held
+	// those that refuse this host's requests for a time, and Unreachable those whose breaker, or whose data centre's, is open.
+	Total, Leaving, Evacuated, Held, Unreachable int
 }
 
 // CountTargets counts the targets of a service; each is counted under the first reason that applies.
@@ -276,6 +282,8 @@
 		switch {
 		case tg.leaving():
 			count.Leaving++
+		case tg.evacuated:
+			count.Evacuated++
 		case tg.notice.retryAfter(now) > 0:
 			count.Held++
 		case pl.unreachable(now, tg):
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -26,6 +26,8 @@
 	hash uint64
 	// removed is true once the entry was removed; requests that run there continue.
 	removed bool
+	// evacuated is true while the target's data centre is evacuated.
+	evacuated bool
 	// joinedAt is the time of the last MarkJoined; zero when there was none.
 	joinedAt time.Time
 	// ownCount is the number of this host's requests at the target.
@@ -83,4 +85,4 @@
 		tg.failures/(tg.successes+tg.failures) >= ejectFailureShare
 }
 
-func (tg *target) usable() bool { return !tg.removed && !tg.leaving() }
+func (tg *target) usable() bool { return !tg.removed && !tg.leaving() && !tg.evacuated }
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -57,6 +57,8 @@
 	// Evidence is what hosts have observed of prompt parts that may crash targets; package siblings encodes it in a binary form
 	// instead.
 	Evidence []chestnutroad.CrashEvidence `json:"-"`
+	// Evacuations is the list of evacuated data centres; nil as long as the sender has seen no evacuation.
+	Evacuations *chestnutroad.EvacuationList `json:",omitempty"`
 	// Rates are the requests sent to targets that limit them: the host's own in a report, the sums of the data centre in an
 	// exchange, and of all hosts in a beacon. Package siblings encodes them in a binary form instead.
 	Rates []chestnutroad.TargetRate `json:"-"`
@@ -82,6 +84,8 @@
 	Own View
 	// Residences are sent to other hosts once, with the messages of this tick.
 	Residences []chestnutroad.Residence
+	// Evacuations is the list of evacuated data centres; nil as long as the host has seen no evacuation.
+	Evacuations *chestnutroad.EvacuationList
 	// Evidence about prompt parts is sent to other hosts with the messages of this tick.
 	Evidence []chestnutroad.CrashEvidence
 	// Rates are the host's own requests for targets that limit them.
@@ -354,7 +358,7 @@
 	return Message{
 		Kind: kind, From: nd.self.ID, DataCentre: nd.self.DataCentre,
 		Version: state.Version, Position: state.Position, Fresh: state.Fresh, Leaving: state.Leaving,
-		List: view.List.Digest, Counts: view.Counts, Notices: view.Notices,
+		List: view.List.Digest, Counts: view.Counts, Notices: view.Notices, Evacuations: state.Evacuations,
 	}
 }
 
--- a/internal/siblings/fuzz_test.go
+++ b/internal/siblings/fuzz_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"reflect"
 	"testing"
 
+	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
 )
 
@@ -21,6 +23,7 @@
 	}
 	valid, err := newSocket().encode(&relay.Message{
 		Kind: relay.Report, From: "h", DataCentre: "dc", List: 1 << 63, Counts: make([]byte, 3*minCompressSize), Notices: []relay.Notice{1},
+		Evacuations: &chestnutroad.EvacuationList{DataCentres: []chestnutroad.DataCentreID{"dc"}},
 	})
 	if err != nil {
 		f.Fatal(err)
@@ -28,7 +31,8 @@
 	f.Add(valid)
 	for _, seed := range []string{
 		``, `{}`, `null`, `[]`, `{"Size":-1}`, `{"Size":65537,"Counts":"AAAA"}`, `{"Size":9,"Counts":"AAAA"}`,
-		`{"Position":"5"}`, `{"Position":"1/-1"}`, `{"Position":"18446744073709551615/9223372036854775807"}`, `{"Parts":"AAAA"}`, `{"Crashes":"AAAA"}`,
+		`{"Position":"5"}`, `{"Position":"1/-1"}`, `{"Position":"18446744073709551615/9223372036854775807"}`, `{"Evacuations":{}}`,
+		`{"Evacuations":{"Position":"1/2","DataCentres":["",null],"Ending":["a"]}}`, `{"Evacuations":[]}`, `{"Parts":"AAAA"}`, `{"Crashes":"AAAA"}`,
 		`{"Kind":"Beacon","From":"h","List":18446744073709551616}`,
 	} {
 		f.Add([]byte(seed))
@@ -47,7 +51,8 @@
 			t.Fatal(err)
 		}
 		decoded, err := socket.decode(encoded)
-		if err != nil || decoded.Position != message.Position || decoded.List != message.List || !bytes.Equal(decoded.Counts, message.Counts) {
+		if err != nil || decoded.Position != message.Position || decoded.List != message.List || !bytes.Equal(decoded.Counts, message.Counts) ||
+			!reflect.DeepEqual(decoded.Evacuations, message.Evacuations) {
 			t.Errorf("encoded %+v, decoded %+v: %v", message, decoded, err)
 		}
 	})
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -39,6 +39,8 @@
 	Targets []chestnutroad.KeyedRecord `json:",omitempty"`
 	// AllTargets are all records, compressed, when the changes since the requesting host's position are not available.
 	AllTargets []byte `json:",omitempty"`
+	// Evacuations is the list of evacuated data centres; omitted as long as the host has seen no evacuation.
+	Evacuations *chestnutroad.EvacuationList `json:",omitempty"`
 	// Hosts is omitted when the requesting host has the same list.
 	Hosts []relay.Host `json:",omitempty"`
 }
