Test evacuations and describe them for operators

The tests guard against evacuations that take effect or end late, are given up, or last for ever. The soak test evacuates the data centres of temporary runners. Records that can't be read are counted and logged once.

--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -18,7 +18,7 @@
 	tracker *evacuation.Tracker
 	// generation is that of the tracker when the list was last put into effect.
 	generation uint64
-	// invalid holds the records and the senders of lists that were logged as invalid.
+	// invalid holds the records, by key and position, and the senders of lists that were logged as invalid.
 	invalid map[string]bool
 }
 
@@ -46,7 +46,11 @@
 	}
 	ev.update(func(now time.Duration) {
 		if err := ev.tracker.Merge(now, list, "host "+from); err != nil {
-			ev.recordInvalid("host "+from, "Source", "host "+from, "Error", err)
+			en := ev.entry
+			en.counters.evacuationsInvalid.Inc()
+			if ev.isNewInvalid("host " + from) {
+				en.logger.Warn("evacuations of another host are invalid", "Source", "host "+from, "Error", err)
+			}
 		}
 	})
 }
@@ -74,34 +78,34 @@
 	}
 }
 
-// decode returns the evacuations among the records; mu must be held.
+// decode returns the evacuations among the records; mu must be held. A record that can't be read is counted and logged once, since
+// it may be read again with the newest records.
 func (ev *evacuations) decode(records []chestnutroad.KeyedRecord) []evacuation.Record {
 	var decoded []evacuation.Record
 	for _, record := range records {
 		content, found, err := ev.entry.decoder.Evacuation(record.Key, record.Value)
-		if err != nil {
-			ev.recordInvalid(record.Key+"@"+record.Position.String(),
-				"Key", record.Key, "Position", record.Position, "Source", "store", "Error", quotable(err))
-			continue
-		}
-		if found {
+		switch {
+		case err != nil && ev.isNewInvalid(record.Key+"@"+record.Position.String()):
+			ev.entry.counters.evacuationsInvalid.Inc()
+			ev.entry.logger.Warn("evacuation can't be read", "Key", record.Key, "Position", record.Position, "Source", "store",
+				"Error", quotable(err))
+		case err == nil && found:
 			decoded = append(decoded, evacuation.Record{EvacuationRecord: content, Position: record.Position})
 		}
 	}
 	return decoded
 }
 
-// recordInvalid counts input that can't be read and logs it unless the same was logged before; mu must be held.
-func (ev *evacuations) recordInvalid(id string, fields ...any) {
-	ev.entry.counters.evacuationsInvalid.Inc()
+// isNewInvalid reports whether the record or the sender was not reported as invalid before; mu must be held.
+func (ev *evacuations) isNewInvalid(id string) bool {
 	if ev.invalid[id] {
-		return
+		return false
 	}
 	if len(ev.invalid) >= maxInvalid {
 		clear(ev.invalid)
 	}
 	ev.invalid[id] = true
-	ev.entry.logger.Warn("evacuation can't be read", fields...)
+	return true
 }
 
 // logChanges logs evacuations that began or ended; mu must be held.
--- a/internal/freshness/tracker_test.go
+++ b/internal/freshness/tracker_test.go
@@ -206,3 +206,25 @@
 		t.Errorf("the host's own read is %s old, want 7s", age)
 	}
 }
+
+// TestEvacuationsConfirm guards against a host that relies on a relay's reads of the operators' stream although it does not have the
+// evacuations that the relay has read, and against one that waits for them to follow the targets.
+func TestEvacuationsConfirm(t *testing.T) {
+	t.Parallel()
+	tr := freshness.New()
+	at := func(offset chestnutroad.Offset) chestnutroad.Position { return chestnutroad.Position{Offset: offset} }
+	announcement := freshness.Announcement{Held: freshness.Held{Version: 1, Position: at(5), Evacuations: at(8)}}
+	announcement.ReadAt[freshness.Configuration], announcement.ReadAt[freshness.Targets] = 900*time.Millisecond, 800*time.Millisecond
+	tr.Announce(announcement)
+	const now = time.Second
+	behind := freshness.Held{Version: 1, Position: at(5), Evacuations: at(7)}
+	if got := tr.Age(now, freshness.Configuration, behind); got != now {
+		t.Errorf("without the evacuations the configuration is %s old, want %s", got, now)
+	}
+	if got := tr.Age(now, freshness.Targets, behind); got != 200*time.Millisecond {
+		t.Errorf("the targets are %s old", got)
+	}
+	if got := tr.Age(now, freshness.Configuration, announcement.Held); got != 100*time.Millisecond {
+		t.Errorf("with the evacuations the configuration is %s old", got)
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -57,7 +57,7 @@
 
 // TestSoak guards against violated guarantees under overlapping faults of hosts, connections, runners and the store: an order
 // that runs twice, a refusal of a call that ran, an answer that belongs to another call, a partial answer that looks complete, a
-// valid key that is refused, a revoked key that is accepted, a plain call that ran and got no answer although its host was not
+// valid key that is refused, a revoked key that is accepted, a request to an evacuated data centre, a plain call that ran and got no answer although its host was not
 // killed, requests to a removed runner, and hosts that do not recover.
 func TestSoak(t *testing.T) {
 	t.Parallel()
@@ -118,6 +118,7 @@
 	tb.checkPlannedStops(exchanges)
 	tb.checkKeys(exchanges, faultsEnded.Add(convergenceTime))
 	tb.checkRemovedRunners(faultsEnded.Add(convergenceTime))
+	tb.checkEvacuations(faultsEnded.Add(convergenceTime))
 	tb.checkRecovered()
 }
 
@@ -261,6 +262,8 @@
 			},
 			tb.revoke,
 			func() { tb.addTemporaryRunner(span, span/2) },
+			func() { tb.evacuateRunner(span, 0) },
+			func() { tb.evacuateRunner(span/2, span) },
 			func() { tb.store.Restore(plan) },
 			func() { tb.revoke(); tb.store.Restore(plan); tb.store.Restore(plan) },
 			func() { active.Go(func() { tb.store.Restore(plan) }); pr.signal(syscall.SIGKILL, true) },
@@ -405,6 +408,26 @@
 	}
 }
 
+// checkEvacuations requires that no request arrives after from at a runner in an evacuated data centre, and that each host knows exactly
+// the data centres that are evacuated, without those that were taken back.
+func (tb *testbed) checkEvacuations(from time.Time) {
+	tb.t.Helper()
+	for _, rn := range tb.evacuatedRunners {
+		for _, at := range rn.Arrivals() {
+			if at.After(from) {
+				tb.t.Errorf("%s got a request %s after the last fault had ended", rn.ID, at.Sub(from)+convergenceTime)
+			}
+		}
+	}
+	want := fmt.Sprintf("\nchestnutroad_data_centres_evacuated %d\n", len(tb.evacuatedRunners))
+	for _, pr := range tb.hosts {
+		if text := pr.metrics(); !strings.Contains(text, want) {
+			tb.t.Errorf("%s does not state%s%s", pr.address, want, text)
+		}
+	}
+	tb.t.Logf("%d data centres stay evacuated, %d were taken back", len(tb.evacuatedRunners), tb.takenBack)
+}
+
 // checkRecovered requires that each host serves after the faults, and refuses a key 2 s after its revocation.
 func (tb *testbed) checkRecovered() {
 	tb.t.Helper()
