Confine requests to allowed regions

Routes and teams of the configuration may state allowed_regions, which were ignored. The settings of an entry host state the region of each data centre (Region, Regions; the deployment template fills them in from region and zones). A target outside of the regions that both the route and the team allow, or of unknown region, is no candidate for any send. Without a candidate the request is refused at once with the reason, as NoTarget. Admission counts only the slots of the candidates.

go test -race ./platform ./internal/routing ./internal/settings, -run 'Region|Restricted|Evacuat' ./internal/placement and -run 'TestRegions|MetricNames' ./internal/entry pass.

--- a/ids.go
+++ b/ids.go
@@ -13,6 +13,9 @@
 // DataCentreID identifies a data centre: hosts and targets that fail, or are cut off from the network, together.
 type DataCentreID string
 
+// RegionID identifies a region, a set of data centres to which requests may be confined.
+type RegionID string
+
 // HostID identifies a host, a machine that runs one router process (the serve command).
 type HostID string
 
--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -164,9 +164,10 @@
 	set.NewGauge("chestnutroad_requests_open_evacuated", func() float64 { return float64(ev.entry.state.openAtEvacuated()) })
 }
 
-// knowsDataCentre reports whether the data centre is this host's own or that of a target.
+// knowsDataCentre reports whether the data centre is in the settings or is that of a target.
 func (en *Entry) knowsDataCentre(id chestnutroad.DataCentreID) bool {
-	return id == en.settings.DataCentre || en.state.hasTargetIn(id)
+	_, listed := en.settings.Regions[id]
+	return listed || id == en.settings.DataCentre || en.state.hasTargetIn(id)
 }
 
 // setEvacuated replaces the list of evacuated data centres, whose targets get no further requests.
@@ -205,8 +206,11 @@
 	counts := en.state.countTargets(en.now(), ex.service)
 	ex.targetCounts = &counts
 	en.counters.countEvacuated(string(ex.service))
-	return chestnutroad.Refuse(chestnutroad.NoTarget, "all data centres with targets of the service are evacuated").
-		WithRetryAfter(evacuatedRetryAfter)
+	message := "all data centres with targets of the service are evacuated"
+	if ex.criteria.Restricted {
+		message = "all data centres with targets of the service in allowed regions are evacuated"
+	}
+	return chestnutroad.Refuse(chestnutroad.NoTarget, message).WithRetryAfter(evacuatedRetryAfter)
 }
 
 // countEvacuated counts a request that was refused because of evacuations.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -221,6 +221,9 @@
 	if choice.Evacuated {
 		return en.evacuatedRefusal(ex)
 	}
+	if choice.OutsideRegions {
+		return en.regionRefusal(ex)
+	}
 	if choice.Full {
 		return en.overloadRefusal(ex, "no target has a place")
 	}
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -25,6 +25,7 @@
 	en.counters.countRetry("service", true)
 	en.counters.countRetry("service", false)
 	en.counters.countEvacuated("service")
+	en.counters.countOutsideRegions("service")
 	en.counters.countLimited("service", true)
 	en.counters.countLimited("service", false)
 	en.counters.countInvalidLimit("service")
--- a/internal/entry/rulestats.go
+++ b/internal/entry/rulestats.go
@@ -117,7 +117,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	utilisation := st.pool.Utilisation(now, criteria)
-	if st.disabled.Off(mechanism.Admission) || st.pool.AllEvacuated(criteria.Service, criteria.Model) {
+	if st.disabled.Off(mechanism.Admission) || st.pool.AllEvacuated(criteria) || st.pool.OutsideRegions(criteria) {
 		// Without a target the choice refuses the request, with the reason.
 		return true
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -78,7 +78,7 @@
 func poolOptions(set *settings.Entry) []placement.Option {
 	return []placement.Option{
 		placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement), placement.WithPartMemory(set.PartMemory),
-		placement.WithoutMechanisms(set.Without),
+		placement.WithoutMechanisms(set.Without), placement.WithRegions(set.Regions),
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -20,6 +20,9 @@
 	// SharedTokens is the number of prompt tokens shared with other requests, MaxOutputTokens the limit on generated tokens.
 	SharedTokens, MaxOutputTokens chestnutroad.Tokens
 	Model                         string
+	// Restricted is true when the request is confined to targets in AllowedRegions, which may be none.
+	Restricted     bool
+	AllowedRegions []chestnutroad.RegionID
 	// ID seeds the pseudo-random choices, so that otherwise equal requests are spread over targets.
 	ID chestnutroad.RequestID
 	// Excluded lists the targets that the request was already sent to.
@@ -59,8 +62,10 @@
 	LimitsReached int
 	// Limited is true when no target was chosen because all that have a free slot get as many requests a second as they take.
 	Limited bool
-	// Evacuated is true when no target was chosen because all targets are in evacuated data centres.
+	// Evacuated is true when no target was chosen because all targets in allowed regions are in evacuated data centres.
 	Evacuated bool
+	// OutsideRegions is true when no target was chosen because none is in an allowed region.
+	OutsideRegions bool
 	// Full is true when no target was chosen because none of the eligible ones has a free slot.
 	Full bool
 	// RetryAfter is set when no target was chosen because all eligible ones refuse requests for a time; it is the shortest
@@ -76,14 +81,14 @@
 func (pl *Pool) Choose(now time.Time, req *Request) (Choice, bool) {
 	all := pl.services[req.Service]
 	usable := slices.DeleteFunc(slices.Clone(all), func(tg *target) bool {
-		return !tg.usable() || !hasModel(&tg.entry, req.Model)
+		return !tg.usable() || !hasModel(&tg.entry, req.Model) || !pl.allowsRegion(req, tg)
 	})
 	candidates := slices.DeleteFunc(slices.Clone(usable), func(tg *target) bool {
 		return !req.allows(tg.entry.ID)
 	})
 	candidates, retryAfter := acceptingTargets(now, candidates)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: retryAfter, Evacuated: pl.AllEvacuated(req.Service, req.Model)}, false
+		return Choice{RetryAfter: retryAfter, Evacuated: pl.AllEvacuated(req), OutsideRegions: pl.OutsideRegions(req)}, false
 	}
 	healthy, suspect := pl.healthy(now, candidates)
 	if len(healthy) == 0 || suspect && req.RequireHealthy {
@@ -134,10 +139,17 @@
 	if req.Affinity == "" || baselines[pl.policy] != nil || pl.disabled.Off(mechanism.Residence) {
 		return nil
 	}
+	var sticky *target
 	if len(req.Excluded) > 0 {
-		return pl.residences.lookup(now, partHash(req.Affinity))
+		sticky = pl.residences.lookup(now, partHash(req.Affinity))
+	} else {
+		sticky = pl.resolveResidence(now, usable, req)
 	}
-	return pl.resolveResidence(now, usable, req)
+	if sticky != nil && !pl.allowsRegion(req, sticky) {
+		// Requests that may not follow the part go by its hash and don't move it.
+		return nil
+	}
+	return sticky
 }
 
 // limits returns the limits for a request; count is the number of all targets of the service that are not evacuated. It counts a use of the request's
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -32,11 +32,12 @@
 	tg.evacuated = slices.Contains(pl.evacuated, tg.entry.DataCentre)
 }
 
-// AllEvacuated reports whether the service has targets and all that don't leave are in evacuated data centres.
-func (pl *Pool) AllEvacuated(service chestnutroad.ServiceID, model string) bool {
+// AllEvacuated reports whether the service has targets for the request in allowed regions, and all that don't leave are in evacuated
+// data centres.
+func (pl *Pool) AllEvacuated(req *Request) bool {
 	evacuated := 0
-	for _, tg := range pl.services[service] {
-		if tg.leaving() || !hasModel(&tg.entry, model) {
+	for _, tg := range pl.services[req.Service] {
+		if tg.leaving() || !hasModel(&tg.entry, req.Model) || !pl.allowsRegion(req, tg) {
 			continue
 		}
 		if !tg.evacuated {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -26,8 +26,10 @@
 	// evacuated are the evacuated data centres.
 	evacuated    []chestnutroad.DataCentreID
 	margins      map[chestnutroad.ServiceID]*margin
-	utilisations map[chestnutroad.ServiceID]*utilisation
-	limiter      *ratelimit.Limiter
+	utilisations map[utilisationKey]*utilisation
+	// regions holds the region of each data centre whose region is known.
+	regions map[chestnutroad.DataCentreID]chestnutroad.RegionID
+	limiter *ratelimit.Limiter
 	// sharedTokens is the moving average of the shared tokens of each service's requests.
 	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
@@ -61,7 +63,7 @@
 		notices:      map[chestnutroad.TargetID]*notice{},
 		popularity:   newPopularity(),
 		margins:      map[chestnutroad.ServiceID]*margin{},
-		utilisations: map[chestnutroad.ServiceID]*utilisation{},
+		utilisations: map[utilisationKey]*utilisation{},
 		limiter:      ratelimit.New(),
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -118,16 +118,17 @@
 func (pl *Pool) Utilisation(now time.Time, req *Request) float64 {
 	used, slots := 0, 0
 	for _, tg := range pl.services[req.Service] {
-		if tg.usable() && !pl.unreachable(now, tg) && tg.notice.retryAfter(now) == 0 {
+		if tg.usable() && pl.allowsRegion(req, tg) && !pl.unreachable(now, tg) && tg.notice.retryAfter(now) == 0 {
 			load := tg.load(now)
 			used += load
 			slots += pl.usableSlots(tg, load, tg.slotLimit(now, req))
 		}
 	}
-	ut := pl.utilisations[req.Service]
+	key := newUtilisationKey(req)
+	ut := pl.utilisations[key]
 	if ut == nil {
 		ut = &utilisation{}
-		pl.utilisations[req.Service] = ut
+		pl.utilisations[key] = ut
 	}
 	if slots > 0 {
 		weight := min(1, now.Sub(ut.updatedAt).Seconds()/utilisationTimeConstant.Seconds())
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -80,6 +80,25 @@
 	return rule.Rank
 }
 
+// AllowedRegions returns the regions to which a team's request is confined: those that both the rule and the team allow. The result is
+// empty when they have none in common. Restricted is false when neither restricts the regions.
+func AllowedRegions(
+	rule *chestnutroad.RoutingRule, team *chestnutroad.TeamSpec,
+) (allowed []chestnutroad.RegionID, restricted bool) {
+	switch {
+	case team == nil || len(team.AllowedRegions) == 0:
+		return rule.AllowedRegions, len(rule.AllowedRegions) > 0
+	case len(rule.AllowedRegions) == 0:
+		return team.AllowedRegions, true
+	}
+	for _, id := range rule.AllowedRegions {
+		if slices.Contains(team.AllowedRegions, id) {
+			allowed = append(allowed, id)
+		}
+	}
+	return allowed, true
+}
+
 // PickService selects a service from the rule's backends with probability proportional to their weights, for a draw between
 // 0 and 1. It returns the empty name if no backend has a positive weight.
 func PickService(rule *chestnutroad.RoutingRule, draw float64) chestnutroad.ServiceID {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,6 +16,9 @@
 type Entry struct {
 	ID         chestnutroad.HostID
 	DataCentre chestnutroad.DataCentreID
+	// Region is the region of DataCentre, and Regions that of each data centre whose region is known, the host's own included.
+	Region  chestnutroad.RegionID
+	Regions map[chestnutroad.DataCentreID]chestnutroad.RegionID
 
 	// CallerAddress is the listen address for callers, ReadyAddress that for the load balancer's readiness checks.
 	CallerAddress netip.AddrPort
@@ -97,7 +101,7 @@
 	for _, policy := range placement.Policies() {
 		policies = append(policies, string(policy))
 	}
-	return &Entry{
+	en := &Entry{
 		ID:            chestnutroad.HostID(rd.hostID("ID")),
 		DataCentre:    chestnutroad.DataCentreID(rd.hostID("DataCentre")),
 		CallerAddress: rd.requiredAddress("CallerAddress", false),
@@ -119,6 +123,42 @@
 		RetryWindow:   rd.duration("RetryWindow", 10*time.Second, time.Second, maxDuration),
 		LogLevel:      rd.choice("LogLevel", "info", "debug", "info", "warn", "error"),
 	}
+	rd.readRegions(en)
+	return en
+}
+
+// readRegions reads the regions of the host and of all data centres. An empty text stands for an unknown region.
+func (rd *reader) readRegions(en *Entry) {
+	en.Region = rd.region("Region")
+	en.Regions = map[chestnutroad.DataCentreID]chestnutroad.RegionID{}
+	if inner := rd.table("Regions"); inner != nil {
+		for _, name := range slices.Sorted(maps.Keys(inner.tb.entries)) {
+			if region := inner.region(name); region != "" {
+				en.Regions[chestnutroad.DataCentreID(name)] = region
+			}
+		}
+	}
+	listed := en.Regions[en.DataCentre]
+	switch {
+	case en.Region == "":
+		en.Region = listed
+	case listed == "":
+		en.Regions[en.DataCentre] = en.Region
+	case listed != en.Region:
+		rd.errorf("Region", rd.tb.entries["Region"], "is %q, but Regions has %q for the data centre %s", en.Region, listed, en.DataCentre)
+	}
+}
+
+func (rd *reader) region(key string) chestnutroad.RegionID {
+	en := rd.lookup(key)
+	if en == nil {
+		return ""
+	}
+	text, isText := en.value.(string)
+	if !isText {
+		rd.reportType(key, en, "a text")
+	}
+	return chestnutroad.RegionID(text)
 }
 
 // mechanismSet reads a list of names of mechanisms.
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -41,6 +41,12 @@
 		{"no unit", minimalEntry + "Grace = 8\n", "Entry.Grace"},
 		{"disabled mechanism", minimalEntry + "Without = [\"Residence\"]\n", ""},
 		{"unknown mechanism", minimalEntry + "Without = [\"Luck\"]\n", "Entry.Without"},
+		{"region", minimalEntry + "Region = \"r-1\"\nRegions = { \"dc-a\" = \"r-1\", \"dc-b\" = \"r-2\" }\n", ""},
+		{"no regions", minimalEntry + "Region = \"\"\nRegions = {  }\n", ""},
+		{"region of the wrong type", minimalEntry + "Region = 1\n", "Entry.Region"},
+		{"regions of the wrong type", minimalEntry + "Regions = [\"r-1\"]\n", "Entry.Regions"},
+		{"a region of the wrong type", minimalEntry + "Regions = { \"dc-b\" = 1 }\n", "Entry.Regions.dc-b"},
+		{"two regions", minimalEntry + "Region = \"r-1\"\nRegions = { \"dc-a\" = \"r-2\" }\n", "Entry.Region"},
 		{"unknown policy", minimalEntry + "Placement = \"Best\"\n", "Entry.Placement"},
 	}
 	for _, tc := range cases {
@@ -73,6 +79,7 @@
 		".|json": `"10.1.0.41:8229"`, "limits.cpu_quota": "0.272", "limits.memory_mb": "206",
 		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.cap_factor": "2", "bounds.retry_budget_ratio": "0.2",
 		"bounds.retry_min_slack": "135", "bounds.retry_window_s": "10", "#seed_nodes": "", "/seed_nodes": "", ",": "",
+		"region|json": `"10.1.0.41:8229"`, "#zones": "", "/zones": "", "@": "dc-a",
 	}
 	filled := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
 		value, found := values[placeholder[2:len(placeholder)-2]]
@@ -85,7 +92,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if set.PeerPort != 7340 || len(set.Seeds) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 {
+	if set.PeerPort != 7340 || len(set.Seeds) != 1 || len(set.Regions) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 {
 		t.Errorf("got %+v", set)
 	}
 	for line := range strings.Lines(filled) {
@@ -97,5 +104,5 @@
 }
 
 // knownEntryKeys lists all keys of an entry host's settings, each between spaces.
-const knownEntryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory " +
+const knownEntryKeys = " ID DataCentre Region Regions CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory " +
 	"Grace Drain CapFactor Placement Without PartMemory RetryRatio RetrySlack RetryWindow LogLevel "
--- a/internal/settings/golden_test.go
+++ b/internal/settings/golden_test.go
@@ -9,7 +9,9 @@
 )
 
 // entryText states every key of an entry host's settings.
-const entryText = minimalEntry + `MetricsPort = 7355
+const entryText = minimalEntry + `Region = "r-1"
+Regions = { "dc-b" = "r-2" }
+MetricsPort = 7355
 Seeds = ["10.1.0.41:8229"]
 Processors = 0.272
 Memory = "206MB"
@@ -33,7 +35,7 @@
 		t.Fatal(err)
 	}
 	golden.Text(t, "entry.txt", fmt.Sprintln(
-		en.ID, en.DataCentre, en.CallerAddress, en.ReadyAddress, en.PeerPort, en.MetricsPort, en.StoreAddress, en.Seeds,
+		en.ID, en.DataCentre, en.Region, en.Regions, en.CallerAddress, en.ReadyAddress, en.PeerPort, en.MetricsPort, en.StoreAddress, en.Seeds,
 		en.Processors, en.Memory, en.Drain, en.Grace, en.CapFactor, en.Placement, en.Without, en.PartMemory, en.RetryRatio,
 		en.RetrySlack, en.RetryWindow, en.LogLevel,
 	))
--- a/routing.go
+++ b/routing.go
@@ -34,6 +34,8 @@
 	MaxAttempts int
 	// Anonymous is true when requests need no team key.
 	Anonymous bool
+	// AllowedRegions confines requests to targets in these regions; empty for no restriction.
+	AllowedRegions []RegionID
 }
 
 // Backend is a service of a rule with its weight in the split of the rule's requests.
@@ -66,6 +68,8 @@
 	// Rank overrides the rank of rules when HasRank is true.
 	Rank    int
 	HasRank bool
+	// AllowedRegions confines the team's requests to targets in these regions; empty for no restriction.
+	AllowedRegions []RegionID
 }
 
 // CallerLimits holds the size and time limits of callers' requests and connections.
