--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -13,27 +13,27 @@
 // Pool holds the state of the targets of all services of an installation, as one host sees it. It is not safe for concurrent
 // use.
 type Pool struct {
-	dataCentre chestnutroad.DataCentreID
-	capFactor  float64
-	policy     Policy
-	disabled   mechanism.Set
-	targets    map[chestnutroad.TargetID]*target
-	services   map[chestnutroad.ServiceID][]*target
-	centres    map[chestnutroad.DataCentreID]*centre
-	notices    map[chestnutroad.TargetID]*notice
-	popularity *popularity
-	residences *residenceTable
-	// evacuated are the evacuated data centres.
-	evacuated    []chestnutroad.DataCentreID
+	dataCentre   chestnutroad.DataCentreID
+	capFactor    float64
+	policy       Policy
+	disabled     mechanism.Set
+	targets      map[chestnutroad.TargetID]*target
+	services     map[chestnutroad.ServiceID][]*target
+	centres      map[chestnutroad.DataCentreID]*centre
+	notices      map[chestnutroad.TargetID]*notice
+	popularity   *popularity
+	residences   *residenceTable
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[utilisationKey]*utilisation
-	// regions holds the region of each data centre whose region is known.
-	regions map[chestnutroad.DataCentreID]chestnutroad.RegionID
-	limiter *ratelimit.Limiter
+	limiter      *ratelimit.Limiter
 	// sharedTokens is the moving average of the shared tokens of each service's requests.
 	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
 	unnamed uint64
+	// evacuated are the evacuated data centres.
+	evacuated []chestnutroad.DataCentreID
+	// regions holds the region of each data centre whose region is known.
+	regions map[chestnutroad.DataCentreID]chestnutroad.RegionID
 }
 
 // Option configures a Pool.
