Test evacuations under a relay of an earlier version

A host that has seen an evacuation must not rely on the reads of a relay that sends no list, as during a rolling restart.

--- a/internal/evacuation/site_test.go
+++ b/internal/evacuation/site_test.go
@@ -79,7 +79,9 @@
 	lastRead                                  time.Duration
 	dead, frozen, storeCut, peersCut          bool
 	inbox                                     []relay.Message
-	wasEvacuated                              bool
+	// earlier is true for a host of an earlier version, which ignores lists and sends none.
+	earlier      bool
+	wasEvacuated bool
 	// changedAt is when the data centre was last evacuated or taken back at this host.
 	changedAt time.Duration
 }
@@ -211,6 +213,9 @@
 		return
 	}
 	seen := hs.evacuations.Seen()
+	if hs.earlier {
+		message.Evacuations = nil
+	}
 	if err := hs.evacuations.Merge(now, message.Evacuations, string(message.From)); err != nil {
 		panic(err)
 	}
@@ -238,7 +243,7 @@
 	if hs.ready {
 		state.Version = 1
 	}
-	if hs.site.withoutLists {
+	if hs.site.withoutLists || hs.earlier {
 		state.Evacuations = nil
 	}
 	for _, send := range hs.node.Tick(epoch.Add(now), &state) {
@@ -339,7 +344,7 @@
 func (st *site) lagging(evacuated bool) []chestnutroad.HostID {
 	var ids []chestnutroad.HostID
 	for _, hs := range st.hosts {
-		if !hs.dead && !hs.frozen && !hs.storeCut && hs.evacuated() != evacuated {
+		if !hs.dead && !hs.frozen && !hs.storeCut && !hs.earlier && hs.evacuated() != evacuated {
 			ids = append(ids, hs.ID)
 		}
 	}
@@ -525,3 +530,27 @@
 		}
 	}
 }
+
+// TestEarlierRelay guards against a host that keeps an evacuation after its end, since it relies on the reads of a relay of an earlier
+// version, which tells it nothing of evacuations.
+func TestEarlierRelay(t *testing.T) {
+	t.Parallel()
+	for _, hostCount := range hostCounts[1:] {
+		st := newSite(3, hostCount)
+		st.run(2*time.Second, nil)
+		st.write(true)
+		st.run(bound, nil)
+		for _, hs := range st.relays() {
+			st.start(hs.Host).earlier = true
+		}
+		st.run(3*time.Second, nil)
+		if !slices.ContainsFunc(st.relays(), func(hs *host) bool { return hs.earlier }) {
+			t.Fatalf("%d hosts: no host of the earlier version relays", hostCount)
+		}
+		st.write(false)
+		st.run(bound, nil)
+		if got := st.lagging(false); len(got) > 0 {
+			t.Errorf("%d hosts: still evacuated at %v", hostCount, got)
+		}
+	}
+}
