--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -21,6 +21,8 @@
 	crashEvidence *metrics.Counter
 	// ignoredFields counts the fields of configurations whose values can't be used.
 	ignoredFields *metrics.Counter
+	// evacuationsInvalid counts the records and lists of evacuations that can't be read, and unknown data centres in them.
+	evacuationsInvalid *metrics.Counter
 }
 
 func newCounters() *counters {
@@ -29,6 +31,7 @@
 	cn.quarantined = cn.set.NewCounter("chestnutroad_requests_quarantined_total")
 	cn.crashEvidence = cn.set.NewCounter("chestnutroad_part_crash_evidence_total")
 	cn.ignoredFields = cn.set.NewCounter("chestnutroad_configuration_fields_ignored_total")
+	cn.evacuationsInvalid = cn.set.NewCounter("chestnutroad_evacuations_invalid_total")
 	return cn
 }
 
@@ -62,9 +65,10 @@
 	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
 	set.NewGauge("chestnutroad_targets_limited", func() float64 { return float64(en.state.limitedCount()) })
 	set.NewGauge("chestnutroad_targets_slow", func() float64 { return float64(en.state.slowCount(en.now())) })
+	en.evacuations.registerGauges()
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
-	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
+	for _, state := range []string{"Ready", "Leaving", "Evacuated", "Held", "Suspect", "Unreachable"} {
 		set.NewGauge(fmt.Sprintf("chestnutroad_targets{state=%q}", state), func() float64 {
 			return float64(en.state.targetStates(en.now())[state])
 		})
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -110,6 +110,7 @@
 			ln.fetchUnknown(from.String())
 			continue
 		}
+		ln.entry.evacuations.merge(message.Evacuations, string(message.From))
 		ln.entry.state.applyResidences(ln.entry.now(), message.Residences)
 		ln.entry.state.mergeEvidence(ln.entry.now(), message.Evidence)
 		if message.Kind == relay.Beacon && others != nil {
@@ -139,6 +140,8 @@
 		status.Residences = ln.entry.state.pendingResidences(now)
 		status.Evidence = ln.entry.state.pendingEvidence(now)
 		status.Rates = ln.entry.state.pendingRates(now)
+		ln.entry.evacuations.refresh()
+		status.Evacuations = ln.entry.evacuations.list()
 		ln.entry.logSuspects(now)
 		ln.mu.Lock()
 		elapsed := ln.entry.elapsed()
@@ -200,6 +203,7 @@
 	answer := ln.entry.state.deltaFor(request)
 	answer.ConfigurationAge = ln.entry.copyAge(freshness.Configuration)
 	answer.TargetsAge = ln.entry.copyAge(freshness.Targets)
+	answer.Evacuations = ln.entry.evacuations.list()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	if request.HostList != ln.hostListHash() {
@@ -391,6 +395,7 @@
 // mergeState applies the configuration and the targets from another host's answer. Targets of an earlier era than the
 // latest one are ignored.
 func (en *Entry) mergeState(answer *siblings.State, from string) {
+	en.evacuations.merge(answer.Evacuations, from)
 	if len(answer.Configuration) > 0 {
 		text, err := siblings.Decompress(answer.Configuration)
 		if err != nil {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -27,6 +27,9 @@
 	Fetch       kvfetch.Profile
 	// Faulty lists the targets that stalled or broke off under the request; they are not named as sources.
 	Faulty []chestnutroad.TargetID
+	// Restricted is true when the request is confined to targets in AllowedRegions, which may be none.
+	Restricted     bool
+	AllowedRegions []chestnutroad.RegionID
 	// ID seeds the pseudo-random choices, so that otherwise equal requests are spread over targets.
 	ID chestnutroad.RequestID
 	// Excluded lists the targets that the request was already sent to.
@@ -68,6 +71,10 @@
 	LimitsReached int
 	// Limited is true when no target was chosen because all that have a free slot get as many requests a second as they take.
 	Limited bool
+	// Evacuated is true when no target was chosen because all targets in allowed regions are in evacuated data centres.
+	Evacuated bool
+	// OutsideRegions is true when no target was chosen because none is in an allowed region.
+	OutsideRegions bool
 	// Full is true when no target was chosen because none of the eligible ones has a free slot.
 	Full bool
 	// RetryAfter is set when no target was chosen because all eligible ones refuse requests for a time; it is the shortest
@@ -83,14 +90,14 @@
 func (pl *Pool) Choose(now time.Time, req *Request) (Choice, bool) {
 	all := pl.services[req.Service]
 	usable := slices.DeleteFunc(slices.Clone(all), func(tg *target) bool {
-		return !tg.usable() || !hasModel(&tg.entry, req.Model)
+		return !tg.usable() || !hasModel(&tg.entry, req.Model) || !pl.allowsRegion(req, tg)
 	})
 	candidates := slices.DeleteFunc(slices.Clone(usable), func(tg *target) bool {
 		return !req.allows(tg.entry.ID)
 	})
 	candidates, retryAfter := acceptingTargets(now, candidates)
 	if len(candidates) == 0 {
-		return Choice{RetryAfter: retryAfter}, false
+		return Choice{RetryAfter: retryAfter, Evacuated: pl.AllEvacuated(req), OutsideRegions: pl.OutsideRegions(req)}, false
 	}
 	healthy, suspect := pl.healthy(now, candidates)
 	if len(healthy) == 0 || suspect && req.RequireHealthy {
@@ -143,13 +150,20 @@
 	if req.Affinity == "" || baselines[pl.policy] != nil || pl.disabled.Off(mechanism.Residence) {
 		return nil
 	}
+	var sticky *target
 	if len(req.Excluded) > 0 {
-		return pl.residences.lookup(now, partHash(req.Affinity))
+		sticky = pl.residences.lookup(now, partHash(req.Affinity))
+	} else {
+		sticky = pl.resolveResidence(now, usable, req)
 	}
-	return pl.resolveResidence(now, usable, req)
+	if sticky != nil && !pl.allowsRegion(req, sticky) {
+		// Requests that may not follow the part go by its hash and don't move it.
+		return nil
+	}
+	return sticky
 }
 
-// limits returns the limits for a request; count is the number of all targets of the service. It counts a use of the request's
+// limits returns the limits for a request; count is the number of all targets of the service that are not evacuated. It counts a use of the request's
 // shared part.
 func (pl *Pool) limits(now time.Time, req *Request, bound int, mean float64, count int) *limits {
 	lim := &limits{bound: bound}
@@ -190,11 +204,13 @@
 	return pl.boundOf(reachable, func(tg *target) int { return tg.load(now) })
 }
 
-// boundOf computes the load bound and the mean load of the usable targets.
+// boundOf computes the load bound and the mean load of the usable targets and those of evacuated data centres. The mean that a target
+// must not exceed by more than the factor is that of the whole service, to which evacuated targets belong although they get no
+// requests.
 func (pl *Pool) boundOf(targets []*target, load func(tg *target) int) (bound int, mean float64) {
 	total, count := 0, 0
 	for _, tg := range targets {
-		if tg.usable() {
+		if tg.usable() || tg.evacuated && !tg.removed && !tg.leaving() {
 			total += load(tg)
 			count++
 		}
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -27,7 +27,7 @@
 	holders      *holderTable
 	transfers    *kvfetch.Transfers
 	margins      map[chestnutroad.ServiceID]*margin
-	utilisations map[chestnutroad.ServiceID]*utilisation
+	utilisations map[utilisationKey]*utilisation
 	limiter      *ratelimit.Limiter
 	// paces holds what was learned of the pace that each service's targets state.
 	paces map[chestnutroad.ServiceID]*pacePersistence
@@ -35,6 +35,10 @@
 	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
 	unnamed uint64
+	// evacuated are the evacuated data centres.
+	evacuated []chestnutroad.DataCentreID
+	// regions holds the region of each data centre whose region is known.
+	regions map[chestnutroad.DataCentreID]chestnutroad.RegionID
 }
 
 // Option configures a Pool.
@@ -64,7 +68,7 @@
 		notices:      map[chestnutroad.TargetID]*notice{},
 		popularity:   newPopularity(),
 		margins:      map[chestnutroad.ServiceID]*margin{},
-		utilisations: map[chestnutroad.ServiceID]*utilisation{},
+		utilisations: map[utilisationKey]*utilisation{},
 		limiter:      ratelimit.New(),
 		paces:        map[chestnutroad.ServiceID]*pacePersistence{},
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
@@ -91,10 +95,12 @@
 	if existing != nil && existing.entry.SameIncarnation(entry) {
 		existing.entry = *entry
 		existing.removed = false
+		pl.updateEvacuated(existing)
 		return false
 	}
 	pl.Remove(entry.ID)
 	tg := &target{entry: *entry, hash: chestnutroad.HashID(string(entry.ID))}
+	pl.updateEvacuated(tg)
 	pl.attachNotice(tg)
 	pl.limiter.Register(tg.shortHash(), entry.Incarnation)
 	pl.targets[entry.ID] = tg
@@ -136,7 +142,7 @@
 	return entries
 }
 
-// States counts the targets of all services by state: Leaving, Held (refusing this host's requests for a time), Unreachable,
+// States counts the targets of all services by state: Leaving, Evacuated, Held (refusing this host's requests for a time), Unreachable,
 // Suspect (used only when there is no other) or Ready.
 func (pl *Pool) States(now time.Time) map[string]int {
 	counts := map[string]int{}
@@ -144,6 +150,8 @@
 		switch {
 		case tg.leaving():
 			counts["Leaving"]++
+		case tg.evacuated:
+			counts["Evacuated"]++
 		case tg.notice.retryAfter(now) > 0:
 			counts["Held"]++
 		case pl.unreachable(now, tg):
@@ -271,9 +279,9 @@
 
 // TargetCounts holds the number of targets of a service, in total and by the reason why they get no requests.
 type TargetCounts struct {
-	// Total counts the registered targets, Leaving those that are shutting down, Held those that refuse this host's requests
-	// for a time, and Unreachable those whose breaker, or whose data centre's, is open.
-	Total, Leaving, Held, Unreachable int
+	// Total counts the registered targets, Leaving those that are shutting down, Evacuated those in evacuated data centres, Held
+	// those that refuse this host's requests for a time, and Unreachable those whose breaker, or whose data centre's, is open.
+	Total, Leaving, Evacuated, Held, Unreachable int
 }
 
 // CountTargets counts the targets of a service; each is counted under the first reason that applies.
@@ -283,6 +291,8 @@
 		switch {
 		case tg.leaving():
 			count.Leaving++
+		case tg.evacuated:
+			count.Evacuated++
 		case tg.notice.retryAfter(now) > 0:
 			count.Held++
 		case pl.unreachable(now, tg):
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -45,6 +45,8 @@
 	// ConfigurationAge and TargetsAge state how old the answering host's copies of the store may be; zero stands for unknown.
 	ConfigurationAge time.Duration `json:",omitempty"`
 	TargetsAge       time.Duration `json:",omitempty"`
+	// Evacuations is the list of evacuated data centres; omitted as long as the host has seen no evacuation.
+	Evacuations *chestnutroad.EvacuationList `json:",omitempty"`
 	// Hosts is omitted when the requesting host has the same list.
 	Hosts []relay.Host `json:",omitempty"`
 }
