Keep the rate of cold targets within their bound

A target that has just started crashes at a rate well above the cold rate of its service; up to 19 requests in a second were observed where 18 are allowed. Hosts now decide for each target until when it is cold (package warmup) from its entry, its answers, its start, a new incarnation, failed connections, the end of an evacuation and other hosts, and package ratelimit enforces the rate together with the limits that targets state. Popular prompt parts are spread by their requests a second, cold targets rank last, and the rate grows in a ramp after the cold time. Services without cold_per_s are served as before.

--- a/call.go
+++ b/call.go
@@ -65,6 +65,10 @@
 	Limit RequestRate
 	// InvalidLimit is true when the answer states a limit that is no positive number.
 	InvalidLimit bool
+	// ColdRemaining is the time for which the target is still cold; HasCold is true when the answer states it, InvalidCold when it
+	// states one that is negative, implausibly long or no number.
+	ColdRemaining        time.Duration
+	HasCold, InvalidCold bool
 }
 
 // Wire reads and writes the HTTP headers by which a platform's callers, hosts and targets exchange metadata.
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -58,6 +58,10 @@
 	})
 	set.NewGauge("chestnutroad_parts_suspected", func() float64 { return float64(en.state.suspectCount(en.now())) })
 	set.NewGauge("chestnutroad_targets_limited", func() float64 { return float64(en.state.limitedCount()) })
+	set.NewGauge("chestnutroad_targets_cold", func() float64 { return float64(en.state.coldCount(en.now())) })
+	set.NewGauge("chestnutroad_target_cold_times_invalid_total", func() float64 {
+		return float64(en.state.invalidColdTimes.Load())
+	})
 	set.NewGauge("chestnutroad_counts_unmatched", func() float64 { return float64(en.link.unmatched()) })
 	set.NewGauge("chestnutroad_target_connections_opened", func() float64 { return float64(en.targets.Opened()) })
 	for _, state := range []string{"Ready", "Leaving", "Held", "Suspect", "Unreachable"} {
@@ -90,6 +94,11 @@
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_choices_limited_total{service=%q,found=\"%t\"}", service, found)).Inc()
 }
 
+// countColdSkipped counts a choice in which cold targets were passed over, by whether another one was found.
+func (cn *counters) countColdSkipped(service string, found bool) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_choices_cold_skipped_total{service=%q,found=\"%t\"}", service, found)).Inc()
+}
+
 // countInvalidLimit counts an answer that states a limit that is no positive number.
 func (cn *counters) countInvalidLimit(service string) {
 	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_target_limits_invalid_total{service=%q}", service)).Inc()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -467,6 +467,9 @@
 			"Leaving", verdict == outdatedLeaving, "Gone", verdict == outdatedRemoved)
 		return verdict
 	}
+	if entry.InvalidWarmUp {
+		en.countInvalidCold(&entry)
+	}
 	if !existed || !previous.SameIncarnation(&entry) || previous.Leaving != entry.Leaving {
 		en.logger.Info("target changed", "Target", id, "Service", entry.Service, "Address", entry.Address,
 			"Leaving", entry.Leaving, "Started", entry.Incarnation, "Position", record.Position)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -65,6 +65,9 @@
 		if choice.LimitsReached > 0 {
 			en.counters.countLimited(string(ex.service), found)
 		}
+		if choice.ColdSkipped > 0 {
+			en.counters.countColdSkipped(string(ex.service), found)
+		}
 		if !found {
 			ex.limitsReached = choice.LimitsReached
 			return en.concludeWithoutTarget(ex, &choice)
@@ -389,6 +392,7 @@
 	}
 	if metadata.Target == "" || metadata.Target == entry.ID {
 		en.observeLimit(entry, metadata)
+		en.observeCold(now, entry, metadata)
 	}
 	if !en.state.applyNotice(now, entry, metadata) {
 		return
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -139,6 +139,7 @@
 		status.Evidence = ln.entry.state.pendingEvidence(now)
 		status.Rates = ln.entry.state.pendingRates(now)
 		ln.entry.logSuspects(now)
+		ln.entry.logCold(now)
 		ln.mu.Lock()
 		elapsed := ln.entry.elapsed()
 		status.ConfigurationAge = ln.tracker.OwnAge(elapsed, freshness.Configuration)
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -27,6 +27,8 @@
 	en.counters.countLimited("service", true)
 	en.counters.countLimited("service", false)
 	en.counters.countInvalidLimit("service")
+	en.counters.countColdSkipped("service", true)
+	en.counters.countColdSkipped("service", false)
 	en.counters.countChoice("service", &placement.Choice{Load: 2, Bound: 1})
 	en.counters.countSend("service", nil)
 	en.counters.countSend("service", errors.New("unlisted"))
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -23,6 +23,8 @@
 	table atomic.Pointer[routing.Table]
 	// targetsLoaded is true once the targets were read from the store or another host.
 	targetsLoaded atomic.Bool
+	// invalidColdTimes counts entries and answers with a time for which the target is cold that is negative or implausibly long.
+	invalidColdTimes atomic.Int64
 
 	mu sync.Mutex
 	// configuration is the text of the active configuration, for other hosts.
@@ -78,7 +80,7 @@
 func poolOptions(set *settings.Entry) []placement.Option {
 	return []placement.Option{
 		placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement), placement.WithPartMemory(set.PartMemory),
-		placement.WithoutMechanisms(set.Without),
+		placement.WithoutMechanisms(set.Without), placement.WithColdBound(set.ColdOverrun, set.ColdTolerance),
 	}
 }
 
@@ -91,6 +93,7 @@
 		return false
 	}
 	st.table.Store(routing.NewTable(cf))
+	st.pool.SetColdStarts(cf.Services)
 	st.configuration = siblings.NewCompressed(text)
 	return true
 }
@@ -337,6 +340,7 @@
 	if st.pool.Set(entry) {
 		st.pool.MarkJoined(now, entry.ID)
 	}
+	st.pool.RegisterCold(now, entry, !st.targetsLoaded.Load())
 	return notOutdated, before, found
 }
 
--- a/internal/entry/targetlimit.go
+++ b/internal/entry/targetlimit.go
@@ -36,7 +36,7 @@
 
 // mergeRates records the requests of other hosts for targets with limits.
 func (en *Entry) mergeRates(now time.Time, rates []chestnutroad.TargetRate) {
-	if en.settings.Without.Off(mechanism.TargetLimits) {
+	if en.settings.Without.Off(mechanism.TargetLimits) && en.settings.Without.Off(mechanism.ColdStart) {
 		return
 	}
 	for _, change := range en.state.mergeRates(now, rates) {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -37,6 +37,8 @@
 	Quarantine Name = "Quarantine"
 	// TargetLimits sends targets no more requests a second than they state that they take.
 	TargetLimits Name = "Limits"
+	// ColdStart limits the requests a second to targets that have just started.
+	ColdStart Name = "ColdStart"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -49,7 +51,8 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, ColdStart, RetryBudget, AdaptiveTimeout,
+		Relay,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -57,6 +57,8 @@
 	Limit ratelimit.Decision
 	// LimitsReached is the number of targets that were passed over since they get as many requests a second as they take.
 	LimitsReached int
+	// ColdSkipped is the number of these that are cold.
+	ColdSkipped int
 	// Limited is true when no target was chosen because all that have a free slot get as many requests a second as they take.
 	Limited bool
 	// Full is true when no target was chosen because none of the eligible ones has a free slot.
@@ -145,7 +147,7 @@
 	if baselines[pl.policy] == nil && req.Affinity != "" && !pl.disabled.Off(mechanism.Affinity) {
 		lim.spread = pl.spread(now, req, mean, count)
 		if !pl.disabled.Off(mechanism.Margin) {
-			lim.margin = pl.margin(req.Service).width
+			lim.margin = max(pl.margin(req.Service).width, pl.coldMargin(req, bound, mean, count))
 		}
 	}
 	return lim
@@ -206,7 +208,7 @@
 		return 1
 	}
 	headroom := spreadHeadroom * (mean*(pl.capFactor-1) + boundSlack)
-	return max(1, int(math.Ceil(share*mean*float64(count)/headroom)))
+	return max(1, int(math.Ceil(share*mean*float64(count)/headroom)), pl.coldSpread(req, count))
 }
 
 // limits restricts how many requests with one part a target gets.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -26,6 +26,7 @@
 	margins      map[chestnutroad.ServiceID]*margin
 	utilisations map[chestnutroad.ServiceID]*utilisation
 	limiter      *ratelimit.Limiter
+	cold         *coldState
 	// sharedTokens is the moving average of the shared tokens of each service's requests.
 	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
@@ -45,7 +46,12 @@
 )
 
 // WithoutMechanisms switches mechanisms off; by default all are on.
-func WithoutMechanisms(off mechanism.Set) Option { return func(pl *Pool) { pl.disabled = off } }
+func WithoutMechanisms(off mechanism.Set) Option {
+	return func(pl *Pool) {
+		pl.disabled = off
+		pl.limiter.IgnoreStated(off.Off(mechanism.TargetLimits))
+	}
+}
 
 // NewPool returns an empty pool for a host of the data centre.
 func NewPool(dataCentre chestnutroad.DataCentreID, opts ...Option) *Pool {
@@ -61,6 +67,7 @@
 		margins:      map[chestnutroad.ServiceID]*margin{},
 		utilisations: map[chestnutroad.ServiceID]*utilisation{},
 		limiter:      ratelimit.New(),
+		cold:         newColdState(),
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
 	pl.residences = newResidenceTable(pl.targets)
@@ -259,6 +266,7 @@
 		}
 	case Unknown:
 	}
+	pl.observeCold(now, tg, outcome, change)
 	return change
 }
 
--- a/internal/placement/popularity.go
+++ b/internal/placement/popularity.go
@@ -15,6 +15,8 @@
 	minPopularCount = 3
 	// countDeviations is the number of standard deviations subtracted from a count for a cautious estimate.
 	countDeviations = 0.5
+	// minObservedTime is the time since the first count from which on rates are extrapolated from the counts.
+	minObservedTime = 2 * time.Second
 )
 
 // popularity estimates, from a host's own requests, the share of all requests that have a part in common.
@@ -24,6 +26,8 @@
 	// scale grows exponentially instead of decaying every count; a count divided by it is the decayed one.
 	scale    float64
 	scaledAt time.Time
+	// startedAt is the time of the first count.
+	startedAt time.Time
 }
 
 func newPopularity() *popularity { return &popularity{parts: map[string]float64{}, scale: 1} }
@@ -34,6 +38,9 @@
 // advance updates the scale to the time now. Above maxScale or maxParts it divides all counts by the scale and drops the
 // rare parts.
 func (pp *popularity) advance(now time.Time) {
+	if pp.startedAt.IsZero() {
+		pp.startedAt = now
+	}
 	if pp.scaledAt.IsZero() || now.Before(pp.scaledAt) {
 		pp.scaledAt = now
 	}
@@ -52,6 +59,14 @@
 	pp.scale = 1
 }
 
+// rates returns this host's requests a second with a part, without the one that was counted last, and those of all parts.
+func (pp *popularity) rates(part string) (rate, total float64) {
+	// The counts started from zero at startedAt.
+	observed := 1 - math.Exp(-max(minObservedTime, pp.scaledAt.Sub(pp.startedAt)).Seconds()/popularityTimeConstant.Seconds())
+	seconds := popularityTimeConstant.Seconds() * pp.scale * observed
+	return max(0, pp.parts[part]-pp.scale) / seconds, pp.total / seconds
+}
+
 // record counts a request with the part and returns a cautious estimate of the part's share of all requests; zero below
 // minPopularCount.
 func (pp *popularity) record(now time.Time, part string) float64 {
--- a/internal/placement/residence.go
+++ b/internal/placement/residence.go
@@ -230,9 +230,9 @@
 // stickyWeight ranks the sticky target before all others.
 const stickyWeight = math.MaxUint64
 
-// effectiveWeight returns the weight by which targets are ranked for a part, highest first. Joining targets come last.
+// effectiveWeight returns the weight by which targets are ranked for a part, highest first. Joining and cold targets come last.
 func (tg *target) effectiveWeight(now time.Time, part chestnutroad.PartHash) uint64 {
-	if tg.joining(now) {
+	if tg.joining(now) || now.Before(tg.coldUntil) {
 		// The shifted weight is below 1<<32, and the weights of nearly all other targets are above.
 		return rendezvousWeight(tg, part) >> 32
 	}
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -63,21 +63,21 @@
 	}
 	if req.Affinity != "" && !pl.disabled.Off(mechanism.StrictAffinity) &&
 		req.SharedTokens > costlyPartRatio*req.MaxOutputTokens && pl.crowded(now, targets) {
-		targets = pl.firstTargets(newRanking(now, targets, req.Affinity, sticky))
+		targets = pl.firstTargets(now, newRanking(now, targets, req.Affinity, sticky))
 	}
 	return slices.DeleteFunc(targets, func(tg *target) bool { return !tg.hasSlot(now, req) })
 }
 
 // firstTargets returns the first targets of a ranking, up to crowdedTargets that have no limit of requests a second; the others
-// between them take only a part of the requests.
-func (pl *Pool) firstTargets(rk *ranking) []*target {
+// between them take only a part of the requests. Cold targets rank last, and are added since they have room for a few requests.
+func (pl *Pool) firstTargets(now time.Time, rk *ranking) []*target {
 	count := 0
 	for rank := range rk.entries {
 		if !pl.limited(rk.at(rank)) {
 			count++
 		}
 		if count == crowdedTargets {
-			return rk.top(rank + 1)
+			return withColdTargets(now, rk, rk.top(rank+1))
 		}
 	}
 	return rk.top(len(rk.entries))
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -28,6 +28,8 @@
 	removed bool
 	// joinedAt is the time of the last MarkJoined; zero when there was none.
 	joinedAt time.Time
+	// coldUntil is the end of the time in which the target ranks last for shared parts; zero while it is not cold.
+	coldUntil time.Time
 	// ownCount is the number of this host's requests at the target.
 	ownCount int
 	// peerCount is the number of requests at the target that other hosts reported.
--- a/internal/placement/targetlimit.go
+++ b/internal/placement/targetlimit.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
-	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/ratelimit"
 )
 
@@ -20,27 +19,37 @@
 	now time.Time, targets []*target, req *Request, policy func([]*target, *limits) Choice, lim *limits,
 ) (Choice, bool) {
 	costly := pl.hasCostlyPart(req)
-	if pl.disabled.Off(mechanism.TargetLimits) || pl.limiter.Limited() == 0 {
+	pl.refreshCold(now)
+	if !pl.limiter.AnyRestricted() {
 		return policy(targets, lim), true
 	}
 	classes := pl.classes(targets, req, costly)
-	remaining := slices.Clone(targets)
+	remaining, cold := slices.Clone(targets), 0
 	for trial := range min(maxLimitTrials, len(targets)) {
 		choice := policy(remaining, lim)
 		chosen := pl.targets[choice.Entry.ID]
-		choice.Limit, choice.LimitsReached = pl.admitAt(now, chosen, req, classes(trial == 0)), trial
+		choice.Limit, choice.LimitsReached, choice.ColdSkipped = pl.admitAt(now, chosen, req, classes(trial == 0)), trial, cold
 		if choice.Limit.Admitted {
 			return choice, true
 		}
+		if now.Before(chosen.coldUntil) {
+			cold++
+		}
 		remaining = slices.DeleteFunc(remaining, func(tg *target) bool { return tg == chosen })
 	}
-	remaining = slices.DeleteFunc(remaining, func(tg *target) bool { return !pl.admitAt(now, tg, req, classes(false)).Admitted })
+	remaining = slices.DeleteFunc(remaining, func(tg *target) bool {
+		full := !pl.admitAt(now, tg, req, classes(false)).Admitted
+		if full && now.Before(tg.coldUntil) {
+			cold++
+		}
+		return full
+	})
 	reached := len(targets) - len(remaining)
 	if len(remaining) == 0 {
-		return Choice{Limited: true, LimitsReached: reached}, false
+		return Choice{Limited: true, LimitsReached: reached, ColdSkipped: cold}, false
 	}
 	choice := policy(remaining, lim)
-	choice.LimitsReached = reached
+	choice.LimitsReached, choice.ColdSkipped = reached, cold
 	return choice, true
 }
 
@@ -58,9 +67,9 @@
 // sharedTokensWeight is the weight of a request in the moving average of the shared tokens of a service's requests.
 const sharedTokensWeight = 1.0 / 64
 
-// limited reports whether the target has a limit of requests a second.
+// limited reports whether the target has a limit of requests a second, its own or that of a cold target.
 func (pl *Pool) limited(tg *target) bool {
-	return !pl.disabled.Off(mechanism.TargetLimits) && pl.limiter.Limit(tg.shortHash()) > 0
+	return pl.limiter.Restricted(tg.shortHash())
 }
 
 // hasCostlyPart reports whether the request's shared parts take longer to read again than those of the service's average request,
@@ -108,7 +117,10 @@
 func (pl *Pool) SetHostCount(count int) { pl.limiter.SetHostCount(count) }
 
 // TakeRates returns this host's requests for targets with limits, for other hosts.
-func (pl *Pool) TakeRates(now time.Time) []chestnutroad.TargetRate { return pl.limiter.Take(now) }
+func (pl *Pool) TakeRates(now time.Time) []chestnutroad.TargetRate {
+	pl.updateCold(now)
+	return pl.withCold(now, pl.limiter.Take(now))
+}
 
 // LimitChange is the change of a target's limit that another host reported.
 type LimitChange struct {
@@ -127,6 +139,9 @@
 		}
 	}
 	known := slices.DeleteFunc(slices.Clone(rates), func(rate chestnutroad.TargetRate) bool { return registered[rate.Target] == nil })
+	for _, rate := range known {
+		pl.mergeCold(now, registered[rate.Target], &rate)
+	}
 	merges := pl.limiter.Merge(now, known)
 	changes := make([]LimitChange, 0, len(merges))
 	for _, merged := range merges {
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -17,12 +17,12 @@
 	var rates []chestnutroad.TargetRate
 	for hash, tg := range lm.targets {
 		age := now.Sub(tg.statedAt)
-		if tg.limit <= 0 && age >= statementTTL || age >= unstatedTTL {
+		if tg.cold <= 0 && (tg.limit <= 0 && age >= statementTTL || age >= unstatedTTL) {
 			delete(lm.targets, hash)
 			continue
 		}
 		rate := chestnutroad.TargetRate{
-			Target: hash, Limit: tg.limit, Age: age, Sent: tg.sent.valueAt(now, tg.sentTime()),
+			Target: hash, Limit: tg.limit, Age: min(age, unstatedTTL), Sent: tg.sent.valueAt(now, tg.sentTime()),
 		}
 		total := rate.Sent
 		for class := range rate.Wanted {
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -31,8 +31,10 @@
 
 // Limiter holds, for one host, the limits of targets and the requests against them. It is not safe for concurrent use.
 type Limiter struct {
-	hosts   int
-	targets map[chestnutroad.TargetHash]*target
+	hosts int
+	// ignoreStated is true when limits that targets state are not enforced.
+	ignoreStated bool
+	targets      map[chestnutroad.TargetHash]*target
 }
 
 // New returns a limiter that knows of no limit.
@@ -41,6 +43,9 @@
 // SetHostCount sets the number of hosts that are assumed to send like this one while nothing is known of them.
 func (lm *Limiter) SetHostCount(count int) { lm.hosts = max(1, count) }
 
+// HostCount returns the number of hosts that share the limits.
+func (lm *Limiter) HostCount() int { return lm.hosts }
+
 // Observe records the statement of an answer of an incarnation of a target that this host received, and returns how it changed the
 // limit.
 func (lm *Limiter) Observe(
@@ -88,14 +93,15 @@
 	if math.Abs(float64(limit-before)) <= rounding*float64(before) {
 		return Change{}
 	}
+	limited := tg.effective() > 0
 	tg.limit = limit
-	if before <= 0 && limit > 0 {
-		tg.start(now, statedAt, limit)
+	if !limited && tg.effective() > 0 {
+		tg.start(now)
 	}
 	return Change{Changed: true, Before: before, After: limit}
 }
 
-// Limit returns the limit of a target; zero when it has none.
+// Limit returns the limit that a target stated; zero when it has none.
 func (lm *Limiter) Limit(hash chestnutroad.TargetHash) chestnutroad.RequestRate {
 	if tg := lm.targets[hash]; tg != nil {
 		return tg.limit
@@ -106,7 +112,7 @@
 // Decision is the outcome of Admit with its inputs.
 type Decision struct {
 	Admitted bool
-	// Limit is the target's limit; the other fields are zero without one.
+	// Limit is the target's limit, the lower one if it is cold as well; the other fields are zero without one.
 	Limit chestnutroad.RequestRate
 	// Sent is the decayed number of requests that all hosts sent to the target, Wanted that of all requests for which it was
 	// considered, and Share the share of requests of this class that is admitted.
@@ -117,12 +123,12 @@
 // that depends on the request and the target only.
 func (lm *Limiter) Admit(now time.Time, hash chestnutroad.TargetHash, class Class, draw float64) Decision {
 	tg := lm.targets[hash]
-	if tg == nil || tg.limit <= 0 {
+	if tg == nil || lm.effective(tg) <= 0 {
 		return Decision{Admitted: true}
 	}
 	tg.wanted[class].increment(now, demandTime)
 	sent, wanted := tg.sums(now, lm.hosts)
-	decision := Decision{Limit: tg.limit, Sent: sent, Share: share(tg.rate(sent), wanted, class)}
+	decision := Decision{Limit: tg.effective(), Sent: sent, Share: share(tg.rate(sent), wanted, class)}
 	for _, count := range wanted {
 		decision.Wanted += count
 	}
@@ -130,7 +136,7 @@
 	return decision
 }
 
-// Limited returns the number of targets with a limit.
+// Limited returns the number of targets with a stated limit.
 func (lm *Limiter) Limited() int {
 	count := 0
 	for _, tg := range lm.targets {
@@ -143,7 +149,7 @@
 
 // CountSent counts a request that is sent to a target.
 func (lm *Limiter) CountSent(now time.Time, hash chestnutroad.TargetHash) {
-	if tg := lm.targets[hash]; tg != nil && tg.limit > 0 {
+	if tg := lm.targets[hash]; tg != nil && tg.effective() > 0 {
 		tg.sent.increment(now, tg.sentTime())
 	}
 }
--- a/internal/ratelimit/target.go
+++ b/internal/ratelimit/target.go
@@ -37,7 +37,8 @@
 type target struct {
 	// incarnation is that of the target whose answers stated the limit; zero when only other hosts received them.
 	incarnation chestnutroad.Incarnation
-	limit       chestnutroad.RequestRate
+	// limit is the limit that the target stated, and cold that of a cold target; zero stands for none.
+	limit, cold chestnutroad.RequestRate
 	// statedAt is when the latest answer was received, by any host, that stated the limit or its end; startedAt is when the limit was
 	// first stated.
 	statedAt, startedAt time.Time
@@ -56,10 +57,11 @@
 
 // sentTime returns the time constant for the requests sent to the target.
 func (tg *target) sentTime() time.Duration {
-	if tg.limit <= 0 {
+	limit := tg.effective()
+	if limit <= 0 {
 		return sentTime
 	}
-	interval := time.Duration(float64(time.Second) / float64(tg.limit))
+	interval := time.Duration(float64(time.Second) / float64(limit))
 	return min(maxSentTime, max(sentTime, interval))
 }
 
@@ -77,6 +79,8 @@
 		peers := tg.peers.Wanted[class]
 		if !peersKnown {
 			peers = own * others
+		} else if tg.surging(now) {
+			peers = max(peers, own*others)
 		}
 		wanted[class] = (own + peers) / tg.observedShare(now)
 	}
@@ -85,9 +89,9 @@
 
 // start starts a limit. The requests before it, which were not counted, are taken to have been as many as the limit allows, so that
 // the target neither stands idle nor gets a burst at first.
-func (tg *target) start(now, statedAt time.Time, limit chestnutroad.RequestRate) {
-	*tg = target{limit: limit, statedAt: statedAt, startedAt: now, incarnation: tg.incarnation}
-	tg.before = float64(limit) * tg.sentTime().Seconds()
+func (tg *target) start(now time.Time) {
+	*tg = target{limit: tg.limit, cold: tg.cold, statedAt: tg.statedAt, startedAt: now, incarnation: tg.incarnation}
+	tg.before = float64(tg.effective()) * tg.sentTime().Seconds()
 }
 
 // setPeers records the sums of the other hosts. The first ones tell whether the limit started long before this host learned of it,
@@ -116,7 +120,7 @@
 
 // rate returns the requests a second that all hosts together are to send to the target now.
 func (tg *target) rate(sent float64) float64 {
-	limit := float64(tg.limit)
+	limit := float64(tg.effective())
 	goal := limit * (tg.sentTime() + correctionTime).Seconds()
 	rate := (goal - sent) / correctionTime.Seconds()
 	return min(max(0, rate), maxRateShare*limit+extraRate)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -9,6 +9,7 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
+	"github.com/chestnutroad/chestnutroad/internal/warmup"
 )
 
 // Entry holds the process settings of an entry host that uses the platform's store.
@@ -50,6 +51,10 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// ColdOverrun and ColdTolerance bound the requests that a cold target may get in any second, from all hosts: a multiple of the
+	// service's cold rate, and requests beside it.
+	ColdOverrun   float64
+	ColdTolerance float64
 	// LogLevel is the lowest level that is logged.
 	LogLevel string
 }
@@ -117,6 +122,8 @@
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
 		RetrySlack:    rd.ratio("RetrySlack", 100, 0, maxRetrySlack),
 		RetryWindow:   rd.duration("RetryWindow", 10*time.Second, time.Second, maxDuration),
+		ColdOverrun:   rd.ratio("ColdOverrun", warmup.DefaultOverrun, 0, maxFactor),
+		ColdTolerance: rd.ratio("ColdTolerance", warmup.DefaultTolerance, 0, maxFactor),
 		LogLevel:      rd.choice("LogLevel", "info", "debug", "info", "warn", "error"),
 	}
 }
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -73,6 +73,8 @@
 		".|json": `"10.1.0.41:8229"`, "limits.cpu_quota": "0.272", "limits.memory_mb": "206",
 		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.cap_factor": "2", "bounds.retry_budget_ratio": "0.2",
 		"bounds.retry_min_slack": "135", "bounds.retry_window_s": "10", "#seed_nodes": "", "/seed_nodes": "", ",": "",
+		"#bounds.cold_overrun": "", "bounds.cold_overrun": "1.6", "/bounds.cold_overrun": "",
+		"#bounds.cold_tolerance": "", "bounds.cold_tolerance": "4", "/bounds.cold_tolerance": "",
 	}
 	filled := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
 		value, found := values[placeholder[2:len(placeholder)-2]]
@@ -85,7 +87,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if set.PeerPort != 7340 || len(set.Seeds) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 {
+	if set.PeerPort != 7340 || len(set.Seeds) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 ||
+		set.ColdOverrun != 1.6 || set.ColdTolerance != 4 {
 		t.Errorf("got %+v", set)
 	}
 	for line := range strings.Lines(filled) {
@@ -98,4 +101,4 @@
 
 // knownEntryKeys lists all keys of an entry host's settings, each between spaces.
 const knownEntryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory " +
-	"Grace Drain CapFactor Placement Without PartMemory RetryRatio RetrySlack RetryWindow LogLevel "
+	"Grace Drain CapFactor Placement Without PartMemory RetryRatio RetrySlack RetryWindow LogLevel ColdOverrun ColdTolerance "
--- a/routing.go
+++ b/routing.go
@@ -49,6 +49,10 @@
 	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *EngineSpec
+	// ColdTime is the time for which a target is cold after its start, and ColdRate the requests a second that it tolerates in this
+	// time from all hosts together. With a rate of zero its targets are never cold.
+	ColdTime time.Duration
+	ColdRate RequestRate
 }
 
 // EngineSpec describes each model engine of a service.
@@ -100,6 +104,8 @@
 	Sequence uint64
 	// WarmUp is the time for which the target is still slow after its start.
 	WarmUp time.Duration
+	// InvalidWarmUp is true when the entry states a time that is negative or longer than an hour.
+	InvalidWarmUp bool
 	// Models lists the names of the models that an engine has loaded; it is empty for plain services.
 	Models []string
 }
