Test cold targets and let the limiter ignore stated limits for both kinds

With the mechanism Limits disabled, the rate of a cold target was still lowered by the limit that the target stated: ratelimit decided whether a target has a limit without it, but computed the rate with it. The flag is now part of the target's state.

--- a/internal/ratelimit/cold.go
+++ b/internal/ratelimit/cold.go
@@ -16,26 +16,23 @@
 // effective returns the limit in force, the lower one if there are two; zero when there is none.
 func (tg *target) effective() chestnutroad.RequestRate {
 	switch {
+	case tg.limit <= 0 || tg.ignoreStated:
+		return tg.cold
 	case tg.cold <= 0:
 		return tg.limit
-	case tg.limit <= 0:
-		return tg.cold
 	default:
 		return min(tg.cold, tg.limit)
 	}
 }
 
-// effective returns the target's limit in force at this host.
-func (lm *Limiter) effective(tg *target) chestnutroad.RequestRate {
-	if lm.ignoreStated {
-		return tg.cold
+// IgnoreStated sets whether the limits that targets state are ignored.
+func (lm *Limiter) IgnoreStated(ignore bool) {
+	lm.ignoreStated = ignore
+	for _, tg := range lm.targets {
+		tg.ignoreStated = ignore
 	}
-	return tg.effective()
 }
 
-// IgnoreStated sets whether the limits that targets state are ignored.
-func (lm *Limiter) IgnoreStated(ignore bool) { lm.ignoreStated = ignore }
-
 // SetCold sets the limit of a cold target; zero ends it.
 func (lm *Limiter) SetCold(now time.Time, hash chestnutroad.TargetHash, limit chestnutroad.RequestRate) {
 	tg := lm.targets[hash]
@@ -43,7 +40,7 @@
 		if limit <= 0 {
 			return
 		}
-		tg = &target{}
+		tg = &target{ignoreStated: lm.ignoreStated}
 		lm.targets[hash] = tg
 	}
 	limited := tg.effective() > 0
@@ -73,13 +70,13 @@
 // Restricted reports whether the target has a limit that it stated or is cold.
 func (lm *Limiter) Restricted(hash chestnutroad.TargetHash) bool {
 	tg := lm.targets[hash]
-	return tg != nil && lm.effective(tg) > 0
+	return tg != nil && tg.effective() > 0
 }
 
 // AnyRestricted reports whether a target has a limit that it stated or is cold.
 func (lm *Limiter) AnyRestricted() bool {
 	for _, tg := range lm.targets {
-		if lm.effective(tg) > 0 {
+		if tg.effective() > 0 {
 			return true
 		}
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -82,7 +82,7 @@
 		if limit <= 0 {
 			return Change{}
 		}
-		tg = &target{}
+		tg = &target{ignoreStated: lm.ignoreStated}
 		lm.targets[hash] = tg
 	}
 	if statedAt.Before(tg.statedAt) {
@@ -123,7 +123,7 @@
 // that depends on the request and the target only.
 func (lm *Limiter) Admit(now time.Time, hash chestnutroad.TargetHash, class Class, draw float64) Decision {
 	tg := lm.targets[hash]
-	if tg == nil || lm.effective(tg) <= 0 {
+	if tg == nil || tg.effective() <= 0 {
 		return Decision{Admitted: true}
 	}
 	tg.wanted[class].increment(now, demandTime)
--- a/internal/ratelimit/target.go
+++ b/internal/ratelimit/target.go
@@ -39,6 +39,8 @@
 	incarnation chestnutroad.Incarnation
 	// limit is the limit that the target stated, and cold that of a cold target; zero stands for none.
 	limit, cold chestnutroad.RequestRate
+	// ignoreStated is true when limit is not enforced.
+	ignoreStated bool
 	// statedAt is when the latest answer was received, by any host, that stated the limit or its end; startedAt is when the limit was
 	// first stated.
 	statedAt, startedAt time.Time
@@ -90,7 +92,9 @@
 // start starts a limit. The requests before it, which were not counted, are taken to have been as many as the limit allows, so that
 // the target neither stands idle nor gets a burst at first.
 func (tg *target) start(now time.Time) {
-	*tg = target{limit: tg.limit, cold: tg.cold, statedAt: tg.statedAt, startedAt: now, incarnation: tg.incarnation}
+	*tg = target{
+		limit: tg.limit, cold: tg.cold, ignoreStated: tg.ignoreStated, statedAt: tg.statedAt, startedAt: now, incarnation: tg.incarnation,
+	}
 	tg.before = float64(tg.effective()) * tg.sentTime().Seconds()
 }
 
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// TestTemplateWithoutColdBounds guards against an installation without bounds of cold targets whose hosts start with none.
+func TestTemplateWithoutColdBounds(t *testing.T) {
+	t.Parallel()
+	set, err := settings.ParseEntry(settings.File{Name: "entry.toml", Text: minimalEntry})
+	if err != nil || set.ColdOverrun != 1.5 || set.ColdTolerance != 5 {
+		t.Errorf("got %+v, %v", set, err)
+	}
+}
+
 // knownEntryKeys lists all keys of an entry host's settings, each between spaces.
 const knownEntryKeys = " ID DataCentre CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory " +
 	"Grace Drain CapFactor Placement Without PartMemory RetryRatio RetrySlack RetryWindow LogLevel ColdOverrun ColdTolerance "
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -204,6 +204,7 @@
 		standin.ServeLate, standin.Dribble, standin.EndlessHeader, standin.EndlessBody, standin.EndlessMismatch,
 	}
 	limits := []string{"2", "20", "0", "many"}
+	coldTexts := []string{"-1", "soon", "1e9"}
 	storeFaults := []standin.Fault{standin.Busy, standin.Silent, standin.Resets, standin.LosesAnswers, standin.Garbage}
 	for end := time.Now().Add(faultDuration); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+rnd.IntN(500)) * time.Millisecond)
@@ -211,6 +212,7 @@
 		span := time.Duration(200+rnd.IntN(1300)) * time.Millisecond
 		behaviour, fault := behaviours[rnd.IntN(len(behaviours))], storeFaults[rnd.IntN(len(storeFaults))]
 		runner, limit := tb.runners[rnd.IntN(len(tb.runners))], limits[rnd.IntN(len(limits))]
+		coldText := coldTexts[rnd.IntN(len(coldTexts))]
 		plan := standin.RestorePlan{
 			BackupAge: time.Duration(300+rnd.IntN(3000)) * time.Millisecond, Downtime: time.Duration(rnd.IntN(400)) * time.Millisecond,
 			RewriteTime: time.Duration(rnd.IntN(1200)) * time.Millisecond,
@@ -274,6 +276,8 @@
 			func() { runner.SetDefault(behaviour); time.Sleep(span); runner.SetDefault(standin.Serve) },
 			func() { runner.SetNext(behaviour, behaviour) },
 			func() { runner.SetLimit(limit); time.Sleep(span); runner.SetLimit("") },
+			func() { runner.SetCold(span) },
+			func() { runner.SetInvalidCold(coldText); time.Sleep(span); runner.SetInvalidCold("") },
 		}
 		inject := faults[rnd.IntN(len(faults))]
 		active.Go(inject)
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -74,6 +74,12 @@
 	kills []time.Time
 }
 
+// coldSeconds and coldPerSecond are the cold time and the cold rate of the services; the callers send several times as many requests.
+const (
+	coldSeconds   = 1.0
+	coldPerSecond = 10.0
+)
+
 // newTestbed starts the store, the runners and the hosts. The number selects the loopback addresses of the hosts.
 func newTestbed(t *testing.T, binary string, number byte) *testbed {
 	t.Helper()
@@ -108,7 +114,7 @@
 		}
 	}
 	tb.version += 3
-	tb.store.Configure(tb.version, 2, valid...)
+	tb.store.ConfigureCold(tb.version, 2, coldSeconds, coldPerSecond, valid...)
 }
 
 // revocableKeyCount is the number of keys that revoke can revoke.
