--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -143,6 +143,7 @@
 		ln.entry.evacuations.refresh()
 		status.Evacuations = ln.entry.evacuations.list()
 		ln.entry.logSuspects(now)
+		ln.entry.logCold(now)
 		ln.mu.Lock()
 		elapsed := ln.entry.elapsed()
 		status.ConfigurationAge = ln.tracker.OwnAge(elapsed, freshness.Configuration)
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -34,6 +34,8 @@
 	for _, reason := range placement.FetchReasons {
 		en.counters.countFetch("service", &placement.Fetch{Target: "i-1", Reason: reason})
 	}
+	en.counters.countColdSkipped("service", true)
+	en.counters.countColdSkipped("service", false)
 	en.counters.countChoice("service", &placement.Choice{Load: 2, Bound: 1})
 	en.counters.countSend("service", nil)
 	en.counters.countSend("service", errors.New("unlisted"))
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -25,6 +25,8 @@
 	configurationLoaded chan struct{}
 	// targetsLoaded is true once the targets were read from the store or another host.
 	targetsLoaded atomic.Bool
+	// invalidColdTimes counts entries and answers with a time for which the target is cold that is negative or implausibly long.
+	invalidColdTimes atomic.Int64
 
 	mu sync.Mutex
 	// configuration is the text of the active configuration, for other hosts.
@@ -83,6 +85,7 @@
 	return []placement.Option{
 		placement.WithCapFactor(set.CapFactor), placement.WithPolicy(set.Placement), placement.WithPartMemory(set.PartMemory),
 		placement.WithoutMechanisms(set.Without), placement.WithRegions(set.Regions),
+		placement.WithColdBound(set.ColdOverrun, set.ColdTolerance),
 	}
 }
 
@@ -95,6 +98,7 @@
 		return false
 	}
 	st.table.Store(routing.NewTable(cf))
+	st.pool.SetColdStarts(cf.Services)
 	st.configuration = siblings.NewCompressed(text)
 	if current == nil {
 		close(st.configurationLoaded)
@@ -346,6 +350,7 @@
 	if st.pool.Set(entry) {
 		st.pool.MarkJoined(now, entry.ID)
 	}
+	st.pool.RegisterCold(now, entry, !st.targetsLoaded.Load())
 	return notOutdated, before, found
 }
 
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -43,6 +43,8 @@
 	Pace Name = "Pace"
 	// KVFetch names, for requests at a target that lacks their prompt part, another one from which it can fetch the KV cache.
 	KVFetch Name = "KVFetch"
+	// ColdStart limits the requests a second to targets that have just started.
+	ColdStart Name = "ColdStart"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -55,8 +57,8 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, Evacuation, TargetLimits, Pace, KVFetch, RetryBudget,
-		AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, Evacuation, TargetLimits, ColdStart, Pace, KVFetch,
+		RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/evacuation.go
+++ b/internal/placement/evacuation.go
@@ -10,8 +10,14 @@
 // SetEvacuated replaces the list of evacuated data centres, whose targets get no further requests.
 //
 // Prompt parts at targets of a data centre whose evacuation begins are forgotten, so that all hosts divide them among the remaining
-// targets by their hash. When an evacuation ends, its targets count as just joined: parts that moved stay where they are while in use.
+// targets by their hash. When an evacuation ends, its targets count as just joined, so that parts that moved stay where they are while
+// in use, and as cold.
 func (pl *Pool) SetEvacuated(now time.Time, dataCentres []chestnutroad.DataCentreID) {
+	for _, id := range pl.evacuated {
+		if !slices.Contains(dataCentres, id) {
+			pl.MarkCold(now, id)
+		}
+	}
 	pl.evacuated = slices.Clone(dataCentres)
 	for _, tg := range pl.targets {
 		before := tg.evacuated
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -31,6 +31,7 @@
 	limiter      *ratelimit.Limiter
 	// paces holds what was learned of the pace that each service's targets state.
 	paces map[chestnutroad.ServiceID]*pacePersistence
+	cold  *coldState
 	// sharedTokens is the moving average of the shared tokens of each service's requests.
 	sharedTokens map[chestnutroad.ServiceID]float64
 	// unnamed counts the requests without an id that were tried at targets with limits.
@@ -54,7 +55,12 @@
 )
 
 // WithoutMechanisms switches mechanisms off; by default all are on.
-func WithoutMechanisms(off mechanism.Set) Option { return func(pl *Pool) { pl.disabled = off } }
+func WithoutMechanisms(off mechanism.Set) Option {
+	return func(pl *Pool) {
+		pl.disabled = off
+		pl.limiter.IgnoreStated(off.Off(mechanism.TargetLimits))
+	}
+}
 
 // NewPool returns an empty pool for a host of the data centre.
 func NewPool(dataCentre chestnutroad.DataCentreID, opts ...Option) *Pool {
@@ -71,6 +77,7 @@
 		utilisations: map[utilisationKey]*utilisation{},
 		limiter:      ratelimit.New(),
 		paces:        map[chestnutroad.ServiceID]*pacePersistence{},
+		cold:         newColdState(),
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
 	pl.residences = newResidenceTable(pl.targets)
@@ -274,6 +281,7 @@
 		}
 	case Unknown:
 	}
+	pl.observeCold(now, tg, outcome, change)
 	return change
 }
 
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -81,6 +81,8 @@
 		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.cap_factor": "2", "bounds.retry_budget_ratio": "0.2",
 		"bounds.retry_min_slack": "135", "bounds.retry_window_s": "10", "#seed_nodes": "", "/seed_nodes": "", ",": "",
 		"region|json": `"10.1.0.41:8229"`, "#zones": "", "/zones": "", "@": "dc-a",
+		"#bounds.cold_overrun": "", "bounds.cold_overrun": "1.6", "/bounds.cold_overrun": "",
+		"#bounds.cold_tolerance": "", "bounds.cold_tolerance": "4", "/bounds.cold_tolerance": "",
 	}
 	filled := regexp.MustCompile(`\{\{(.*?)\}\}`).ReplaceAllStringFunc(string(text), func(placeholder string) string {
 		value, found := values[placeholder[2:len(placeholder)-2]]
@@ -93,7 +95,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if set.PeerPort != 7340 || len(set.Seeds) != 1 || len(set.Regions) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 {
+	if set.PeerPort != 7340 || len(set.Seeds) != 1 || len(set.Regions) != 1 || set.RetrySlack != 135 || set.Processors != 0.272 ||
+		set.ColdOverrun != 1.6 || set.ColdTolerance != 4 {
 		t.Errorf("got %+v", set)
 	}
 	for line := range strings.Lines(filled) {
@@ -104,6 +107,15 @@
 	}
 }
 
+// TestTemplateWithoutColdBounds guards against an installation without bounds of cold targets whose hosts start with none.
+func TestTemplateWithoutColdBounds(t *testing.T) {
+	t.Parallel()
+	set, err := settings.ParseEntry(settings.File{Name: "entry.toml", Text: minimalEntry})
+	if err != nil || set.ColdOverrun != 1.5 || set.ColdTolerance != 5 {
+		t.Errorf("got %+v, %v", set, err)
+	}
+}
+
 // knownEntryKeys lists all keys of an entry host's settings, each between spaces.
 const knownEntryKeys = " ID DataCentre Region Regions CallerAddress ReadyAddress PeerPort MetricsPort StoreAddress Seeds Processors Memory " +
-	"Grace Drain CapFactor Placement Without PartMemory KVFetch RetryRatio RetrySlack RetryWindow LogLevel "
+	"Grace Drain CapFactor Placement Without PartMemory KVFetch RetryRatio RetrySlack RetryWindow LogLevel ColdOverrun ColdTolerance "
