Skip targets whose rate would be too high for a cold one

The cause was not the popular part but a target that the hash prefers for many usual parts: the load bound allows it twice the mean rate. Where the service states a cold rate, requests now skip a target from the load on that stands for the safe rate, all of them at 1.5 times that.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -168,11 +168,12 @@
 // limits returns the limits for a request; count is the number of all targets of the service that are not evacuated. It counts a use of the request's
 // shared part.
 func (pl *Pool) limits(now time.Time, req *Request, bound int, mean float64, count int) *limits {
-	lim := &limits{bound: bound}
+	lim := &limits{bound: bound, ceiling: bound}
 	if baselines[pl.policy] == nil && req.Affinity != "" && !pl.disabled.Off(mechanism.Affinity) {
 		lim.spread = pl.spread(now, req, mean, count)
 		if !pl.disabled.Off(mechanism.Margin) {
-			lim.margin = max(pl.margin(req.Service).width, pl.coldMargin(req, bound, mean, count))
+			lim.ceiling = pl.coldCeiling(req, bound, mean, count)
+			lim.margin = max(pl.margin(req.Service).width, pl.coldMargin(req, lim.ceiling, mean, count))
 		}
 	}
 	return lim
@@ -244,6 +245,8 @@
 	// is skipped by a growing share of requests.
 	bound  int
 	margin float64
+	// ceiling is the load, at most the bound, from which a target is skipped while others have less.
+	ceiling int
 	// spread is the number of targets over which the requests with the part are divided.
 	spread int
 }
@@ -256,7 +259,7 @@
 //
 // The requests with a popular part start at different ones of its first targets.
 func preferCached(now time.Time, ranking *ranking, req *Request, lim *limits, suspect bool) Choice {
-	softBound := (1 - lim.margin) * float64(lim.bound)
+	softBound := (1 - lim.margin) * float64(lim.ceiling)
 	spread := min(lim.spread, len(ranking.entries))
 	first := int(hashFraction(req.ID, "") * float64(spread))
 	for index := range ranking.entries {
@@ -267,10 +270,10 @@
 		}
 		tg := ranking.at(rank)
 		load := tg.load(now)
-		if load >= lim.bound || load >= tg.entry.Slots {
+		if load >= lim.ceiling || load >= tg.entry.Slots {
 			continue
 		}
-		if over := float64(load) + 1 - softBound; over > 0 && hashFraction(req.ID, tg.entry.ID) < over/(float64(lim.bound)+1-softBound) {
+		if over := float64(load) + 1 - softBound; over > 0 && hashFraction(req.ID, tg.entry.ID) < over/(float64(lim.ceiling)+1-softBound) {
 			continue
 		}
 		return Choice{Entry: tg.entry, Load: load, Bound: lim.bound, Preference: index, Suspect: suspect}
--- a/internal/placement/coldtarget.go
+++ b/internal/placement/coldtarget.go
@@ -216,17 +216,39 @@
 // be too high for a cold one. With less, many targets of a site with random arrivals would be skipped.
 const minColdMargin = 1.5
 
+// maxColdCeiling is the rate, as a multiple of that of a cold target, that stands for the load from which all requests skip a target.
+const maxColdCeiling = 1.5
+
+// coldCeiling returns the load from which a target of a service with a cold rate is skipped while others have less. The load bound alone
+// allows twice the mean rate, at which a target that becomes cold gets too many requests until hosts know it.
+func (pl *Pool) coldCeiling(req *Request, bound int, mean float64, count int) int {
+	meanRate, enabled := pl.meanRate(req, mean, count)
+	if !enabled {
+		return bound
+	}
+	rateShare := maxColdCeiling * float64(pl.cold.tracker.SafeRate(pl.coldSpec(req.Service))) / meanRate
+	return min(bound, int(mean*max(minColdMargin, rateShare))+boundSlack)
+}
+
+// meanRate returns the estimated requests a second of a target of the service from all hosts, and false when its targets are never cold or
+// nothing is known yet.
+func (pl *Pool) meanRate(req *Request, mean float64, count int) (float64, bool) {
+	_, total := pl.popularity.rates(req.Affinity)
+	if !pl.coldSpec(req.Service).Enabled() || total <= 0 || mean <= 0 || count == 0 || pl.disabled.Off(mechanism.Bound) {
+		return 0, false
+	}
+	return total * float64(pl.limiter.HostCount()) / float64(count), true
+}
+
 // coldMargin returns the fraction of the load bound in which a growing share of requests skips a target of a service with a cold rate: it
 // starts at the load that stands for the rate of a cold target, as the mean load does for the mean rate. Hosts that got no request with
 // a popular part lately don't know that it is popular, and its first target gets all of theirs.
 func (pl *Pool) coldMargin(req *Request, bound int, mean float64, count int) float64 {
-	spec := pl.coldSpec(req.Service)
-	_, total := pl.popularity.rates(req.Affinity)
-	if !spec.Enabled() || total <= 0 || mean <= 0 || count == 0 || pl.disabled.Off(mechanism.Bound) {
+	meanRate, enabled := pl.meanRate(req, mean, count)
+	if !enabled {
 		return 0
 	}
-	meanRate := total * float64(pl.limiter.HostCount()) / float64(count)
-	safeLoad := mean * max(minColdMargin, float64(pl.cold.tracker.SafeRate(spec))/meanRate)
+	safeLoad := mean * max(minColdMargin, float64(pl.cold.tracker.SafeRate(pl.coldSpec(req.Service)))/meanRate)
 	return max(0, 1-safeLoad/float64(bound))
 }
 
