Spread parts for the cold rate only once they are popular

Cause: the requests a second of a part were extrapolated from a host's own count without its uncertainty. At 124 hosts, a part that a host saw twice within 8 s by chance stood for 15 requests a second and was spread over seven targets.

Change: the estimate is the cautious one by which popular parts are found, zero below three requests.

--- a/internal/placement/popularity.go
+++ b/internal/placement/popularity.go
@@ -59,12 +59,14 @@
 	pp.scale = 1
 }
 
-// rates returns this host's requests a second with a part, without the one that was counted last, and those of all parts.
+// rates returns a cautious estimate of this host's requests a second with a part, zero for a part that is not popular, and those of
+// all parts. Each request stands for one at every other host: at 124 hosts two by chance within the time constant would stand for a part
+// with 15 requests a second.
 func (pp *popularity) rates(part string) (rate, total float64) {
 	// The counts started from zero at startedAt.
 	observed := 1 - math.Exp(-max(minObservedTime, pp.scaledAt.Sub(pp.startedAt)).Seconds()/popularityTimeConstant.Seconds())
 	seconds := popularityTimeConstant.Seconds() * pp.scale * observed
-	return max(0, pp.parts[part]-pp.scale) / seconds, pp.total / seconds
+	return pp.cautiousCount(part) * pp.scale / seconds, pp.total / seconds
 }
 
 // record counts a request with the part and returns a cautious estimate of the part's share of all requests; zero below
@@ -73,9 +75,14 @@
 	pp.advance(now)
 	pp.parts[part] += pp.scale
 	pp.total += pp.scale
+	return pp.cautiousCount(part) / (pp.total / pp.scale)
+}
+
+// cautiousCount returns a cautious estimate of the decayed count of a part; zero below minPopularCount.
+func (pp *popularity) cautiousCount(part string) float64 {
 	count := pp.parts[part] / pp.scale
 	if count < minPopularCount {
 		return 0
 	}
-	return (count - countDeviations*math.Sqrt(count)) / (pp.total / pp.scale)
+	return count - countDeviations*math.Sqrt(count)
 }
