State the age of a state that changes during the answer as that of the earlier read

Cause: a host collected the state for another host's call, compressed it, and then took its age. If it read a change in between, the answer had the state before the change and the age of the read after it, so that the host that started relied on the state for longer than package freshness allows, by up to the time between two reads.

Change: the ages are taken before the state.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -201,9 +201,10 @@
 	if request.AwaitConfiguration {
 		ln.entry.state.awaitConfiguration(ctx)
 	}
+	// The ages are determined before the state, which may change meanwhile: an age must not be that of a later read than the state.
+	configurationAge, targetsAge := ln.entry.copyAge(freshness.Configuration), ln.entry.copyAge(freshness.Targets)
 	answer := ln.entry.state.deltaFor(request)
-	answer.ConfigurationAge = ln.entry.copyAge(freshness.Configuration)
-	answer.TargetsAge = ln.entry.copyAge(freshness.Targets)
+	answer.ConfigurationAge, answer.TargetsAge = configurationAge, targetsAge
 	answer.Evacuations = ln.entry.evacuations.list()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
