State no age of a copy that was fetched without one

Cause: a host that started with the copy of a host of an earlier version, which states no age, stated its own uptime as the age. The copy may be minutes old if the earlier host was cut off from the store. A third host that started with it then relied on it until the bound of package freshness, although it could read the store.

Change: the tracker notes fetches without an age; State states an age only if it is known. The uptime still counts where the host has read the store and is about to record that.

--- a/internal/entry/fetchstart.go
+++ b/internal/entry/fetchstart.go
@@ -86,10 +86,15 @@
 func (ln *link) recordFetched(answer *siblings.State, started time.Duration) {
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
-	if answer.ConfigurationAge > 0 && len(answer.Configuration) > 0 {
-		ln.tracker.RecordFetched(freshness.Configuration, started-answer.ConfigurationAge)
-	}
-	if answer.TargetsAge > 0 && len(answer.AllTargets) > 0 {
-		ln.tracker.RecordFetched(freshness.Targets, started-answer.TargetsAge)
+	record := func(stream freshness.Stream, data []byte, age time.Duration) {
+		switch {
+		case len(data) == 0:
+		case age > 0:
+			ln.tracker.RecordFetched(stream, started-age)
+		default:
+			ln.tracker.RecordFetchedWithoutAge(stream)
+		}
 	}
+	record(freshness.Configuration, answer.Configuration, answer.ConfigurationAge)
+	record(freshness.Targets, answer.AllTargets, answer.TargetsAge)
 }
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -202,7 +202,7 @@
 		ln.entry.state.awaitConfiguration(ctx)
 	}
 	// The ages are determined before the state, which may change meanwhile: an age must not be that of a later read than the state.
-	configurationAge, targetsAge := ln.entry.copyAge(freshness.Configuration), ln.entry.copyAge(freshness.Targets)
+	configurationAge, targetsAge := ln.entry.statedAge(freshness.Configuration), ln.entry.statedAge(freshness.Targets)
 	answer := ln.entry.state.deltaFor(request)
 	answer.ConfigurationAge, answer.TargetsAge = configurationAge, targetsAge
 	answer.Evacuations = ln.entry.evacuations.list()
--- a/internal/entry/startcopy_test.go
+++ b/internal/entry/startcopy_test.go
@@ -55,3 +55,44 @@
 		t.Errorf("a version that was read %s before the call has the age %s", since, answer.ConfigurationAge)
 	}
 }
+
+// TestAgeWithoutRead guards against a host that states its uptime as the age of a copy whose age it does not know, as it comes from a
+// host of an earlier version, which may be cut off from the store. A host that reads the store states an age at once, so that hosts
+// that wait for its copy don't read the store as well.
+func TestAgeWithoutRead(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		fetch *siblings.State
+		read  bool
+		// want states whether ages are known.
+		want bool
+	}{
+		{"read, not recorded yet", nil, false, true},
+		{"read", nil, true, true},
+		{"fetched without ages", &siblings.State{Configuration: []byte{1}, AllTargets: []byte{1}}, false, false},
+		{"fetched without ages, then read", &siblings.State{Configuration: []byte{1}, AllTargets: []byte{1}}, true, true},
+		{"fetched with ages", &siblings.State{
+			Configuration: []byte{1}, ConfigurationAge: time.Minute, AllTargets: []byte{1}, TargetsAge: time.Minute,
+		}, false, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			en := newUnstarted(nil)
+			if tc.fetch != nil {
+				en.link.recordFetched(tc.fetch, en.elapsed())
+			}
+			en.state.activateIfNewer(&chestnutroad.Configuration{Version: 3}, nil)
+			en.resetTargets(nil, chestnutroad.Position{Offset: 1}, "host")
+			if tc.read {
+				en.link.recordRead(freshness.Configuration, en.elapsed())
+				en.link.recordRead(freshness.Targets, en.elapsed())
+			}
+			answer := en.link.State(t.Context(), &siblings.StateRequest{})
+			if answer.ConfigurationAge > 0 != tc.want || answer.TargetsAge > 0 != tc.want {
+				t.Errorf("got ages %s and %s, want known ages: %t", answer.ConfigurationAge, answer.TargetsAge, tc.want)
+			}
+		})
+	}
+}
--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -92,6 +92,18 @@
 	return en.link.tracker.Age(en.elapsed(), stream, held)
 }
 
+// statedAge returns the age of this host's copy of a stream that it states to other hosts; zero if it is not known.
+func (en *Entry) statedAge(stream freshness.Stream) time.Duration {
+	held := en.held()
+	en.link.mu.Lock()
+	defer en.link.mu.Unlock()
+	age, known := en.link.tracker.KnownAge(en.elapsed(), stream, held)
+	if !known {
+		return 0
+	}
+	return age
+}
+
 // streams are the streams whose age is tracked by those of the store.
 var streams = map[chestnutroad.KeyedStream]freshness.Stream{
 	chestnutroad.KeyedConfiguration: freshness.Configuration,
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -34,6 +34,8 @@
 	ownReadAt, confirmedAt [streamCount]time.Duration
 	// fetched is the time up to which another host had read a stream when this host fetched it at its start; it may be negative.
 	fetched [streamCount]fetchedCopy
+	// fetchedWithoutAge is true after a fetch from a host that stated no age.
+	fetchedWithoutAge [streamCount]bool
 	// pending are announcements of state that the host did not have yet, in the order in which they arrived.
 	pending []Announcement
 }
@@ -57,6 +59,9 @@
 	tr.fetched[stream] = fetchedCopy{exists: true, readAt: at}
 }
 
+// RecordFetchedWithoutAge records that the host fetched a stream from another host that stated no age of its copy.
+func (tr *Tracker) RecordFetchedWithoutAge(stream Stream) { tr.fetchedWithoutAge[stream] = true }
+
 // Announce records what a relay has announced. It counts once the host has what was announced.
 func (tr *Tracker) Announce(announcement Announcement) {
 	if len(tr.pending) == maxPending {
@@ -85,14 +90,24 @@
 	return now - tr.ownReadAt[stream]
 }
 
-// Age returns how old the host's copy of a stream may be.
+// Age returns how old the host's copy of a stream may be, or the host's uptime if that is not known.
 func (tr *Tracker) Age(now time.Duration, stream Stream, held Held) time.Duration {
+	age, known := tr.KnownAge(now, stream, held)
+	if !known {
+		return now
+	}
+	return age
+}
+
+// KnownAge returns how old the host's copy of a stream may be. It is not known while the host only has a copy from another host that
+// stated no age. Without such a copy, the uptime bounds it, also in the moment between a read and its record.
+func (tr *Tracker) KnownAge(now time.Duration, stream Stream, held Held) (age time.Duration, known bool) {
 	tr.confirm(now, held)
 	readAt := max(tr.ownReadAt[stream], tr.confirmedAt[stream])
-	if readAt == 0 && tr.fetched[stream].exists {
+	if readAt == 0 {
 		readAt = tr.fetched[stream].readAt
 	}
-	return now - readAt
+	return now - readAt, readAt != 0 || tr.fetched[stream].exists || !tr.fetchedWithoutAge[stream]
 }
 
 // awaitsRelay reports whether the host only has a copy that it fetched from another host at its start. The relay of its data
