Use no outdated copy at the start while the store can be read

Cause: a host that started put the copy of a larger host into force whatever its age, ended its own read of the store for it, and was ready. The same held for the state of a host that announced a newer one by datagrams.

Change: while a host is not ready, it leaves out state that is older than the bounds of package freshness, until a read of the store has failed or 1 s has passed, the condition for calls to the seeds. Confirmations after a restore of the store and calls to seeds accept any age, as before.

--- a/internal/entry/fetchstart.go
+++ b/internal/entry/fetchstart.go
@@ -34,7 +34,7 @@
 		go func() {
 			for !ln.entry.state.ready() {
 				call, cancel := context.WithTimeout(ctx, copyCallTimeout)
-				ln.fetch(call, source.Address, true)
+				ln.fetch(call, source.Address, &fetchOptions{await: true, maxAge: true})
 				cancel()
 				if !sleep(ctx, copyCheckInterval) {
 					return
@@ -82,6 +82,13 @@
 	}
 }
 
+// isTooOld reports whether the configuration or the targets in the answer are too old to be relied on. A host of an earlier version
+// states no age.
+func isTooOld(answer *siblings.State) bool {
+	return len(answer.Configuration) > 0 && freshness.TooOldAge(freshness.Configuration, answer.ConfigurationAge) ||
+		len(answer.AllTargets) > 0 && freshness.TooOldAge(freshness.Targets, answer.TargetsAge)
+}
+
 // recordFetched records the age of the state that this host has fetched from another one; the call started at the time.
 func (ln *link) recordFetched(answer *siblings.State, started time.Duration) {
 	ln.mu.Lock()
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -226,7 +226,7 @@
 // seedDelay has passed.
 func (ln *link) fetchFromSeeds(ctx context.Context) {
 	for sleep(ctx, readCheckInterval) && !ln.entry.state.ready() {
-		if ln.entry.lastReadFailure.Load() == 0 && ln.entry.elapsed() < seedDelay {
+		if !ln.storeFailsAtStart() {
 			continue
 		}
 		for _, seed := range ln.seeds {
@@ -236,12 +236,17 @@
 	}
 }
 
+// storeFailsAtStart reports whether a read of the store has failed, or this host could have read it by now.
+func (ln *link) storeFailsAtStart() bool {
+	return ln.entry.lastReadFailure.Load() != 0 || ln.entry.elapsed() >= seedDelay
+}
+
 // fetchNewer fetches the state of hosts that announce a newer one, and of hosts that are missing in the list.
 func (ln *link) fetchNewer(ctx context.Context) {
 	for sleep(ctx, fetchInterval) {
 		select {
 		case address := <-ln.unknownHosts:
-			_ = ln.fetchFrom(ctx, address)
+			_ = ln.fetch(ctx, address, &fetchOptions{maxAge: true})
 			continue
 		default:
 		}
@@ -249,7 +254,7 @@
 		ln.mu.Lock()
 		newer := ln.node.NewerHosts(ln.entry.now(), &status)
 		ln.mu.Unlock()
-		if len(newer) > 0 && !ln.fetchFrom(ctx, ln.pickNearby(newer).Address) {
+		if len(newer) > 0 && !ln.fetch(ctx, ln.pickNearby(newer).Address, &fetchOptions{maxAge: true}) {
 			ln.entry.lastFetchFailure.Store(int64(ln.entry.elapsed()))
 		}
 	}
@@ -267,24 +272,37 @@
 
 // fetchFrom fetches and merges what this host lacks from the host at the address, and reports whether it answered.
 func (ln *link) fetchFrom(ctx context.Context, address string) bool {
-	return ln.fetch(ctx, address, false)
+	return ln.fetch(ctx, address, &fetchOptions{})
+}
+
+// fetchOptions change what a state call fetches.
+type fetchOptions struct {
+	// await allows the called host to delay its answer until it has a configuration.
+	await bool
+	// maxAge leaves out state that is too old, while this host is not ready and may still read the store.
+	maxAge bool
 }
 
-// fetch is fetchFrom; with await the called host may delay its answer until it has a configuration.
-func (ln *link) fetch(ctx context.Context, address string, await bool) bool {
+// fetch is fetchFrom with options.
+func (ln *link) fetch(ctx context.Context, address string, options *fetchOptions) bool {
 	status := ln.entry.localStatus()
 	started := ln.entry.elapsed()
 	ln.mu.Lock()
 	request := &siblings.StateRequest{Version: status.Version, Position: status.Position, HostList: ln.hostListHash()}
-	request.AwaitConfiguration = await
+	request.AwaitConfiguration = options.await
 	ln.mu.Unlock()
 	answer, err := siblings.Fetch(ctx, address, request)
 	if err != nil {
 		ln.entry.logger.Warn("state of another host was not fetched", "Address", address, "Error", err)
 		return false
 	}
-	ln.recordFetched(answer, started)
 	ln.addHosts(answer.Hosts)
+	if options.maxAge && isTooOld(answer) && !ln.entry.state.ready() && !ln.storeFailsAtStart() {
+		ln.entry.logger.Info("outdated state of another host was not used", "Address", address,
+			"ConfigurationAge", answer.ConfigurationAge, "TargetsAge", answer.TargetsAge)
+		return true
+	}
+	ln.recordFetched(answer, started)
 	ln.entry.mergeState(answer, address)
 	return true
 }
--- /dev/null
+++ b/internal/entry/startcopyfetch_test.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/relay"
+	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
+	"github.com/chestnutroad/chestnutroad/platform"
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+const (
+	// startAddressGroup separates the addresses of these tests from those of other tests.
+	startAddressGroup = 178
+	startPeerPort     = 17340
+	// emptyConfiguration is a configuration without rules.
+	emptyConfiguration = `{"version":3,"limits":{"max_header_bytes":16384,"max_body_bytes":4096,` +
+		`"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+)
+
+// lastStartAddress is the number of the last address that was used.
+var lastStartAddress atomic.Int64
+
+func startAddress() netip.AddrPort {
+	return netip.AddrPortFrom(standin.Loopback(startAddressGroup, byte(lastStartAddress.Add(1))), startPeerPort)
+}
+
+// slowStore lists two larger hosts. It answers reads of all records of other streams with none, after the delay; each of them fails
+// after the delay if failing is true.
+type slowStore struct {
+	larger  []netip.AddrPort
+	delay   time.Duration
+	failing bool
+	// reads counts the reads of the whole configuration.
+	reads atomic.Int64
+}
+
+// Newest returns the list of hosts, or no records after the delay.
+func (ss *slowStore) Newest(
+	ctx context.Context, stream chestnutroad.KeyedStream, _ chestnutroad.PageOptions,
+) (chestnutroad.KeyedBatch, error) {
+	var batch chestnutroad.KeyedBatch
+	if stream == chestnutroad.KeyedHosts {
+		for index, address := range ss.larger {
+			id := chestnutroad.HostID([]string{"host-1", "host-2"}[index])
+			value, err := json.Marshal(relay.Host{ID: id, DataCentre: "dc-a", Address: address.String(), Processors: 4})
+			if err != nil {
+				return batch, err
+			}
+			batch.Records = append(batch.Records, chestnutroad.KeyedRecord{Key: string(id), Value: value})
+		}
+		return batch, nil
+	}
+	if stream == chestnutroad.KeyedConfiguration {
+		ss.reads.Add(1)
+	}
+	if !sleep(ctx, ss.delay) {
+		return batch, ctx.Err()
+	}
+	if ss.failing {
+		return batch, io.ErrUnexpectedEOF
+	}
+	batch.Next = chestnutroad.Position{Offset: 5}
+	return batch, nil
+}
+
+// Read returns no records at the end of the wait.
+func (ss *slowStore) Read(
+	ctx context.Context, _ chestnutroad.KeyedStream, next chestnutroad.Position, wait time.Duration,
+) (chestnutroad.KeyedBatch, error) {
+	sleep(ctx, wait)
+	return chestnutroad.KeyedBatch{Next: next}, ctx.Err()
+}
+
+// Put does nothing.
+func (ss *slowStore) Put(context.Context, chestnutroad.KeyedStream, string, []byte) error { return nil }
+
+// largerHost answers state calls after the delay, with what it has.
+type largerHost struct {
+	answer siblings.State
+	delay  time.Duration
+	calls  atomic.Int64
+}
+
+// State returns the answer.
+func (lh *largerHost) State(ctx context.Context, _ *siblings.StateRequest) *siblings.State {
+	lh.calls.Add(1)
+	sleep(ctx, lh.delay)
+	answer := lh.answer
+	return &answer
+}
+
+// startSmall starts the larger host and a small host, whose store has the delay, and returns the small host.
+func startSmall(t *testing.T, larger *largerHost, store *slowStore) *Entry {
+	t.Helper()
+	store.larger = []netip.AddrPort{startAddress(), startAddress()}
+	own := startAddress()
+	go func() { _ = siblings.Serve(t.Context(), store.larger[0].String(), larger) }()
+	en := New(&settings.Entry{
+		ID: "host-3", DataCentre: "dc-a", CallerAddress: netip.AddrPortFrom(own.Addr(), 1), PeerPort: startPeerPort, Processors: 0.1,
+		RetryWindow: time.Second,
+	}, store, platform.Wire{}, platform.Decoder{}, log.New(io.Discard))
+	go func() { _ = en.link.run(t.Context()) }()
+	go en.followStore(t.Context())
+	return en
+}
+
+// awaitReady waits until the host is ready, and reports whether it is within the time.
+func awaitReady(en *Entry, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if en.state.ready() {
+			return true
+		}
+	}
+	return false
+}
+
+func copyWithAge(age time.Duration) siblings.State {
+	return siblings.State{
+		Version: 3, Configuration: siblings.NewCompressed([]byte(emptyConfiguration)).Data(), ConfigurationAge: age,
+		Position: chestnutroad.Position{Offset: 3}, AllTargets: siblings.NewCompressedRecords(nil).Data(), TargetsAge: age,
+	}
+}
+
+// TestOutdatedCopyAtStart guards against a host that starts with the copy of a host that is cut off from the store, although it can read
+// the store itself: it then served requests by a configuration and targets that were minutes old. It uses such a copy only when
+// the store fails.
+func TestOutdatedCopyAtStart(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		age     time.Duration
+		failing bool
+		want    bool
+	}{
+		{"fresh", 300 * time.Millisecond, false, true},
+		{"of an earlier version", 0, false, true},
+		{"outdated", time.Minute, false, false},
+		{"outdated, the store fails", time.Minute, true, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			store := &slowStore{delay: 400 * time.Millisecond, failing: tc.failing}
+			en := startSmall(t, &largerHost{answer: copyWithAge(tc.age)}, store)
+			if got := awaitReady(en, 900*time.Millisecond); got != tc.want {
+				t.Errorf("the copy was used: %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -116,6 +116,9 @@
 	return tr.fetched[stream].exists && tr.ownReadAt[stream] == 0
 }
 
+// TooOldAge reports whether a copy of a stream with the age is too old to be relied on.
+func TooOldAge(stream Stream, age time.Duration) bool { return age >= maxAges[stream] }
+
 // Decide returns why the host has to read a stream itself, if it does.
 func (tr *Tracker) Decide(now time.Duration, stream Stream, held Held, status *Status) Reason {
 	age := tr.Age(now, stream, held)
