Apply the targets of another host before its configuration

Cause: the first configuration from another host ends the read of the configuration from the store. The targets of the same answer were applied after it, so that the host was not ready yet, and the follower began the read anew, this time without an early end: the store sent the whole configuration twice, on the slow link that the copy was to spare.

Change: mergeState applies the targets first, so that the host is ready when the read ends. If the answer has no targets, the second read still takes place.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -412,17 +412,23 @@
 // freshWindow is how long after a successful read of the targets the host announces that it reads the store.
 const freshWindow = targetPollInterval + readMargin + 300*time.Millisecond
 
-// mergeState applies the configuration and the targets from another host's answer. Targets of an earlier era than the
-// latest one are ignored.
+// mergeState applies the targets and the configuration from another host's answer. The targets come first, since the configuration
+// ends a read of the store: a host that is not ready then would begin it anew.
 func (en *Entry) mergeState(answer *siblings.State, from string) {
 	en.evacuations.merge(answer.Evacuations, from)
-	if len(answer.Configuration) > 0 {
-		text, err := siblings.Decompress(answer.Configuration)
-		if err != nil {
-			en.logger.Error("configuration can't be decompressed", "Source", "host "+from, "Error", err)
-		}
-		en.applyConfiguration([]chestnutroad.KeyedRecord{{Key: en.decoder.ConfigurationKey(), Value: text}}, "host "+from)
+	en.mergeTargets(answer, from)
+	if len(answer.Configuration) == 0 {
+		return
+	}
+	text, err := siblings.Decompress(answer.Configuration)
+	if err != nil {
+		en.logger.Error("configuration can't be decompressed", "Source", "host "+from, "Error", err)
 	}
+	en.applyConfiguration([]chestnutroad.KeyedRecord{{Key: en.decoder.ConfigurationKey(), Value: text}}, "host "+from)
+}
+
+// mergeTargets applies the targets from another host's answer. Those of an earlier era than the latest one are ignored.
+func (en *Entry) mergeTargets(answer *siblings.State, from string) {
 	switch {
 	case !answer.Position.After(en.state.localStatus(en.now()).Position):
 	case en.eras.observe(answer.Position.Era):
--- a/internal/entry/startcopyfetch_test.go
+++ b/internal/entry/startcopyfetch_test.go
@@ -153,9 +153,36 @@
 			t.Parallel()
 			store := &slowStore{delay: 400 * time.Millisecond, failing: tc.failing}
 			en := startSmall(t, &largerHost{answer: copyWithAge(tc.age)}, store)
-			if got := awaitReady(en, 900*time.Millisecond); got != tc.want {
+			// A second after the start, the copy may be used in any case.
+			if got := awaitReady(en, 800*time.Millisecond); got != tc.want {
 				t.Errorf("the copy was used: %t, want %t", got, tc.want)
 			}
 		})
 	}
 }
+
+// TestConfigurationReadOnce guards against a host that reads the configuration from the store again after a copy from another host has
+// ended its first read, while it still lacks the targets that the same answer has.
+func TestConfigurationReadOnce(t *testing.T) {
+	t.Parallel()
+	for range 10 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			store := &slowStore{delay: 5 * time.Second}
+			answer := copyWithAge(time.Millisecond)
+			records := make([]chestnutroad.KeyedRecord, 1000)
+			for index := range records {
+				records[index] = chestnutroad.KeyedRecord{Key: string(rune('a' + index)), Value: []byte("-")}
+			}
+			answer.AllTargets = siblings.NewCompressedRecords(records).Data()
+			en := startSmall(t, &largerHost{answer: answer, delay: 280 * time.Millisecond}, store)
+			if !awaitReady(en, 2*time.Second) {
+				t.Fatal("the host is not ready")
+			}
+			time.Sleep(50 * time.Millisecond)
+			if reads := store.reads.Load(); reads > 1 {
+				t.Errorf("the configuration was read %d times, want at most 1", reads)
+			}
+		})
+	}
+}
