Call larger hosts at a start with growing pauses

Cause: a host that started called two larger hosts with a pause of 10 ms until it was ready, also when these were down or answered without targets. If the targets can't be read for some time, 100 hosts make thousands of calls a second, each with a connection and, if it fails, a line in the log.

Change: the pauses double from 10 ms to 100 ms, and to 400 ms from 1 s after the start. A larger host that starts to listen 0.3 s later than the small one is called up to 0.1 s later than before; the effect on the trial of docs/design/fleet-start.md was not measured.

Result: in TestCallsForCopy a larger host without targets gets 13 calls in the first second, 76 before.

--- a/internal/entry/fetchstart.go
+++ b/internal/entry/fetchstart.go
@@ -31,16 +31,25 @@
 		}
 	}
 	for _, source := range ln.startSources() {
-		go func() {
-			for !ln.entry.state.ready() {
-				call, cancel := context.WithTimeout(ctx, copyCallTimeout)
-				ln.fetch(call, source.Address, &fetchOptions{await: true, maxAge: true})
-				cancel()
-				if !sleep(ctx, copyCheckInterval) {
-					return
-				}
-			}
-		}()
+		go ln.fetchUntilReady(ctx, source.Address)
+	}
+}
+
+// fetchUntilReady calls the host at the address until this host is ready. The pauses grow, since that host may be down, or lack the
+// targets, for long, and many hosts may start.
+func (ln *link) fetchUntilReady(ctx context.Context, address string) {
+	for pause := copyCheckInterval; !ln.entry.state.ready(); {
+		call, cancel := context.WithTimeout(ctx, copyCallTimeout)
+		ln.fetch(call, address, &fetchOptions{await: true, maxAge: true})
+		cancel()
+		if !sleep(ctx, pause) {
+			return
+		}
+		limit := readCheckInterval
+		if ln.entry.elapsed() >= seedDelay {
+			limit = maxBackoff
+		}
+		pause = min(2*pause, limit)
 	}
 }
 
--- a/internal/entry/startcopyfetch_test.go
+++ b/internal/entry/startcopyfetch_test.go
@@ -186,3 +186,17 @@
 		})
 	}
 }
+
+// TestCallsForCopy guards against hosts that call larger ones again and again without a pause while these have no targets: 100 hosts
+// that start would call each of them some 7,600 times a second.
+func TestCallsForCopy(t *testing.T) {
+	t.Parallel()
+	answer := copyWithAge(100 * time.Millisecond)
+	answer.AllTargets, answer.Position = nil, chestnutroad.Position{}
+	larger := &largerHost{answer: answer}
+	startSmall(t, larger, &slowStore{delay: time.Minute})
+	time.Sleep(time.Second)
+	if calls := larger.calls.Load(); calls < 2 || calls > 20 {
+		t.Errorf("the larger host was called %d times in the first second, want 2 to 20", calls)
+	}
+}
