Take no age from a host that has not seen the evacuations

Cause: the age of a fetched configuration also counts for the list of evacuations, which is in the same stream. A host of an earlier version, or one that started after the evacuations, sends no list; its age then counted for a list that came from another host, which may be cut off from the store. announce already has this rule for beacons of relays.

Change: recordFetched treats such an age as not stated.

Result: TestAgeWithoutEvacuations fails without the change in the case of evacuations that only this host has seen.

--- a/internal/entry/fetchstart.go
+++ b/internal/entry/fetchstart.go
@@ -111,6 +111,11 @@
 			ln.tracker.RecordFetchedWithoutAge(stream)
 		}
 	}
-	record(freshness.Configuration, answer.Configuration, answer.ConfigurationAge)
+	configurationAge := answer.ConfigurationAge
+	if answer.Evacuations == nil && ln.entry.evacuations.seen() {
+		// A host that has not seen the evacuations that this host has seen states no age of them; see announce.
+		configurationAge = 0
+	}
+	record(freshness.Configuration, answer.Configuration, configurationAge)
 	record(freshness.Targets, answer.AllTargets, answer.TargetsAge)
 }
--- a/internal/entry/startcopy_test.go
+++ b/internal/entry/startcopy_test.go
@@ -96,3 +96,35 @@
 		})
 	}
 }
+
+// TestAgeWithoutEvacuations guards against a host that relies on a list of evacuations because another host, which has seen none, states
+// the age of its configuration: the list may have come from a host that is cut off from the store.
+func TestAgeWithoutEvacuations(t *testing.T) {
+	t.Parallel()
+	list := &chestnutroad.EvacuationList{
+		Position: chestnutroad.Position{Offset: 7}, DataCentres: []chestnutroad.DataCentreID{"dc-b"},
+	}
+	cases := []struct {
+		name          string
+		held, fetched *chestnutroad.EvacuationList
+		want          bool
+	}{
+		{"none seen", nil, nil, true},
+		{"seen here only", list, nil, false},
+		{"seen there only", nil, list, true},
+		{"seen by both", list, list, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			en := newUnstarted(nil)
+			en.evacuations.merge(tc.held, "host-1")
+			en.link.recordFetched(&siblings.State{
+				Configuration: []byte{1}, ConfigurationAge: time.Millisecond, Evacuations: tc.fetched,
+			}, en.elapsed())
+			if got := en.link.State(t.Context(), &siblings.StateRequest{}).ConfigurationAge > 0; got != tc.want {
+				t.Errorf("the age is known: %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
