Answer calls of starting hosts before they time out

Cause: a called host without a configuration waited 400 ms for one, as long as the call may take. The call always timed out first, so that the caller got neither the targets nor the list of hosts, and logged a warning for each call.

Change: the called host waits 300 ms.

Result: TestTargetsWithoutConfiguration gets no targets in three calls with a wait of 400 ms, and passes with 300 ms.

--- a/internal/entry/fetchstart.go
+++ b/internal/entry/fetchstart.go
@@ -19,6 +19,9 @@
 	copyCheckInterval = 10 * time.Millisecond
 	// copyCallTimeout limits a call for a copy, so that a host that is still down is called again soon.
 	copyCallTimeout = 400 * time.Millisecond
+	// configurationWait is how long a called host waits for a configuration. It is shorter than the call, so that the caller still
+	// gets the targets if there is none.
+	configurationWait = 300 * time.Millisecond
 )
 
 // fetchAtStart fetches the state of the hosts in the same data centre that read the store first, until this host is ready. It
@@ -81,9 +84,9 @@
 	}
 }
 
-// awaitConfiguration waits until a configuration is active, up to copyCallTimeout or until the context ends.
+// awaitConfiguration waits until a configuration is active, up to configurationWait or until the context ends.
 func (st *state) awaitConfiguration(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, copyCallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, configurationWait)
 	defer cancel()
 	select {
 	case <-st.configurationLoaded:
--- a/internal/entry/startcopy_test.go
+++ b/internal/entry/startcopy_test.go
@@ -17,17 +17,17 @@
 )
 
 // newUnstarted returns an entry host that is not running.
-func newUnstarted(store chestnutroad.KeyedStore) *Entry {
+func newUnstarted() *Entry {
 	return New(&settings.Entry{
 		ID: "host-3", DataCentre: "dc-a", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1"), RetryWindow: time.Second,
-	}, store, platform.Wire{}, platform.Decoder{}, log.New(io.Discard))
+	}, nil, platform.Wire{}, platform.Decoder{}, log.New(io.Discard))
 }
 
 // TestAgeOfChangingState guards against an answer whose state is older than the age that it states: when a host read a change while it
 // compressed its answer, the answer had the state before the change and the age of the read after it.
 func TestAgeOfChangingState(t *testing.T) {
 	t.Parallel()
-	en := newUnstarted(nil)
+	en := newUnstarted()
 	// The compression takes some 50 ms, or 700 ms with the race detector.
 	text := make([]byte, 4<<20)
 	random := rand.NewChaCha8([32]byte{1})
@@ -79,7 +79,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			en := newUnstarted(nil)
+			en := newUnstarted()
 			if tc.fetch != nil {
 				en.link.recordFetched(tc.fetch, en.elapsed())
 			}
@@ -117,7 +117,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			en := newUnstarted(nil)
+			en := newUnstarted()
 			en.evacuations.merge(tc.held, "host-1")
 			en.link.recordFetched(&siblings.State{
 				Configuration: []byte{1}, ConfigurationAge: time.Millisecond, Evacuations: tc.fetched,
--- a/internal/entry/startcopyfetch_test.go
+++ b/internal/entry/startcopyfetch_test.go
@@ -200,3 +200,24 @@
 		t.Errorf("the larger host was called %d times in the first second, want 2 to 20", calls)
 	}
 }
+
+// TestTargetsWithoutConfiguration guards against a called host that waits for its configuration until the call has timed out, so that
+// the caller does not even get the targets.
+func TestTargetsWithoutConfiguration(t *testing.T) {
+	t.Parallel()
+	larger := newUnstarted()
+	larger.resetTargets(nil, chestnutroad.Position{Offset: 1}, "store")
+	address := startAddress().String()
+	go func() { _ = siblings.Serve(t.Context(), address, larger.link) }()
+	en := newUnstarted()
+	for range 3 {
+		// The first calls may come before the larger host listens.
+		time.Sleep(50 * time.Millisecond)
+		call, cancel := context.WithTimeout(t.Context(), copyCallTimeout)
+		en.link.fetch(call, address, &fetchOptions{await: true})
+		cancel()
+	}
+	if !en.state.targetsLoaded.Load() {
+		t.Error("the targets were not fetched")
+	}
+}
