Add platform check, which checks a configuration before it is sent

Cause: hosts reject a configuration that they can't decode and keep the version in force, but apply one with an unknown service, a hidden route or a key of two teams. No command checked the document before it was sent.

Change: `chestnutroad platform check [--in-force FILE] FILE` prints errors, warnings and, with --in-force, the changes, one line each with the path of the field. Exit code 1 means errors; warnings and changes exit with 0. The checks are the table in internal/configcheck, which is pure. They need the values as stated, since DecodeConfiguration corrects some of them, so package platform exports its record types and ParseConfiguration. Keys are only counted or named by their place.

It is a verb of its own since config check takes settings files, which it requires.

--- a/internal/cli/verbs.go
+++ b/internal/cli/verbs.go
@@ -45,6 +45,11 @@
 		"chestnutroad config history --log 127.0.0.1:6000",
 		func() Command { return &ConfigHistory{} },
 	},
+	{
+		"platform check", "check a configuration of the platform before it is sent",
+		"chestnutroad platform check --in-force config-41.json config-42.json",
+		func() Command { return &PlatformCheck{} },
+	},
 	{
 		"status", "show what hosts say of themselves",
 		"chestnutroad status 127.0.0.1:9000 127.0.0.2:9000",
