Compare demand and capacity in engine time in admission

Cause: admission counted requests. A request with 11,800 prompt tokens counted as much as one with 830, so that refusals freed less or more engine time than was missing, and requests of the middle kind were refused although longer, less urgent ones could have been.

Change: package work estimates the engine time of a request from the prompt tokens that are probably not cached at the target and the expected generated tokens, at rates learned from first events and event gaps. admission.Throttle compares demand and capacity in work; the floor that keeps classes from starving is by number of requests. A short request that would not be in time at a second attempt is refused only when less urgent classes are at a lower floor. Refusals are logged with Class, RefusedShare and WorkMs, and counted for each service. Without = ["Work"] counts requests as before.

Lateness of urgent ranks is not used yet.

go test -race -p 2 ./internal/admission ./internal/work ./internal/mechanism ./internal/entry ./internal/placement ./internal/settings passes.

--- a/internal/admission/drop_precedence.go
+++ b/internal/admission/drop_precedence.go
@@ -13,12 +13,29 @@
 // The drop precedences. Callers that retry after the delay they were given aren't preferred: they would take the slots in
 // which first attempts are answered in time, and all would be answered late.
 const (
+	// LastAttempt marks short requests whose deadline leaves no time for a second attempt; they are refused last.
+	LastAttempt DropPrecedence = iota - 1
 	// Normal is the precedence of most requests.
-	Normal DropPrecedence = iota
+	Normal
 	// Demoted marks requests beyond a team's share and retries before the requested delay; they are refused first.
 	Demoted
 )
 
+// String returns the name of the precedence, as it is written in logs.
+func (dp DropPrecedence) String() string {
+	switch dp {
+	case LastAttempt:
+		return "last attempt"
+	case Demoted:
+		return "demoted"
+	default:
+		return "normal"
+	}
+}
+
+// precedenceCount is the number of drop precedences.
+const precedenceCount = 3
+
 // retryMargin is the share of the largest time budget by which the budget of a first attempt may be lower.
 const retryMargin = 0.02
 
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -199,7 +199,7 @@
 	admitted := true
 	if si.admissionOn {
 		draw := si.rng.Float64()
-		admitted = si.throttles[host].Admit(at, cl.rank, req.Precedence, si.pools[host].Utilisation(at, req), draw)
+		admitted = si.throttles[host].Admit(at, cl.rank, req.Precedence, 1, si.pools[host].Utilisation(at, req), draw).Admitted
 	}
 	var choice placement.Choice
 	if admitted {
@@ -253,7 +253,7 @@
 	for _, cl := range en.waiting {
 		if now-cl.sentAt > callerTimeout {
 			si.record(cl, func(gs *groupStats) { gs.abandoned++ })
-			si.throttles[cl.host].Observe(startTime.Add(now), admission.Shed)
+			si.throttles[cl.host].Observe(startTime.Add(now), admission.Shed, 1)
 			si.finish(cl)
 			continue
 		}
@@ -281,7 +281,7 @@
 			if now-cl.sentAt <= latencyTarget {
 				outcome = admission.InTime
 			}
-			si.throttles[cl.host].Observe(startTime.Add(now), outcome)
+			si.throttles[cl.host].Observe(startTime.Add(now), outcome, 1)
 			en.running = append(en.running, cl)
 			en.ends = append(en.ends, now+time.Duration(en.slowdown*float64(serviceTime)))
 		}
--- a/internal/admission/throttle.go
+++ b/internal/admission/throttle.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad/internal/decay"
@@ -18,14 +19,16 @@
 	// waited becomes shorter.
 	inTimeFactor = 1.2
 	lateFactor   = 0.6
-	// classCount is the number of classes: three ranks with two drop precedences each.
-	classCount = 6
+	// classCount is the number of classes: three ranks with three drop precedences each.
+	classCount = 9
 	// pressureThreshold is the share of a service's slots in use up to which nothing is refused, even if answers are late;
 	// from there to full use, refusals grow linearly.
 	pressureThreshold = 0.8
 	// minAdmitShare is the least admitted share of each class, as a part of the admitted share of all requests; it keeps
-	// the classes that are refused first from starving.
+	// the classes that are refused first from starving. Every kind must be served at least a quarter as often as the mean.
 	minAdmitShare = 0.4
+	// minYieldShare is the same for classes that yield to last attempts of more urgent ranks.
+	minYieldShare = 0.3
 	// maxRefusalShare is the largest share of all requests that is refused; the rest shows whether there is room again.
 	maxRefusalShare = 0.9
 	// minOutcomes is the number of outcomes since the start below which nothing is refused; fewer say too little.
@@ -39,15 +42,19 @@
 // they would all see a free slot at once and flood it, then all hold back, and a full service would answer late most of
 // the time. The outcomes of a host's own requests have no such lag.
 //
+// Requests differ in the engine time that they cost (package work), so that demand and capacity are compared in work: one refused
+// request with 11,800 prompt tokens frees as much as ten with 830. Work is in seconds of engine time; callers that don't know it
+// use the same value for all requests.
+//
 // The zero value is ready to use; it is not safe for concurrent use.
 type Throttle struct {
-	// inTime and late are the decayed counts of answers.
-	inTime, late float64
+	// inTime and late are the decayed counts of answers, answered is their decayed work.
+	inTime, late, answered float64
 	// outcomes counts all outcomes since the start, without decay.
 	outcomes int
-	// requests are the decayed counts of requests by class, refused ones included.
-	requests  [classCount]float64
-	updatedAt time.Time
+	// demand and requests are the decayed work and counts of requests by class, refused ones included.
+	demand, requests [classCount]float64
+	updatedAt        time.Time
 }
 
 func (th *Throttle) decayTo(now time.Time) {
@@ -56,9 +63,11 @@
 	answerFactor := decay.Factor(elapsed, outcomeTimeConstant)
 	th.inTime *= answerFactor
 	th.late *= answerFactor
+	th.answered *= answerFactor
 	requestFactor := decay.Factor(elapsed, demandTimeConstant)
-	for index := range th.requests {
-		th.requests[index] *= requestFactor
+	for class := range th.demand {
+		th.demand[class] *= requestFactor
+		th.requests[class] *= requestFactor
 	}
 }
 
@@ -75,50 +84,87 @@
 	Shed
 )
 
-// Observe counts the outcome of an admitted request.
-func (th *Throttle) Observe(now time.Time, outcome Outcome) {
+// Observe counts the outcome of an admitted request with the work.
+func (th *Throttle) Observe(now time.Time, outcome Outcome, work float64) {
 	th.decayTo(now)
 	th.outcomes++
 	switch outcome {
 	case InTime:
 		th.inTime++
+		th.answered += work
 	case Late:
 		th.late++
+		th.answered += work
 	case Shed:
 	}
 }
 
-// Admit counts a request and reports whether it is admitted; use is the share of the service's slots in use, and the draw
-// between 0 and 1 decides where a part of the class is refused.
-func (th *Throttle) Admit(now time.Time, rank int, precedence DropPrecedence, use, draw float64) bool {
+// Decision is how a request was classified, and the share of such requests that is refused.
+type Decision struct {
+	Rank         int
+	Precedence   DropPrecedence
+	RefusedShare float64
+	Admitted     bool
+}
+
+// Class names the request's class in logs.
+func (dc *Decision) Class() string { return fmt.Sprintf("rank %d, %s", dc.Rank, dc.Precedence) }
+
+// Admit counts a request with the work and decides whether it is admitted; use is the share of the service's slots in use, and
+// the draw between 0 and 1 decides where a part of the class is refused.
+func (th *Throttle) Admit(now time.Time, rank int, precedence DropPrecedence, work, use, draw float64) Decision {
 	th.decayTo(now)
 	class := classOf(rank, precedence)
+	th.demand[class] += work
 	th.requests[class]++
 	pressure := min(1, max(0, (use-pressureThreshold)/(1-pressureThreshold)))
-	return draw >= pressure*th.refusalShare(class)
+	share := pressure * th.refusalShare(class)
+	return Decision{Rank: rank, Precedence: precedence, RefusedShare: share, Admitted: draw >= share}
+}
+
+// Protect returns LastAttempt for a request that would not be in time at a second attempt, if it costs no more work than the mean
+// of the recent requests, or else the given precedence.
+func (th *Throttle) Protect(precedence DropPrecedence, work float64, remaining, latencyTarget time.Duration) DropPrecedence {
+	total, count := 0.0, 0.0
+	for class := range th.demand {
+		total += th.demand[class]
+		count += th.requests[class]
+	}
+	if precedence == Normal && remaining < latencyTarget+minDelay && work*count <= total {
+		return LastAttempt
+	}
+	return precedence
 }
 
 // classOf returns the class of a request; classes with higher numbers are refused first.
 func classOf(rank int, precedence DropPrecedence) int {
-	return min(max(2*rank+int(precedence), 0), classCount-1)
+	return min(max(precedenceCount*rank+int(precedence-LastAttempt), 0), classCount-1)
+}
+
+// growth returns the work to admit for each unit of work that is answered. Answers count alike here: in work, long requests, which
+// have more time, would hide that short ones are late.
+func (th *Throttle) growth() float64 {
+	if th.inTime+th.late <= 0 {
+		return 0
+	}
+	return (inTimeFactor*th.inTime + lateFactor*th.late) / (th.inTime + th.late)
 }
 
-// refusalShare returns the share of a class to refuse so that the admitted rate follows the rate of answers. Higher classes
-// are refused first, up to the limit that keeps them from starving.
+// refusalShare returns the share of a class to refuse so that the admitted work follows the work of answers.
 func (th *Throttle) refusalShare(class int) float64 {
 	if th.outcomes < minOutcomes {
 		return 0
 	}
-	total := 0.0
-	for _, count := range th.requests {
-		total += count
+	work, count := 0.0, 0.0
+	for index := range th.demand {
+		work += th.demand[index]
+		count += th.requests[index]
 	}
-	demand := total / demandTimeConstant.Seconds()
-	capacity := (inTimeFactor*th.inTime + lateFactor*th.late) / outcomeTimeConstant.Seconds()
-	excess := min(maxRefusalShare, max(0, (demand-capacity)/(demand+1)))
-	maxClassShare, remaining := 1-minAdmitShare*(1-excess), excess
-	for index := classCount - 1; index > class; index-- {
-		remaining -= min(remaining, maxClassShare*th.requests[index]/total)
+	if work <= 0 {
+		return 0
 	}
-	return min(maxClassShare, remaining*total/th.requests[class])
+	demand := work / demandTimeConstant.Seconds()
+	capacity := th.growth() * th.answered / outcomeTimeConstant.Seconds()
+	excess := min(maxRefusalShare, max(0, (demand-capacity)/(demand+work/count)))
+	return newAllocation(&th.demand, &th.requests, excess).refused[class]
 }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// countThrottled counts a request that admission control refused, and its work in seconds of engine time.
+func (cn *counters) countThrottled(service string, rank int, work float64) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_admission_refused_total{service=%q,rank=\"%d\"}", service, rank)).Inc()
+	cn.set.GetOrCreateFloatCounter(fmt.Sprintf("chestnutroad_admission_refused_work_seconds_total{service=%q}", service)).Add(work)
+}
+
 // countLimited counts a choice in which targets were passed over for their limits of requests a second, by whether another one
 // was found.
 func (cn *counters) countLimited(service string, found bool) {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/quarantine"
@@ -40,6 +41,12 @@
 	targetCounts *placement.TargetCounts
 	// limitsReached is the number of targets at their limits, for the log, when none was left to choose.
 	limitsReached int
+	// work is the estimated engine time of the request in seconds, and cachedAt the target where its shared parts are probably
+	// cached; empty when there is none.
+	work     float64
+	cachedAt chestnutroad.TargetID
+	// throttled describes the decision of admission control if it refused the request, for the log.
+	throttled *admission.Decision
 	// sentStale is true once a send ended on a reused connection. Further ones use new connections, on which the end of the target is
 	// told from that of the connection.
 	sentStale bool
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -51,7 +51,7 @@
 		return allowed
 	}
 	ex.criteria.MaxEventGap = en.maxEventGap(ex)
-	if ex.criteria.RequireSlot && !en.state.admit(en.now(), &ex.criteria) {
+	if ex.criteria.RequireSlot && !en.admit(ex) {
 		en.updateRefusalRate(ex, true)
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
@@ -132,9 +132,9 @@
 func (en *Entry) recordAdmissionOutcome(ex *exchange, res *sendResult, latency time.Duration) {
 	switch {
 	case res.outcome == placement.Shed:
-		en.state.recordAdmissionOutcome(en.now(), ex.service, admission.Shed)
+		en.state.recordAdmissionOutcome(en.now(), ex, admission.Shed)
 	case !ex.rule.Streaming && res.done:
-		en.state.recordAdmissionOutcome(en.now(), ex.service, ex.admissionOutcome(latency))
+		en.state.recordAdmissionOutcome(en.now(), ex, ex.admissionOutcome(latency))
 	}
 }
 
--- a/internal/entry/rulestats.go
+++ b/internal/entry/rulestats.go
@@ -6,7 +6,6 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
-	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/timeout"
 )
 
@@ -111,21 +110,3 @@
 	}
 	return throttle
 }
-
-// admit reports whether admission control allows that the request is sent to a target.
-func (st *state) admit(now time.Time, criteria *placement.Request) bool {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	utilisation := st.pool.Utilisation(now, criteria)
-	if st.disabled.Off(mechanism.Admission) {
-		return true
-	}
-	return st.throttle(criteria.Service).Admit(now, criteria.Rank, criteria.Precedence, utilisation, hashFraction(criteria.ID))
-}
-
-// recordAdmissionOutcome records how an admitted request ended at a target, for admission control.
-func (st *state) recordAdmissionOutcome(now time.Time, service chestnutroad.ServiceID, outcome admission.Outcome) {
-	st.mu.Lock()
-	defer st.mu.Unlock()
-	st.throttle(service).Observe(now, outcome)
-}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -85,6 +85,9 @@
 	if reached := max(ex.limitsReached, ex.choice.LimitsReached); reached > 0 {
 		fields = append(fields, "LimitsReached", reached)
 	}
+	if ex.throttled != nil {
+		fields = append(fields, "Class", ex.throttled.Class(), "RefusedShare", ex.throttled.RefusedShare, "WorkMs", int(1000*ex.work))
+	}
 	if len(ex.stalls) > 0 {
 		fields = append(fields, "Stalls", ex.stalls)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -16,6 +16,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
 	"github.com/chestnutroad/chestnutroad/internal/siblings"
+	"github.com/chestnutroad/chestnutroad/internal/work"
 )
 
 // state holds the active configuration, the targets, and the budgets and limits of each service. It is shared by all requests.
@@ -45,6 +46,8 @@
 	teams     map[chestnutroad.ServiceID]*admission.TeamRates
 	// throttles hold the admission control of each service.
 	throttles map[chestnutroad.ServiceID]*admission.Throttle
+	// rates hold the prefill and step times of each service's engines.
+	rates map[chestnutroad.ServiceID]*work.Rates
 	// disabled are the mechanisms that the settings disable.
 	disabled    mechanism.Set
 	retryRatio  float64
@@ -70,6 +73,7 @@
 		ruleStats:    map[chestnutroad.RouteID]*ruleStats{},
 		teams:        map[chestnutroad.ServiceID]*admission.TeamRates{},
 		throttles:    map[chestnutroad.ServiceID]*admission.Throttle{},
+		rates:        map[chestnutroad.ServiceID]*work.Rates{},
 		disabled:     set.Without,
 		retryRatio:   set.RetryRatio,
 		retryWindow:  set.RetryWindow,
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -148,10 +148,12 @@
 	ex.stream.lastProgress = now
 	if ex.stream.gotFirstEvent {
 		en.state.recordEventGap(now, ex.rule.Name, ex.choice.Entry.ID, pause)
+		en.state.learnStepTime(ex, pause)
 		return
 	}
 	ex.stream.gotFirstEvent = true
-	en.state.recordAdmissionOutcome(now, ex.service, ex.admissionOutcome(pause))
+	en.state.recordAdmissionOutcome(now, ex, ex.admissionOutcome(pause))
+	en.state.learnPrefillTime(ex, pause)
 	en.state.withRuleStats(ex.rule.Name, func(rs *ruleStats) { rs.firstEvent.Observe(pause) })
 }
 
@@ -169,7 +171,7 @@
 		rs.firstEvent.ObserveTimeout(wait)
 	})
 	if !ex.stream.gotFirstEvent {
-		en.state.recordAdmissionOutcome(en.now(), ex.service, admission.Shed)
+		en.state.recordAdmissionOutcome(en.now(), ex, admission.Shed)
 	}
 }
 
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -29,6 +29,8 @@
 	DropPrecedence Name = "Standing"
 	// RetryAfter sets the retry delay of refused callers by the share of requests that is refused.
 	RetryAfter Name = "Returns"
+	// Work makes admission compare demand and capacity by the engine time of requests instead of their number.
+	Work Name = "Work"
 	// Ejection passes over targets with many failed requests.
 	Ejection Name = "Ejection"
 	// Reachability stops sending to targets and data centres that can't be reached.
@@ -49,7 +51,7 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Work, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 )
 
@@ -21,7 +22,7 @@
 
 func slotShare(req *Request) float64 {
 	rank := min(max(req.Rank, 0), maxRank)
-	return maxSlotShare - rankStep*float64(rank) - precedenceStep*float64(req.Precedence)
+	return maxSlotShare - rankStep*float64(rank) - precedenceStep*float64(max(admission.Normal, req.Precedence))
 }
 
 // slotLimit returns the load below which the request may be sent to the target. An engine whose mean event gap exceeds the
