Refuse less urgent ranks while urgent answers are late

Cause: ranks from 2 on were one class, and less urgent requests were refused only from 0.8 of the slots in use on, whether urgent ones were in time or not. A host counted the demand of a class over 0.5 s, about four requests, so that urgent ones could be refused in place of less urgent ones that followed.

Change: ranks 0 to 9 are classes, the demand of a class decays over 2 s, and the share of late answers of a rank raises the refused share of less urgent ranks from 0.6 of the slots in use on, down to the floors. Without = ["Ranks"] disables the latter two.

Nothing is refused at 0.75 of the capacity (TestQuietKinds).

go test -race -p 2 ./internal/admission ./internal/entry ./internal/mechanism passes.

--- a/internal/admission/allocation.go
+++ b/internal/admission/allocation.go
@@ -11,33 +11,36 @@
 	refused [classCount]float64
 }
 
-// newAllocation refuses the excess, a share of the whole demand in work. The floor is minAdmitShare times the mean admitted share
+// newAllocation refuses the excess, a share of the demand of the classes from the first one on, in work. The floor is minAdmitShare times the mean admitted share
 // by number of requests: a class of long requests has a larger share of the work than of the requests, and a floor derived from the
 // work would let it starve.
-func newAllocation(demand, requests *[classCount]float64, excess float64) *allocation {
+func newAllocation(demand, requests *[classCount]float64, excess float64, first int) *allocation {
 	al := &allocation{demand: demand}
-	low, high := 0.0, min(minAdmitShare, 1-excess)
+	low, high := 0.0, minAdmitShare
+	if first == 0 {
+		high = min(high, 1-excess)
+	}
 	for range floorSteps {
 		floor := (low + high) / 2
-		al.refuse(excess, floor)
+		al.refuse(excess, floor, first)
 		if minAdmitShare*al.meanAdmitted(requests) > floor {
 			low = floor
 		} else {
 			high = floor
 		}
 	}
-	al.refuse(excess, high)
+	al.refuse(excess, high, first)
 	al.protectLastAttempts(high * minYieldShare / minAdmitShare)
 	return al
 }
 
 // refuse sets the refused shares, with at least the floor of each class admitted.
-func (al *allocation) refuse(excess, floor float64) {
+func (al *allocation) refuse(excess, floor float64, first int) {
 	remaining := 0.0
-	for _, work := range al.demand {
+	for _, work := range al.demand[first:] {
 		remaining += excess * work
 	}
-	for class := classCount - 1; class >= 0; class-- {
+	for class := classCount - 1; class >= first; class-- {
 		al.refused[class] = 0
 		remaining -= al.refuseMore(class, remaining, floor)
 	}
--- a/internal/admission/allocation_test.go
+++ b/internal/admission/allocation_test.go
@@ -19,10 +19,10 @@
 // stream in the last 2 s. Every slot is in use.
 func play(streams []stream, capacity float64) []float64 {
 	const step = 5 * time.Millisecond
-	var th admission.Throttle
+	th := admission.NewThrottle(nil)
 	due, shares, counts := make([]float64, len(streams)), make([]float64, len(streams)), make([]float64, len(streams))
 	for now := time.Duration(0); now < 14*time.Second; now += step {
-		th.Observe(startTime.Add(now), admission.InTime, capacity*step.Seconds())
+		th.Observe(startTime.Add(now), 0, admission.InTime, capacity*step.Seconds())
 		for index, sr := range streams {
 			for due[index] += sr.rate * step.Seconds(); due[index] >= 1; due[index]-- {
 				decision := th.Admit(startTime.Add(now), sr.rank, sr.precedence, sr.work, 1, 0.5)
@@ -39,6 +39,15 @@
 	return shares
 }
 
+// tenRanks returns streams of ranks 0 to 9, the less urgent the longer.
+func tenRanks() []stream {
+	streams := make([]stream, 0, 10)
+	for rank := range 10 {
+		streams = append(streams, stream{rank, admission.Normal, 20, 0.1 * float64(1+rank)})
+	}
+	return streams
+}
+
 // TestRefusedWork guards against refusals that free more or less work than is needed, whatever the sizes of requests, and against a
 // class of long requests that starves.
 func TestRefusedWork(t *testing.T) {
@@ -51,6 +60,7 @@
 		{"equal work", []stream{{0, admission.Normal, 40, 1}, {1, admission.Normal, 40, 1}, {2, admission.Normal, 40, 1}}, 60},
 		{"few long requests", []stream{{0, admission.Normal, 80, 0.05}, {1, admission.Normal, 40, 0.1}, {2, admission.Normal, 20, 0.3}}, 8},
 		{"long and urgent", []stream{{0, admission.Normal, 20, 0.3}, {2, admission.Normal, 80, 0.05}}, 5},
+		{"ten ranks", tenRanks(), 50},
 		{"ten times the capacity", []stream{{0, admission.Normal, 80, 0.05}, {2, admission.Normal, 40, 0.3}}, 1.6},
 	}
 	for _, tc := range cases {
@@ -91,7 +101,7 @@
 	if shares := play(streams, 3); shares[1] > 0.01 || shares[0] < 0.05 || shares[2] > 0.9 {
 		t.Errorf("refused shares: %.3f of urgent requests, %.3f of last attempts, %.3f of long requests", shares[0], shares[1], shares[2])
 	}
-	var th admission.Throttle
+	th := admission.NewThrottle(nil)
 	th.Admit(startTime, 0, admission.Normal, short, 0, 0)
 	th.Admit(startTime, 2, admission.Normal, long, 0, 0)
 	cases := []struct {
--- a/internal/admission/competing_test.go
+++ b/internal/admission/competing_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
 
@@ -50,7 +51,7 @@
 }
 
 // dayParts are the parts under test that a run has.
-type dayParts struct{ work bool }
+type dayParts struct{ work, ranks bool }
 
 // dayCall is one request.
 type dayCall struct {
@@ -86,13 +87,14 @@
 	askedWork, servedWork                     float64
 }
 
-func (ds *dayStats) servedShare() float64 { return float64(ds.served) / max(1, float64(ds.asked)) }
-func (ds *dayStats) inTimeShare() float64 { return float64(ds.inTime) / max(1, float64(ds.asked)) }
+func (ds *dayStats) servedShare() float64  { return float64(ds.served) / max(1, float64(ds.asked)) }
+func (ds *dayStats) refusedShare() float64 { return float64(ds.refused) / max(1, float64(ds.asked)) }
+func (ds *dayStats) inTimeShare() float64  { return float64(ds.inTime) / max(1, float64(ds.asked)) }
 
 // dayHost is the admission state of one host.
 type dayHost struct {
 	pool       *placement.Pool
-	throttle   admission.Throttle
+	throttle   *admission.Throttle
 	teams      admission.TeamRates
 	retryAfter admission.RetryAfter
 	detector   admission.RetryDetector
@@ -123,11 +125,12 @@
 // newDay returns a day with the number of hosts, and 1.1 engines for each.
 func newDay(seed uint64, hosts int, load float64, parts dayParts) *day {
 	dy := &day{rng: rand.New(rand.NewPCG(seed, 2)), parts: parts, load: load}
+	disabled := mechanism.Set{mechanism.Ranks: !parts.ranks}
 	for range hosts * 11 / 10 {
 		dy.engines = append(dy.engines, &dayEngine{})
 	}
 	for range hosts {
-		ho := &dayHost{pool: placement.NewPool("dc-0"), inFlight: make([]int, len(dy.engines))}
+		ho := &dayHost{pool: placement.NewPool("dc-0"), throttle: admission.NewThrottle(disabled), inFlight: make([]int, len(dy.engines))}
 		for index := range dy.engines {
 			ho.pool.Set(dayEntry(index))
 		}
@@ -301,7 +304,7 @@
 			continue
 		}
 		dy.record(cl, func(ds *dayStats) { ds.abandoned++ })
-		dy.hosts[cl.host].throttle.Observe(startTime.Add(now), admission.Shed, dy.observedWork(cl))
+		dy.hosts[cl.host].throttle.Observe(startTime.Add(now), cl.kind, admission.Shed, dy.observedWork(cl))
 		dy.finish(cl)
 	}
 	en.waiting = kept
@@ -382,7 +385,7 @@
 			ds.inTime++
 		}
 	})
-	dy.hosts[cl.host].throttle.Observe(startTime.Add(now), outcome, dy.observedWork(cl))
+	dy.hosts[cl.host].throttle.Observe(startTime.Add(now), cl.kind, outcome, dy.observedWork(cl))
 }
 
 const exchangeInterval = 200 * time.Millisecond
@@ -476,12 +479,64 @@
 	}
 }
 
-// TestQuietKinds guards against refusals on a day without a surge.
+// TestQuietKinds guards against refusals while there is room.
 func TestQuietKinds(t *testing.T) {
 	t.Parallel()
 	for _, hosts := range []int{12, 130} {
-		if dy := newDay(1, hosts, 0.6, dayParts{work: true}).run(); dy.refused > 0 {
+		if dy := newDay(1, hosts, 0.75, dayParts{work: true, ranks: true}).run(); dy.refused > 0 {
 			t.Errorf("%d hosts: %d requests were refused without overload", hosts, dy.refused)
 		}
 	}
 }
+
+// TestRanksOfCompetingKinds guards against urgent requests that are late because less urgent ones take the engines, against a less
+// urgent rank that is refused less often than a more urgent one, and against a rank that starves.
+func TestRanksOfCompetingKinds(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		hosts int
+		seeds uint64
+		// gain is the least rise of the share of urgent requests in time.
+		gain float64
+	}{
+		{12, 3, 0.02},
+		{35, 2, 0.04},
+		{130, 1, 0.06},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprint(tc.hosts), func(t *testing.T) {
+			t.Parallel()
+			inTime, inTimeWithout := 0.0, 0.0
+			for seed := uint64(1); seed <= tc.seeds; seed++ {
+				dy := newDay(seed, tc.hosts, 0, dayParts{work: true, ranks: true}).run()
+				inTime += dy.kinds[0].inTimeShare() / float64(tc.seeds)
+				inTimeWithout += newDay(seed, tc.hosts, 0, dayParts{work: true}).run().kinds[0].inTimeShare() / float64(tc.seeds)
+				checkKinds(t, dy)
+			}
+			t.Logf("urgent requests in time: %.3f, %.3f without", inTime, inTimeWithout)
+			if inTime < inTimeWithout+tc.gain {
+				t.Errorf("urgent requests in time: %.3f, %.3f without", inTime, inTimeWithout)
+			}
+		})
+	}
+}
+
+// checkKinds checks that the kinds are refused in the order of their ranks, and none is served less than 0.3 times as often as all.
+func checkKinds(t *testing.T, dy *day) {
+	t.Helper()
+	served, asked := 0, 0
+	for index := range kinds {
+		served += dy.kinds[index].served
+		asked += dy.kinds[index].asked
+	}
+	for index := range kinds {
+		share := dy.kinds[index].servedShare()
+		t.Logf("kind %d: served %.3f, in time %.3f, refused %.3f", index, share, dy.kinds[index].inTimeShare(), dy.kinds[index].refusedShare())
+		if index > 0 && dy.kinds[index].refusedShare() < dy.kinds[index-1].refusedShare() {
+			t.Errorf("kind %d is refused less often than the more urgent one: %.3f", index, dy.kinds[index].refusedShare())
+		}
+		if share < 0.3*float64(served)/float64(asked) {
+			t.Errorf("kind %d is served %.3f times, all %.3f", index, share, float64(served)/float64(asked))
+		}
+	}
+}
--- a/internal/admission/overload_test.go
+++ b/internal/admission/overload_test.go
@@ -127,7 +127,7 @@
 			})
 		}
 		si.pools = append(si.pools, pool)
-		si.throttles = append(si.throttles, &admission.Throttle{})
+		si.throttles = append(si.throttles, admission.NewThrottle(nil))
 		si.teams = append(si.teams, &admission.TeamRates{})
 		si.retryAfters = append(si.retryAfters, &admission.RetryAfter{})
 		si.detectors = append(si.detectors, &admission.RetryDetector{})
@@ -253,7 +253,7 @@
 	for _, cl := range en.waiting {
 		if now-cl.sentAt > callerTimeout {
 			si.record(cl, func(gs *groupStats) { gs.abandoned++ })
-			si.throttles[cl.host].Observe(startTime.Add(now), admission.Shed, 1)
+			si.throttles[cl.host].Observe(startTime.Add(now), cl.rank, admission.Shed, 1)
 			si.finish(cl)
 			continue
 		}
@@ -281,7 +281,7 @@
 			if now-cl.sentAt <= latencyTarget {
 				outcome = admission.InTime
 			}
-			si.throttles[cl.host].Observe(startTime.Add(now), outcome, 1)
+			si.throttles[cl.host].Observe(startTime.Add(now), cl.rank, outcome, 1)
 			en.running = append(en.running, cl)
 			en.ends = append(en.ends, now+time.Duration(en.slowdown*float64(serviceTime)))
 		}
--- a/internal/admission/throttle.go
+++ b/internal/admission/throttle.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad/internal/decay"
+	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 )
 
 const (
@@ -19,8 +20,13 @@
 	// waited becomes shorter.
 	inTimeFactor = 1.2
 	lateFactor   = 0.6
-	// classCount is the number of classes: three ranks with three drop precedences each.
-	classCount = 9
+	// classTimeConstant is the time constant of the demand by class. A host gets about four requests in demandTimeConstant;
+	// while these happen to be urgent ones only, others of them must not be refused in place of the less urgent ones that follow.
+	classTimeConstant = 2 * time.Second
+	// rankCount is the number of ranks; less urgent ones count as the last. classCount is the number of classes: the drop
+	// precedences of each rank.
+	rankCount  = 10
+	classCount = rankCount * precedenceCount
 	// pressureThreshold is the share of a service's slots in use up to which nothing is refused, even if answers are late;
 	// from there to full use, refusals grow linearly.
 	pressureThreshold = 0.8
@@ -46,15 +52,26 @@
 // request with 11,800 prompt tokens frees as much as ten with 830. Work is in seconds of engine time; callers that don't know it
 // use the same value for all requests.
 //
-// The zero value is ready to use; it is not safe for concurrent use.
+// A Throttle is not safe for concurrent use.
 type Throttle struct {
 	// inTime and late are the decayed counts of answers, answered is their decayed work.
 	inTime, late, answered float64
 	// outcomes counts all outcomes since the start, without decay.
 	outcomes int
-	// demand and requests are the decayed work and counts of requests by class, refused ones included.
-	demand, requests [classCount]float64
-	updatedAt        time.Time
+	// recentDemand and recentRequests are the decayed work and count of all requests, refused ones included; demand and requests
+	// are those of each class, which decay more slowly.
+	recentDemand, recentRequests float64
+	demand, requests             [classCount]float64
+	// lateness is how late the answers of each rank were.
+	lateness  latenessByRank
+	updatedAt time.Time
+	// withoutRanks disables mechanism.Ranks.
+	withoutRanks bool
+}
+
+// NewThrottle returns a throttle without the disabled mechanisms.
+func NewThrottle(disabled mechanism.Set) *Throttle {
+	return &Throttle{withoutRanks: disabled.Off(mechanism.Ranks)}
 }
 
 func (th *Throttle) decayTo(now time.Time) {
@@ -64,10 +81,17 @@
 	th.inTime *= answerFactor
 	th.late *= answerFactor
 	th.answered *= answerFactor
+	th.lateness.decay(answerFactor)
 	requestFactor := decay.Factor(elapsed, demandTimeConstant)
+	th.recentDemand *= requestFactor
+	th.recentRequests *= requestFactor
+	classFactor := requestFactor
+	if !th.withoutRanks {
+		classFactor = decay.Factor(elapsed, classTimeConstant)
+	}
 	for class := range th.demand {
-		th.demand[class] *= requestFactor
-		th.requests[class] *= requestFactor
+		th.demand[class] *= classFactor
+		th.requests[class] *= classFactor
 	}
 }
 
@@ -84,10 +108,11 @@
 	Shed
 )
 
-// Observe counts the outcome of an admitted request with the work.
-func (th *Throttle) Observe(now time.Time, outcome Outcome, work float64) {
+// Observe counts the outcome of an admitted request with the rank and the work.
+func (th *Throttle) Observe(now time.Time, rank int, outcome Outcome, work float64) {
 	th.decayTo(now)
 	th.outcomes++
+	th.lateness.observe(rank, outcome != InTime)
 	switch outcome {
 	case InTime:
 		th.inTime++
@@ -117,20 +142,20 @@
 	class := classOf(rank, precedence)
 	th.demand[class] += work
 	th.requests[class]++
+	th.recentDemand += work
+	th.recentRequests++
 	pressure := min(1, max(0, (use-pressureThreshold)/(1-pressureThreshold)))
 	share := pressure * th.refusalShare(class)
+	if !th.withoutRanks {
+		share = max(share, th.lateRefusalShare(class, use))
+	}
 	return Decision{Rank: rank, Precedence: precedence, RefusedShare: share, Admitted: draw >= share}
 }
 
 // Protect returns LastAttempt for a request that would not be in time at a second attempt, if it costs no more work than the mean
 // of the recent requests, or else the given precedence.
 func (th *Throttle) Protect(precedence DropPrecedence, work float64, remaining, latencyTarget time.Duration) DropPrecedence {
-	total, count := 0.0, 0.0
-	for class := range th.demand {
-		total += th.demand[class]
-		count += th.requests[class]
-	}
-	if precedence == Normal && remaining < latencyTarget+minDelay && work*count <= total {
+	if precedence == Normal && remaining < latencyTarget+minDelay && work*th.recentRequests <= th.recentDemand {
 		return LastAttempt
 	}
 	return precedence
@@ -155,16 +180,11 @@
 	if th.outcomes < minOutcomes {
 		return 0
 	}
-	work, count := 0.0, 0.0
-	for index := range th.demand {
-		work += th.demand[index]
-		count += th.requests[index]
-	}
-	if work <= 0 {
+	if th.recentDemand <= 0 {
 		return 0
 	}
-	demand := work / demandTimeConstant.Seconds()
+	demand := th.recentDemand / demandTimeConstant.Seconds()
 	capacity := th.growth() * th.answered / outcomeTimeConstant.Seconds()
-	excess := min(maxRefusalShare, max(0, (demand-capacity)/(demand+work/count)))
-	return newAllocation(&th.demand, &th.requests, excess).refused[class]
+	excess := min(maxRefusalShare, max(0, (demand-capacity)/(demand+th.recentDemand/th.recentRequests)))
+	return newAllocation(&th.demand, &th.requests, excess, 0).refused[class]
 }
--- a/internal/entry/rulestats.go
+++ b/internal/entry/rulestats.go
@@ -105,7 +105,7 @@
 func (st *state) throttle(service chestnutroad.ServiceID) *admission.Throttle {
 	throttle := st.throttles[service]
 	if throttle == nil {
-		throttle = &admission.Throttle{}
+		throttle = admission.NewThrottle(st.disabled)
 		st.throttles[service] = throttle
 	}
 	return throttle
--- a/internal/entry/work.go
+++ b/internal/entry/work.go
@@ -104,5 +104,5 @@
 func (st *state) recordAdmissionOutcome(now time.Time, ex *exchange, outcome admission.Outcome) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.throttle(ex.service).Observe(now, outcome, st.admissionWork(ex))
+	st.throttle(ex.service).Observe(now, ex.criteria.Rank, outcome, st.admissionWork(ex))
 }
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -31,6 +31,8 @@
 	RetryAfter Name = "Returns"
 	// Work makes admission compare demand and capacity by the engine time of requests instead of their number.
 	Work Name = "Work"
+	// Ranks refuses requests of less urgent ranks while answers of more urgent ones are late, before the slots are full.
+	Ranks Name = "Ranks"
 	// Ejection passes over targets with many failed requests.
 	Ejection Name = "Ejection"
 	// Reachability stops sending to targets and data centres that can't be reached.
@@ -51,7 +53,7 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Work, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Work, Ranks, Ejection, Reachability, Quarantine, TargetLimits, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
