--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -36,6 +36,7 @@
 	}
 	en.counters.countColdSkipped("service", true)
 	en.counters.countColdSkipped("service", false)
+	en.counters.countThrottled("service", 2, 0.5)
 	en.counters.countChoice("service", &placement.Choice{Load: 2, Bound: 1})
 	en.counters.countSend("service", nil)
 	en.counters.countSend("service", errors.New("unlisted"))
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -29,6 +29,10 @@
 	DropPrecedence Name = "Standing"
 	// RetryAfter sets the retry delay of refused callers by the share of requests that is refused.
 	RetryAfter Name = "Returns"
+	// Work makes admission compare demand and capacity by the engine time of requests instead of their number.
+	Work Name = "Work"
+	// Ranks refuses requests of less urgent ranks while answers of more urgent ones are late, before the slots are full.
+	Ranks Name = "Ranks"
 	// Ejection passes over targets with many failed requests.
 	Ejection Name = "Ejection"
 	// Reachability stops sending to targets and data centres that can't be reached.
@@ -57,8 +61,8 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, Evacuation, TargetLimits, ColdStart, Pace, KVFetch,
-		RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Work, Ranks, Ejection, Reachability, Quarantine, Evacuation, TargetLimits, ColdStart, Pace,
+		KVFetch, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
