Decide by load and costs which requests leave the data centre

Prompt parts were placed over all data centres alike, so that about two thirds of the requests left, and plain requests had a rule of their own.

Package locality is wired into placement and entry: a balancer for each service is updated with each message of counts, and each choice first selects the side (own data centre or the others), then applies the present policy to the targets of that side, and falls back to the other side. Residences are kept for each side. RemoteTraffic (Auto, On, Off) and the mechanism Locality enable it; otherwise choices are made as before.

Without tests of its own yet: with -race, the earlier tests of placement, settings, kvfetch, locality and entry pass.

--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -117,6 +117,7 @@
 			Service: ex.service, Model: ex.callMetadata.Model, ID: ex.callMetadata.ID, Affinity: sharedPart(ex.callMetadata.Parts),
 			Rank: routing.Rank(ex.rule, ex.team), SharedTokens: sharedTokens(ex.callMetadata.Parts), MaxOutputTokens: ex.callMetadata.Output,
 		}
+		ex.criteria.Traffic = ex.traffic()
 		ex.criteria.Precedence = en.dropPrecedence(ex)
 		if spec := ex.table.Service(ex.service); spec != nil && spec.Engine != nil {
 			ex.criteria.RequireSlot = !en.settings.Without.Off(mechanism.SlotLimit)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -72,6 +72,9 @@
 		ex.choice = choice
 		en.counters.countChoice(string(ex.service), &choice)
 		en.counters.countFetch(string(ex.service), &choice.Fetch)
+		if len(ex.trail) == 0 {
+			en.counters.countLocality(string(ex.service), &choice.Locality)
+		}
 		sent := en.now()
 		res := en.send(ex, &choice.Entry)
 		if res.crashed {
@@ -82,6 +85,7 @@
 		en.recordAdmissionOutcome(ex, &res, en.now().Sub(sent))
 		ex.trail = append(ex.trail, trailStep(&choice, &res, en.now().Sub(sent)))
 		if res.done {
+			en.state.observeDuration(ex.service, en.now().Sub(sent))
 			return nil
 		}
 		if res.failure != nil {
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -114,6 +114,7 @@
 		ln.entry.state.mergeEvidence(ln.entry.now(), message.Evidence)
 		if message.Kind == relay.Beacon && others != nil {
 			ln.entry.state.setRemoteView(ln.entry.now(), others)
+			ln.entry.observeSides(ln.entry.now())
 		}
 		if message.Kind == relay.Beacon && ratesKnown {
 			ln.entry.mergeRates(ln.entry.now(), rates)
@@ -151,6 +152,7 @@
 		ln.mu.Unlock()
 		if relaying && others != nil {
 			ln.entry.state.setRemoteView(now, others)
+			ln.entry.observeSides(now)
 		}
 		if relaying && ratesKnown {
 			ln.entry.mergeRates(now, rates)
@@ -311,6 +313,7 @@
 	slices.SortFunc(ln.hosts, func(a, b relay.Host) int { return cmp.Compare(a.ID, b.ID) })
 	ln.node.SetHosts(ln.hosts)
 	ln.entry.state.setHostCount(len(ln.hosts) + 1)
+	ln.entry.state.setCentreHostCount(1 + countIn(ln.hosts, ln.self.DataCentre))
 }
 
 const (
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -82,6 +82,9 @@
 	if fetch := &ex.choice.Fetch; fetch.Target != "" {
 		fields = append(fields, "FetchFrom", fetch.Target, "FetchReason", fetch.Reason, "FetchTokens", fetch.Tokens)
 	}
+	if lc := &ex.choice.Locality; lc.Decided {
+		fields = append(fields, "Left", lc.Leaves, "LeftReason", lc.Reason, "LeavingShare", lc.Share)
+	}
 	if limit := &ex.choice.Limit; limit.Limit > 0 {
 		fields = append(fields, "LimitPerSecond", limit.Limit, "LimitSent", limit.Sent, "LimitWanted", limit.Wanted, "LimitShare", limit.Share)
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -8,6 +8,8 @@
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/admission"
 	"github.com/chestnutroad/chestnutroad/internal/attempt"
+	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
+	"github.com/chestnutroad/chestnutroad/internal/locality"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/quarantine"
@@ -52,6 +54,9 @@
 	// retrySlack is the number of retries beyond the ratio for the whole installation; each host may use an equal share.
 	retrySlack float64
 	hostCount  int
+	// kvFetch and remoteTraffic decide, with the configuration, whether requests are divided between data centres.
+	kvFetch       kvfetch.Mode
+	remoteTraffic locality.Mode
 }
 
 // defaultHostCount divides the retry slack until the number of hosts is known; installations have at least 12.
@@ -75,6 +80,9 @@
 		retryWindow:  set.RetryWindow,
 		retrySlack:   set.RetrySlack,
 		hostCount:    defaultHostCount,
+		kvFetch:      set.KVFetch,
+
+		remoteTraffic: set.RemoteTraffic,
 	}
 }
 
@@ -96,6 +104,7 @@
 	}
 	st.table.Store(routing.NewTable(cf))
 	st.configuration = siblings.NewCompressed(text)
+	st.setLocality(cf)
 	if current == nil {
 		close(st.configurationLoaded)
 	}
--- a/internal/locality/mode.go
+++ b/internal/locality/mode.go
@@ -11,6 +11,9 @@
 	Off  Mode = "Off"
 )
 
+// Modes returns all modes, the default first.
+func Modes() []Mode { return []Mode{Auto, On, Off} }
+
 // Enabled reports whether requests are divided by this package; fetching states whether any service of the installation fetches the KV
 // cache. The empty mode is Auto; an unknown one is Off.
 func (md Mode) Enabled(fetching bool) bool {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -41,6 +41,8 @@
 	Pace Name = "Pace"
 	// KVFetch names, for requests at a target that lacks their prompt part, another one from which it can fetch the KV cache.
 	KVFetch Name = "KVFetch"
+	// Locality decides by load and costs which requests go to targets of other data centres.
+	Locality Name = "Locality"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -53,7 +55,8 @@
 func Names() []Name {
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
-		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, Pace, KVFetch, RetryBudget, AdaptiveTimeout, Relay,
+		DropPrecedence, RetryAfter, Ejection, Reachability, Quarantine, TargetLimits, Pace, KVFetch, Locality, RetryBudget,
+		AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -25,6 +25,8 @@
 	// of their KV cache are judged; zero disables them.
 	SharedParts []chestnutroad.PromptPart
 	Fetch       kvfetch.Profile
+	// Traffic is the size of the request and the expected answer.
+	Traffic chestnutroad.Bytes
 	// Faulty lists the targets that stalled or broke off under the request; they are not named as sources.
 	Faulty []chestnutroad.TargetID
 	// ID seeds the pseudo-random choices, so that otherwise equal requests are spread over targets.
@@ -62,6 +64,8 @@
 	NewConnection bool
 	// Fetch is the source from which the target should fetch a part of the prompt's KV cache.
 	Fetch Fetch
+	// Locality states whether the request leaves the data centre, and why.
+	Locality Locality
 	// Limit is the target's own limit of requests a second, and what the decision on it was based on.
 	Limit ratelimit.Decision
 	// LimitsReached is the number of targets that were passed over since they get as many requests a second as they take.
@@ -98,27 +102,58 @@
 	}
 	bound, mean := pl.bound(now, all)
 	pl.margin(req.Service).adjust(now)
-	sticky := pl.stickyTarget(now, usable, req)
-	healthy = pl.withFreeSlots(now, healthy, req, sticky)
-	if len(healthy) == 0 {
-		return Choice{Full: true}, false
-	}
-	healthy = pl.withoutSlow(now, healthy, req)
-	choice, found := pl.chooseWithinLimits(now, healthy, req, func(targets []*target, lim *limits) Choice {
-		return pl.applyPolicy(now, targets, req, sticky, lim, mean, suspect)
-	}, pl.limits(now, req, bound, mean, len(all)))
+	group := candidateGroup{healthy: healthy, usable: usable, residences: pl.residences, count: float64(len(all))}
+	choice, sticky, found := pl.chooseSide(now, req, &group, &selection{bound: bound, mean: mean, suspect: suspect})
 	if !found {
 		return choice, false
 	}
 	choice.Fetch = pl.fetchSource(now, req, pl.targets[choice.Entry.ID], sticky)
-	if sticky != nil && choice.Entry.ID != sticky.entry.ID {
-		pl.residences.recordOverflow(now, partHash(req.Affinity), sticky, pl.targets[choice.Entry.ID])
-	}
 	choice.NewConnection = pl.needsNewConnection(now, pl.targets[choice.Entry.ID])
 	choice.Probe = pl.probe(now, pl.targets[choice.Entry.ID])
 	return choice, true
 }
 
+// candidateGroup holds the targets among which the policy chooses: all of the service, or those of one side.
+type candidateGroup struct {
+	// healthy are the targets that may get the request, usable those at which its shared part may be in use.
+	healthy, usable []*target
+	residences      *residenceTable
+	// count is the number of targets with the mean load that have as many requests as those among which a popular part is spread.
+	count float64
+}
+
+// selection holds what the choice of a target is based on besides the targets.
+type selection struct {
+	// bound and mean are the load bound and the mean load over all targets of the service.
+	bound   int
+	mean    float64
+	suspect bool
+	// confined is true when the request may use only the first targets of its ranking.
+	confined bool
+	// limits are set by the first group that is tried.
+	limits *limits
+}
+
+// chooseFrom chooses one of the targets of the group, and returns the target at which the request's shared part is in use.
+func (pl *Pool) chooseFrom(now time.Time, req *Request, group *candidateGroup, sel *selection) (Choice, *target, bool) {
+	sticky := pl.stickyTarget(now, group, req)
+	healthy := pl.withFreeSlots(now, group.healthy, req, sticky, sel.confined)
+	if len(healthy) == 0 {
+		return Choice{Full: true}, sticky, false
+	}
+	healthy = pl.withoutSlow(now, healthy, req)
+	if sel.limits == nil {
+		sel.limits = pl.limits(now, req, sel.bound, sel.mean, group.count)
+	}
+	choice, found := pl.chooseWithinLimits(now, healthy, req, func(targets []*target, lim *limits) Choice {
+		return pl.applyPolicy(now, targets, req, sticky, lim, sel.mean, sel.suspect)
+	}, sel.limits)
+	if found && sticky != nil && choice.Entry.ID != sticky.entry.ID {
+		group.residences.recordOverflow(now, partHash(req.Affinity), sticky, pl.targets[choice.Entry.ID])
+	}
+	return choice, sticky, found
+}
+
 // allows reports whether the request may be sent to the target.
 func (req *Request) allows(id chestnutroad.TargetID) bool {
 	if req.Only != "" {
@@ -139,19 +174,19 @@
 
 // stickyTarget returns the target at which the request's shared part is in use. It is nil without a shared part, under a
 // baseline policy and with the mechanism off. A retry only looks the target up and does not count as another use.
-func (pl *Pool) stickyTarget(now time.Time, usable []*target, req *Request) *target {
+func (pl *Pool) stickyTarget(now time.Time, group *candidateGroup, req *Request) *target {
 	if req.Affinity == "" || baselines[pl.policy] != nil || pl.disabled.Off(mechanism.Residence) {
 		return nil
 	}
 	if len(req.Excluded) > 0 {
-		return pl.residences.lookup(now, partHash(req.Affinity))
+		return group.residences.lookup(now, partHash(req.Affinity))
 	}
-	return pl.resolveResidence(now, usable, req)
+	return group.residences.resolve(now, group.usable, req)
 }
 
-// limits returns the limits for a request; count is the number of all targets of the service. It counts a use of the request's
+// limits returns the limits for a request; count is the number of targets, or that of the group. It counts a use of the request's
 // shared part.
-func (pl *Pool) limits(now time.Time, req *Request, bound int, mean float64, count int) *limits {
+func (pl *Pool) limits(now time.Time, req *Request, bound int, mean, count float64) *limits {
 	lim := &limits{bound: bound}
 	if baselines[pl.policy] == nil && req.Affinity != "" && !pl.disabled.Off(mechanism.Affinity) {
 		lim.spread = pl.spread(now, req, mean, count)
@@ -173,6 +208,9 @@
 	if req.Affinity != "" && !pl.disabled.Off(mechanism.Affinity) {
 		return preferCached(now, newRanking(now, healthy, req.Affinity, sticky), req, lim, suspect)
 	}
+	if pl.localityOn() {
+		return pl.withinSide(now, healthy, req, lim.bound, suspect)
+	}
 	return pl.preferNear(now, healthy, req, lim.bound, mean, suspect)
 }
 
@@ -211,13 +249,13 @@
 
 // spread returns the number of targets over which the requests with the part are divided. A part with a large share of
 // the requests would otherwise push its first target far over the bound before any count shows it.
-func (pl *Pool) spread(now time.Time, req *Request, mean float64, count int) int {
+func (pl *Pool) spread(now time.Time, req *Request, mean, count float64) int {
 	share := pl.popularity.record(now, req.Affinity)
 	if pl.disabled.Off(mechanism.Spread) {
 		return 1
 	}
 	headroom := pl.spreadShare(req) * (mean*(pl.capFactor-1) + boundSlack)
-	return max(1, int(math.Ceil(share*mean*float64(count)/headroom)))
+	return max(1, int(math.Ceil(share*mean*count/headroom)))
 }
 
 // limits restricts how many requests with one part a target gets.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -24,6 +24,7 @@
 	notices      map[chestnutroad.TargetID]*notice
 	popularity   *popularity
 	residences   *residenceTable
+	locality     *poolLocality
 	holders      *holderTable
 	transfers    *kvfetch.Transfers
 	margins      map[chestnutroad.ServiceID]*margin
@@ -62,14 +63,15 @@
 		services:     map[chestnutroad.ServiceID][]*target{},
 		centres:      map[chestnutroad.DataCentreID]*centre{},
 		notices:      map[chestnutroad.TargetID]*notice{},
-		popularity:   newPopularity(),
+		popularity:   newPopularity(popularityTimeConstant),
+		locality:     newPoolLocality(),
 		margins:      map[chestnutroad.ServiceID]*margin{},
 		utilisations: map[chestnutroad.ServiceID]*utilisation{},
 		limiter:      ratelimit.New(),
 		paces:        map[chestnutroad.ServiceID]*pacePersistence{},
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
-	pl.residences = newResidenceTable(pl.targets)
+	pl.residences, pl.locality.residences = newResidenceTable(pl.targets), newResidenceTable(pl.targets)
 	pl.holders, pl.transfers = newHolderTable(), kvfetch.NewTransfers()
 	for _, opt := range opts {
 		opt(pl)
--- a/internal/placement/popularity.go
+++ b/internal/placement/popularity.go
@@ -19,14 +19,17 @@
 
 // popularity estimates, from a host's own requests, the share of all requests that have a part in common.
 type popularity struct {
-	parts map[string]float64
-	total float64
+	timeConstant time.Duration
+	parts        map[string]float64
+	total        float64
 	// scale grows exponentially instead of decaying every count; a count divided by it is the decayed one.
 	scale    float64
 	scaledAt time.Time
 }
 
-func newPopularity() *popularity { return &popularity{parts: map[string]float64{}, scale: 1} }
+func newPopularity(timeConstant time.Duration) *popularity {
+	return &popularity{timeConstant: timeConstant, parts: map[string]float64{}, scale: 1}
+}
 
 // maxScale is the scale above which the counts are divided by it, long before they lose precision.
 const maxScale = 1e6
@@ -37,7 +40,7 @@
 	if pp.scaledAt.IsZero() || now.Before(pp.scaledAt) {
 		pp.scaledAt = now
 	}
-	pp.scale *= math.Exp(now.Sub(pp.scaledAt).Seconds() / popularityTimeConstant.Seconds())
+	pp.scale *= math.Exp(now.Sub(pp.scaledAt).Seconds() / pp.timeConstant.Seconds())
 	pp.scaledAt = now
 	if pp.scale <= maxScale && len(pp.parts) <= maxParts {
 		return
--- a/internal/placement/residence.go
+++ b/internal/placement/residence.go
@@ -63,7 +63,7 @@
 func WithPartMemory(memory time.Duration) Option {
 	return func(pl *Pool) {
 		if memory > 0 {
-			pl.residences.ttl = memory
+			pl.residences.ttl, pl.locality.residences.ttl = memory, memory
 		}
 	}
 }
@@ -147,11 +147,12 @@
 		return
 	}
 	tg.joinedAt = now
-	for part := range pl.residences.parts {
-		resident := pl.residences.lookup(now, part)
+	rt := pl.tableOf(tg)
+	for part := range rt.parts {
+		resident := rt.lookup(now, part)
 		if resident != nil && resident.entry.Service == tg.entry.Service &&
 			rendezvousWeight(tg, part) > rendezvousWeight(resident, part) {
-			pl.residences.announce(now, part)
+			rt.announce(now, part)
 		}
 	}
 }
@@ -159,13 +160,14 @@
 // TakeResidences removes up to maxAnnouncements residences from the queue of announcements and returns those that still
 // hold.
 func (pl *Pool) TakeResidences(now time.Time) []chestnutroad.Residence {
-	rt := pl.residences
 	var announced []chestnutroad.Residence
-	for len(rt.queue) > 0 && len(announced) < maxAnnouncements {
-		part := rt.queue[0]
-		rt.queue = rt.queue[1:]
-		if resident := rt.lookup(now, part); resident != nil {
-			announced = append(announced, chestnutroad.Residence{Part: part, Target: resident.shortHash()})
+	for _, rt := range []*residenceTable{pl.residences, pl.locality.residences} {
+		for len(rt.queue) > 0 && len(announced) < maxAnnouncements {
+			part := rt.queue[0]
+			rt.queue = rt.queue[1:]
+			if resident := rt.lookup(now, part); resident != nil {
+				announced = append(announced, chestnutroad.Residence{Part: part, Target: resident.shortHash()})
+			}
 		}
 	}
 	return announced
@@ -186,34 +188,35 @@
 		if tg == nil || !tg.usable() {
 			continue
 		}
-		resident := pl.residences.lookup(now, ann.Part)
+		rt := pl.tableOf(tg)
+		resident := rt.lookup(now, ann.Part)
 		if resident != nil && rendezvousWeight(resident, ann.Part) > rendezvousWeight(tg, ann.Part) {
 			continue
 		}
-		pl.residences.record(now, ann.Part, tg, tg)
-		if rd := pl.residences.parts[ann.Part]; rd != nil {
+		rt.record(now, ann.Part, tg, tg)
+		if rd := rt.parts[ann.Part]; rd != nil {
 			rd.announcedAt = now
 		}
 	}
 }
 
-// resolveResidence returns the target at which the request's prompt part is in use, or else the first usable one by hash,
-// and records the use.
-func (pl *Pool) resolveResidence(now time.Time, usable []*target, req *Request) *target {
+// resolve returns the target at which the request's prompt part is in use, or else the first usable one by hash, and records
+// the use.
+func (rt *residenceTable) resolve(now time.Time, usable []*target, req *Request) *target {
 	part := partHash(req.Affinity)
-	resident := pl.residences.lookup(now, part)
+	resident := rt.lookup(now, part)
 	if resident != nil && resident.entry.Service != req.Service {
 		resident = nil
 	}
-	if resident != nil && !pl.residences.checkDue(now, part) {
-		pl.residences.parts[part].usedAt = now
+	if resident != nil && !rt.checkDue(now, part) {
+		rt.parts[part].usedAt = now
 		return resident
 	}
 	byHash := heaviest(now, usable, part)
 	if resident == nil {
 		resident = byHash
 	}
-	pl.residences.record(now, part, resident, byHash)
+	rt.record(now, part, resident, byHash)
 	return resident
 }
 
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -57,17 +57,22 @@
 // On a crowded pool, requests would take a free slot at any engine and have their shared parts prefilled again there, which
 // slows all engines down: at three times the usual traffic 4.4 million of 7.4 million tokens were prefilled again. Requests
 // whose shared parts cost more than their answers therefore use only the first targets of their ranking, or none.
-func (pl *Pool) withFreeSlots(now time.Time, targets []*target, req *Request, sticky *target) []*target {
+func (pl *Pool) withFreeSlots(now time.Time, targets []*target, req *Request, sticky *target, confined bool) []*target {
 	if !req.RequireSlot {
 		return targets
 	}
-	if req.Affinity != "" && !pl.disabled.Off(mechanism.StrictAffinity) &&
-		req.SharedTokens > costlyPartRatio*req.MaxOutputTokens && pl.crowded(now, targets) {
+	if confined {
 		targets = pl.firstTargets(newRanking(now, targets, req.Affinity, sticky))
 	}
 	return slices.DeleteFunc(targets, func(tg *target) bool { return !tg.hasSlot(now, req) })
 }
 
+// confined reports whether the request may use only the first targets of its ranking; targets are those that may get it.
+func (pl *Pool) confined(now time.Time, targets []*target, req *Request) bool {
+	return req.RequireSlot && req.Affinity != "" && !pl.disabled.Off(mechanism.StrictAffinity) &&
+		req.SharedTokens > costlyPartRatio*req.MaxOutputTokens && pl.crowded(now, targets)
+}
+
 // firstTargets returns the first targets of a ranking, up to crowdedTargets that have no limit of requests a second; the others
 // between them take only a part of the requests.
 func (pl *Pool) firstTargets(rk *ranking) []*target {
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
+	"github.com/chestnutroad/chestnutroad/internal/locality"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 )
@@ -48,6 +49,8 @@
 	PartMemory time.Duration
 	// KVFetch selects the services for which requests name an engine from which theirs can fetch the prompt's KV cache.
 	KVFetch kvfetch.Mode
+	// RemoteTraffic selects whether load and costs decide which requests go to targets of other data centres.
+	RemoteTraffic locality.Mode
 	// RetryRatio, RetrySlack and RetryWindow define the retry budget of each service, which all hosts share: in each window,
 	// RetryRatio retries for each request and RetrySlack more.
 	RetryRatio  float64
@@ -104,6 +107,10 @@
 	for _, mode := range kvfetch.Modes() {
 		modes = append(modes, string(mode))
 	}
+	remoteModes := make([]string, 0, len(locality.Modes()))
+	for _, mode := range locality.Modes() {
+		remoteModes = append(remoteModes, string(mode))
+	}
 	return &Entry{
 		ID:            chestnutroad.HostID(rd.hostID("ID")),
 		DataCentre:    chestnutroad.DataCentreID(rd.hostID("DataCentre")),
@@ -122,6 +129,7 @@
 		Without:       rd.mechanismSet("Without"),
 		PartMemory:    rd.duration("PartMemory", placement.DefaultPartMemory, time.Second, maxDuration),
 		KVFetch:       kvfetch.Mode(rd.choice("KVFetch", modes[0], modes...)),
+		RemoteTraffic: locality.Mode(rd.choice("RemoteTraffic", remoteModes[0], remoteModes...)),
 		RetryRatio:    rd.ratio("RetryRatio", 0.2, 0, 1),
 		RetrySlack:    rd.ratio("RetrySlack", 100, 0, maxRetrySlack),
 		RetryWindow:   rd.duration("RetryWindow", 10*time.Second, time.Second, maxDuration),
