Test requests to other data centres, hold the load bound of few targets

The share of parts that come again at a host is used for parts that it has seen once, and counts are divided by the time since the start while it is short.

--- a/internal/placement/locality.go
+++ b/internal/placement/locality.go
@@ -55,8 +55,7 @@
 	// residences are the residences at targets of the host's own data centre; Pool.residences are then those at remote ones.
 	residences *residenceTable
 	balancers  map[chestnutroad.ServiceID]*locality.Balancer
-	// uses counts this host's requests with each part over the time for which a part stays cached.
-	uses *popularity
+	uses       *partUses
 	// hosts is the number of hosts of the data centre.
 	hosts     int
 	durations map[chestnutroad.ServiceID]time.Duration
@@ -64,7 +63,7 @@
 
 func newPoolLocality() *poolLocality {
 	return &poolLocality{
-		balancers: map[chestnutroad.ServiceID]*locality.Balancer{}, uses: newPopularity(DefaultPartMemory), hosts: 1,
+		balancers: map[chestnutroad.ServiceID]*locality.Balancer{}, uses: newPartUses(), hosts: 1,
 		durations: map[chestnutroad.ServiceID]time.Duration{},
 	}
 }
@@ -75,6 +74,8 @@
 		pl.locality.enabled = enabled
 		if enabled {
 			pl.divideResidences()
+		} else {
+			pl.joinResidences()
 		}
 	}
 }
@@ -95,6 +96,14 @@
 	}
 }
 
+// joinResidences moves the residences at local targets back to the common table. A part that is in use on both sides stays local.
+func (pl *Pool) joinResidences() {
+	local := pl.locality.residences
+	maps.Copy(pl.residences.parts, local.parts)
+	clear(local.parts)
+	local.queue = nil
+}
+
 func (pl *Pool) isLocal(tg *target) bool { return tg.entry.DataCentre == pl.dataCentre }
 
 // tableOf returns the table of the residences at the target.
@@ -238,6 +247,8 @@
 	case !made.Leaves && localFull && !remoteFull:
 		// The load bound holds over the whole service.
 		made.Leaves, made.Reason = true, locality.Full
+	case !made.Leaves && !remoteFull && aboveSafeLoad(group, local, lr, sel.bound):
+		made.Leaves, made.Reason = true, locality.Load
 	case made.Leaves && remoteFull && !localFull, !made.Leaves && len(remote.healthy) == 0:
 		made.Leaves, made.Reason = false, StaysNoRemote
 	case !made.Leaves && lr.Part != nil && lr.Part.Local:
@@ -318,14 +329,9 @@
 }
 
 // partRate returns the number of uses of the request's part a second that are expected in the data centre, and counts this one. Only
-// other requests predict further ones: of most parts a host sees a single request.
+// other requests of this host predict further ones. For a part that it has seen once, the share of such parts that came again does.
 func (pl *Pool) partRate(now time.Time, req *Request) chestnutroad.RequestRate {
-	uses := pl.locality.uses
-	if len(req.Excluded) == 0 {
-		uses.record(now, req.Affinity)
-	}
-	others := max(0, uses.parts[req.Affinity]/uses.scale-1)
-	return chestnutroad.RequestRate(others / uses.timeConstant.Seconds() * float64(pl.locality.hosts))
+	return pl.locality.uses.rate(now, req.Affinity, len(req.Excluded) == 0) * chestnutroad.RequestRate(pl.locality.hosts)
 }
 
 // withinSide selects one of the targets of a side for a request without a prompt part.
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -34,13 +34,13 @@
 
 // run returns the largest share of requests in any five seconds that went to a target above twice the mean + 3, where at
 // least 20 did, and the share of all requests that went to another data centre.
-func (ps *plainSimulation) run(seed uint64) (over, away float64) {
+func (ps *plainSimulation) run(seed uint64, opts ...placement.Option) (over, away float64) {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	centres := len(ps.shares)
 	pools := make([][]*placement.Pool, centres)
 	for centre := range pools {
 		for range ps.hosts {
-			pl := placement.NewPool(chestnutroad.DataCentreID(fmt.Sprint(centre)))
+			pl := placement.NewPool(chestnutroad.DataCentreID(fmt.Sprint(centre)), opts...)
 			for index := range centres {
 				pl.Set(entry(index, chestnutroad.DataCentreID(fmt.Sprint(index)), ps.slots))
 			}
@@ -83,6 +83,7 @@
 						counts[id] = max(0, count-own[id])
 					}
 					pl.SetPeerCounts(counts)
+					pl.ObserveSides(start.Add(time.Duration(tick) * time.Millisecond))
 				}
 			}
 		}
