--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -118,6 +118,7 @@
 			Rank: routing.Rank(ex.rule, ex.team), SharedTokens: sharedTokens(ex.callMetadata.Parts), MaxOutputTokens: ex.callMetadata.Output,
 		}
 		ex.criteria.AllowedRegions, ex.criteria.Restricted = routing.AllowedRegions(ex.rule, ex.team)
+		ex.criteria.Traffic = ex.traffic()
 		ex.criteria.Precedence = en.dropPrecedence(ex)
 		if spec := ex.table.Service(ex.service); spec != nil && spec.Engine != nil {
 			ex.criteria.RequireSlot = !en.settings.Without.Off(mechanism.SlotLimit)
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -49,6 +49,8 @@
 	KVFetch Name = "KVFetch"
 	// ColdStart limits the requests a second to targets that have just started.
 	ColdStart Name = "ColdStart"
+	// Locality decides by load and costs which requests go to targets of other data centres.
+	Locality Name = "Locality"
 	// RetryBudget limits the retries of all hosts.
 	RetryBudget Name = "RetryBudget"
 	// AdaptiveTimeout waits for silent targets for as long as recent waits suggest.
@@ -62,7 +64,7 @@
 	return []Name{
 		Affinity, Bound, Margin, Spread, Residence, StrictAffinity, PeerCounts, LocalPreference, SlotLimit, Admission,
 		DropPrecedence, RetryAfter, Work, Ranks, Ejection, Reachability, Quarantine, Evacuation, TargetLimits, ColdStart, Pace,
-		KVFetch, RetryBudget, AdaptiveTimeout, Relay,
+		KVFetch, Locality, RetryBudget, AdaptiveTimeout, Relay,
 	}
 }
 
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -24,6 +24,7 @@
 	notices      map[chestnutroad.TargetID]*notice
 	popularity   *popularity
 	residences   *residenceTable
+	locality     *poolLocality
 	holders      *holderTable
 	transfers    *kvfetch.Transfers
 	margins      map[chestnutroad.ServiceID]*margin
@@ -72,7 +73,8 @@
 		services:     map[chestnutroad.ServiceID][]*target{},
 		centres:      map[chestnutroad.DataCentreID]*centre{},
 		notices:      map[chestnutroad.TargetID]*notice{},
-		popularity:   newPopularity(),
+		popularity:   newPopularity(popularityTimeConstant),
+		locality:     newPoolLocality(),
 		margins:      map[chestnutroad.ServiceID]*margin{},
 		utilisations: map[utilisationKey]*utilisation{},
 		limiter:      ratelimit.New(),
@@ -80,7 +82,7 @@
 		cold:         newColdState(),
 		sharedTokens: map[chestnutroad.ServiceID]float64{},
 	}
-	pl.residences = newResidenceTable(pl.targets)
+	pl.residences, pl.locality.residences = newResidenceTable(pl.targets), newResidenceTable(pl.targets)
 	pl.holders, pl.transfers = newHolderTable(), kvfetch.NewTransfers()
 	for _, opt := range opts {
 		opt(pl)
