Run the configuration check of the operators' page in its test

The block named files that do not exist and showed an output with an error.

Result: TestOperationsPage failed before (8 shell blocks, 7 expected) and passes.

--- a/test/operating/operations_test.go
+++ b/test/operating/operations_test.go
@@ -16,10 +16,11 @@
 	{"Outcome=TargetFailed", "i-f8e1216d29", "i-60b5b405b2"},
 	{"Outcome=DeadlineExceeded", "1100ms"},
 	{"configuration in force"},
+	{"warning: services[1]", "change: tenants[\"sales\"].api_keys: 2 -> 3 keys"},
 }
 
 // TestOperationsPage guards against commands in docs/OPERATIONS.md, the page for engineers on call, that do not show the cause of
-// a failure. It runs them on the logs in testdata.
+// a failure. It runs them on the logs in testdata, and on the configurations of the command's own test.
 func TestOperationsPage(t *testing.T) {
 	t.Parallel()
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
@@ -34,7 +35,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	environment := append(buildEnvironment(t), "LOGS="+logs)
+	configurations, err := filepath.Abs("../../internal/cli/testdata/input")
+	if err != nil {
+		t.Fatal(err)
+	}
+	environment := append(buildEnvironment(t), "LOGS="+logs, "CONFIGURATIONS="+configurations)
 	for index, block := range blocks {
 		output := runBlock(t, t.TempDir(), environment, block)
 		for _, text := range wantOperationsOutput[index] {
