--- a/internal/locality/mode.go
+++ b/internal/locality/mode.go
@@ -12,15 +12,15 @@
 )
 
 // Modes returns all modes, the default first.
-func Modes() []Mode { return []Mode{Auto, On, Off} }
+func Modes() []Mode { return []Mode{Off, Auto, On} }
 
 // Enabled reports whether requests are divided by this package; fetching states whether any service of the installation fetches the KV
-// cache. The empty mode is Auto; an unknown one is Off.
+// cache. The empty mode and unknown ones are Off.
 func (md Mode) Enabled(fetching bool) bool {
 	switch md {
 	case On:
 		return true
-	case Auto, "":
+	case Auto:
 		return fetching
 	default:
 		return false
