Update cold targets only after changes of what is reachable

Cause: with a cold rate in the configuration, each answer made a pass over all targets to update cold ones.

Change: the pass is made only after a failed connection or a recovery; choices update cold rates every 20 ms as before.

--- a/internal/placement/coldtarget.go
+++ b/internal/placement/coldtarget.go
@@ -97,6 +97,10 @@
 	if len(pl.cold.specs) == 0 || pl.disabled.Off(mechanism.ColdStart) {
 		return
 	}
+	if outcome != Unreachable && outcome != Replaced && !change.CentreLost && !change.TargetRecovered && !change.CentreRecovered {
+		// A pass over all targets for each answer takes most of the processor time with 3,000 targets.
+		return
+	}
 	tracker := pl.cold.tracker
 	for _, other := range pl.targets {
 		spec := pl.coldSpec(other.entry.Service)
