Log why a target whose entry is gone stays in use, and count it

The log said that a target may come back and for how long it stays in use, not how old the host's copy was nor how long ago a read had failed.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -144,3 +145,8 @@
 	cn.set.GetOrCreateHistogram(fmt.Sprintf("chestnutroad_request_seconds{service=%q}", service)).
 		Update(ex.duration.Seconds())
 }
+
+// countRemoval counts the removal of a target's entry from the store, which takes effect at once or, if the target may come back, later.
+func (cn *counters) countRemoval(delayed bool) {
+	cn.set.GetOrCreateCounter(fmt.Sprintf("chestnutroad_target_removals_total{delayed=%q}", strconv.FormatBool(delayed))).Inc()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -481,11 +481,15 @@
 	en.state.mu.Unlock()
 	restored := en.isRecent(&en.storeRestoredAt, storeRestoreWindow)
 	if !exists || entry.Leaving || !restored && !en.isRecent(&en.lastReadFailure, readFailureWindow) {
+		en.counters.countRemoval(false)
 		en.removeTarget(id, "removed")
 		return
 	}
 	wait := min(reregistrationTime, time.Duration(en.drainTime.Load())-drainMargin)
-	en.logger.Info("target may come back", "Target", id, "Wait", wait)
+	en.counters.countRemoval(true)
+	en.logger.Info("target may come back", "Target", id, "Wait", wait,
+		"Age", en.copyAge(freshness.Targets).Round(time.Millisecond),
+		"ReadFailed", (en.elapsed() - time.Duration(en.lastReadFailure.Load())).Round(time.Millisecond), "Restored", restored)
 	time.AfterFunc(wait, func() {
 		en.state.mu.Lock()
 		registered := en.state.records.has(string(id))
