Count the delay of removals from the end of an outage of the store

Cause: a host whose own read of the store had failed within the last second took that for an outage, in which entries of live targets expire too, and kept a target whose entry was gone in use for 1.7 s from the moment at which it learned of it.

Change: a host finds outages from the reads that it knows of, its own and those that relays state in their beacons: 0.95 s without any. The delay counts from the first read after the outage. Without an outage a removal takes effect at once.

Why it works: an entry that expired in an outage is back about 2 s after the outage, not after a host learns of it. A removal that is acknowledged later gets what is left.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -471,23 +471,22 @@
 	drainMargin = 300 * time.Millisecond
 )
 
-// handleRemoval removes a target whose entry is gone, at once or, shortly after an outage of the store or its return from
-// an older copy, with a delay. Entries also expire during an outage, and live targets register again within about 2 s; a
-// target stays in use until then, so that an outage does not empty the pools.
+// handleRemoval removes a target whose entry is gone, at once or, if its entry may have expired in an outage of the store or may be
+// missing in an older copy, with a delay.
 func (en *Entry) handleRemoval(id chestnutroad.TargetID) {
 	en.state.mu.Lock()
 	entry, exists := en.state.pool.Entry(id)
 	delete(en.state.unusable, id)
 	en.state.mu.Unlock()
 	restored := en.isRecent(&en.storeRestoredAt, storeRestoreWindow)
-	if !exists || entry.Leaving || !restored && !en.isRecent(&en.lastReadFailure, readFailureWindow) {
+	wait := en.reregistrationWait(restored)
+	if !exists || entry.Leaving || wait <= 0 {
 		en.counters.countRemoval(false)
 		en.removeTarget(id, "removed")
 		return
 	}
-	wait := min(reregistrationTime, time.Duration(en.drainTime.Load())-drainMargin)
 	en.counters.countRemoval(true)
-	en.logger.Info("target may come back", "Target", id, "Wait", wait,
+	en.logger.Info("target may come back", "Target", id, "Wait", wait.Round(time.Millisecond),
 		"Age", en.copyAge(freshness.Targets).Round(time.Millisecond),
 		"ReadFailed", (en.elapsed() - time.Duration(en.lastReadFailure.Load())).Round(time.Millisecond), "Restored", restored)
 	time.AfterFunc(wait, func() {
@@ -503,6 +502,25 @@
 	})
 }
 
+// reregistrationWait returns for how long a target whose entry is gone stays in use. Entries also expire in an outage of the store, and
+// live targets register again within about 2 s after it; a target stays in use until then, so that an outage does not empty
+// the pools. The time counts from the end of the outage: counted from when a host learns of a removal, requests reached targets that had
+// left during that time for over 2 s.
+func (en *Entry) reregistrationWait(restored bool) time.Duration {
+	wait := min(reregistrationTime, time.Duration(en.drainTime.Load())-drainMargin)
+	if restored {
+		return wait
+	}
+	if !en.isRecent(&en.lastReadFailure, readFailureWindow) {
+		return 0
+	}
+	end, found := en.link.outageEnd()
+	if !found {
+		return 0
+	}
+	return end + wait - en.elapsed()
+}
+
 // recordStoreRead records the time of a read of the targets that succeeded, or that failed.
 func (en *Entry) recordStoreRead(ok bool) {
 	if ok {
--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -66,6 +66,13 @@
 	ln.tracker.RecordRead(stream, at)
 }
 
+// outageEnd returns when the latest outage of the store ended, as far as this host knows, and whether there was one.
+func (ln *link) outageEnd() (end time.Duration, found bool) {
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return ln.tracker.OutageEnd(ln.entry.elapsed())
+}
+
 // announce records what a relay has read of the store according to its beacon; ln.mu must be held.
 func (ln *link) announce(beacon *relay.Message) {
 	if !beacon.Fresh {
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -38,6 +38,7 @@
 	fetchedWithoutAge [streamCount]bool
 	// pending are announcements of state that the host did not have yet, in the order in which they arrived.
 	pending []Announcement
+	outages outages
 }
 
 // fetchedCopy is a copy of a stream that was fetched from another host.
@@ -52,6 +53,9 @@
 // RecordRead records that the host itself has read all of a stream that the store held at the time.
 func (tr *Tracker) RecordRead(stream Stream, at time.Duration) {
 	tr.ownReadAt[stream] = max(tr.ownReadAt[stream], at)
+	if stream == Targets {
+		tr.outages.recordRead(at)
+	}
 }
 
 // RecordFetched records that the host fetched a stream from another host, whose copy reflects the store at the time.
@@ -64,6 +68,7 @@
 
 // Announce records what a relay has announced. It counts once the host has what was announced.
 func (tr *Tracker) Announce(announcement Announcement) {
+	tr.outages.recordRead(announcement.ReadAt[Targets])
 	if len(tr.pending) == maxPending {
 		tr.pending = slices.Delete(tr.pending, 0, 1)
 	}
