Continue streams only at the software version at which they began

Cause: no part of the code read a target's version or the caller's Resumes, so that a host resumed a stream at any target, both within one answer and when the caller came back.

Change: a host pins a stream to the version of the target that sent its first event. A stream that a caller resumes is pinned to the version at which it began: known from memory, or as the only version of the service in the last 30 s, or from the log of the store, into which hosts write where streams began while a service has several versions. The versions in use are kept in a keyed stream for hosts that start.

Why it works: the knowledge survives what ends the host that had it, and what nobody knows is not guessed. A replacement that was chosen before the first event is checked again.

Before: with the pin switched off, 13 of 17 cases of TestStreamsAreNotJoinedFromTwoVersions ran at a target of another version or went on where they must not, and TestVersionReplacedWhileNoHostRan and one of two cases of TestBrokenStreamIsNotResumedAtAnotherVersion failed.

--- a/call.go
+++ b/call.go
@@ -26,6 +26,8 @@
 	Parts []PromptPart
 	// LastEvent is the id of the last event of a stream that the caller has received.
 	LastEvent string
+	// Resumes is the attempt of the caller that brought the first event of a resumed stream.
+	Resumes RequestID
 }
 
 // CallDirectives holds the fields that Wire writes to the headers of a request to a target.
--- a/ids.go
+++ b/ids.go
@@ -55,6 +55,9 @@
 // String formats the shard as site/service/data centre.
 func (sh ShardID) String() string { return sh.Pool.String() + "/" + string(sh.DataCentre) }
 
+// SoftwareVersion is the version of a target's software. Versions have no order.
+type SoftwareVersion string
+
 // Incarnation numbers the successive starts of a host or target; a later start has a higher number.
 type Incarnation uint64
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,8 @@
 	// drainTime holds the time.Duration after which a target that left must no longer get requests.
 	drainTime atomic.Int64
 	handler   filter
+
+	streamVersions *streamVersions
 }
 
 // Option changes a default of an Entry.
@@ -89,6 +91,11 @@
 	return func(en *Entry) { en.counters.registerDroppedLines(count) }
 }
 
+// WithLog sets the log in which hosts keep the software versions at which streams began.
+func WithLog(log chestnutroad.Log) Option {
+	return func(en *Entry) { en.streamVersions.log = log }
+}
+
 // New returns an entry host, which starts to serve when Run is called.
 func New(
 	set *settings.Entry, store chestnutroad.KeyedStore, wire chestnutroad.Wire, decoder Decoder, logger *log.Logger,
@@ -112,6 +119,7 @@
 	}
 	en.cutOff, en.endSends = context.WithCancel(context.Background())
 	en.requestLog = en.logger
+	en.streamVersions = newStreamVersions(en)
 	for _, opt := range opts {
 		opt(en)
 	}
@@ -184,6 +192,7 @@
 		}
 	}()
 	go en.followStore(work)
+	go en.streamVersions.run(work)
 	go en.sweepIdle(work)
 	en.logger.Info("started", "Callers", en.settings.CallerAddress, "Ready", en.settings.ReadyAddress)
 	select {
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -10,6 +11,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/kvfetch"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/quarantine"
+	"github.com/chestnutroad/chestnutroad/internal/resumption"
 	"github.com/chestnutroad/chestnutroad/internal/routing"
 	"github.com/chestnutroad/chestnutroad/internal/targetconn"
 )
@@ -36,6 +38,10 @@
 	fetch kvfetch.Profile
 	// stalledTarget is the target that the current one replaced when it stalled; empty when there is none.
 	stalledTarget chestnutroad.TargetID
+	// version is the software version at which the stream began; nil before that. The check of a stalled target reads it during a send.
+	version atomic.Pointer[chestnutroad.SoftwareVersion]
+	// resumption states how the version of a resumed stream is known, for the log; its basis is empty for other requests.
+	resumption resumption.Decision
 	// connection is the connection for the next send; nil when there is none yet.
 	connection *targetconn.Connection
 	// failure is the latest failure answer of a target, which the caller gets when no other target answers.
--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -26,6 +26,7 @@
 		en.readBody,
 		en.setDeadline,
 		en.checkCutOff,
+		en.pinVersion,
 	}
 	handler := filter(en.forward)
 	for index := len(filters) - 1; index >= 0; index-- {
@@ -54,11 +55,19 @@
 		if ex.rule == nil {
 			return chestnutroad.Refuse(chestnutroad.UnknownService, "no rule matches the host name and path")
 		}
-		ex.service = routing.PickService(ex.rule, hashFraction(ex.callMetadata.ID))
+		ex.service = routing.PickService(ex.rule, hashFraction(ex.routingID()))
 		return next(ex)
 	}
 }
 
+// routingID returns the id by which a rule with several services picks one. A resumed stream stays with the service at which it began.
+func (ex *exchange) routingID() chestnutroad.RequestID {
+	if ex.callMetadata.LastEvent != "" && ex.callMetadata.Resumes != "" {
+		return ex.callMetadata.Resumes
+	}
+	return ex.callMetadata.ID
+}
+
 // hashFraction maps a request's id to a number from 0 to below 1, which is the same for each send of the request.
 func hashFraction(id chestnutroad.RequestID) float64 {
 	return float64(chestnutroad.HashID(string(id))>>11) / (1 << 53)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -108,6 +108,12 @@
 
 // choose picks a target for the next send: the replacement, if one was chosen during the last send.
 func (en *Entry) choose(ex *exchange) (placement.Choice, bool) {
+	ex.pin(&ex.criteria)
+	if ex.replacement != nil && !ex.criteria.AllowsVersion(&ex.replacement.choice.Entry) {
+		// Events of another version arrived while the replacement was chosen.
+		en.discardUnused(ex)
+		ex.replacement = nil
+	}
 	if ex.replacement == nil {
 		ex.criteria.Fetch = en.fetchProfile(ex)
 		return en.state.choose(en.now(), &ex.criteria)
--- a/internal/entry/replacement.go
+++ b/internal/entry/replacement.go
@@ -28,6 +28,7 @@
 	criteria.Excluded = append(slices.Clone(ex.criteria.Excluded), ex.choice.Entry.ID)
 	criteria.MaxEventGap, criteria.RequireHealthy, criteria.Only = en.maxEventGap(ex), true, ""
 	criteria.Fetch = en.fetchProfile(ex)
+	ex.pin(&criteria)
 	criteria.Faulty = append(slices.Clone(ex.criteria.Faulty), ex.choice.Entry.ID)
 	choice, end := en.state.chooseReplacement(now, &criteria, ex.remaining(now), replacementReserve(ex, wait))
 	if end != attempt.StallRetried {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -93,6 +93,9 @@
 	if ex.throttled != nil {
 		fields = append(fields, "Class", ex.throttled.Class(), "RefusedShare", ex.throttled.RefusedShare, "WorkMs", int(1000*ex.work))
 	}
+	if ex.resumption.Basis != "" {
+		fields = append(fields, "Resumes", ex.callMetadata.Resumes, "Basis", ex.resumption.Basis, "SoftwareVersion", ex.resumption.Version)
+	}
 	if len(ex.stalls) > 0 {
 		fields = append(fields, "Stalls", ex.stalls)
 	}
--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -135,7 +135,7 @@
 		ended: make(chan error, 1), log: buffer,
 	}
 	store := platform.NewStore(set.StoreAddress.String(), time.Second)
-	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger)
+	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger, entry.WithLog(platform.NewLog(store)))
 	ht.running = running
 	go func() { ht.ended <- running.Run(ctx) }()
 	st.t.Cleanup(func() {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -245,6 +245,20 @@
 	}
 }
 
+// currentHostCount returns the number of hosts among which the retry slack is divided.
+func (st *state) currentHostCount() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.hostCount
+}
+
+// serviceIDs returns the services that have targets.
+func (st *state) serviceIDs() []chestnutroad.ServiceID {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.pool.ServiceIDs()
+}
+
 // setHostCount sets the number of hosts among which the retry slack is divided.
 func (st *state) setHostCount(count int) {
 	st.mu.Lock()
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -204,6 +204,10 @@
 func (en *Entry) startStream(ex *exchange, header http.Header) {
 	copyHeader(ex.writer.Header(), header)
 	ex.status = http.StatusOK
+	if ex.version.Load() == nil {
+		ex.setVersion(ex.choice.Entry.SoftwareVersion)
+		en.streamVersions.begin(ex, &ex.choice.Entry)
+	}
 	en.writeHead(ex, http.StatusOK)
 }
 
--- /dev/null
+++ b/internal/entry/streamversions_test.go
@@ -0,0 +1,229 @@
+package entry_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/platform"
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// streamEvents is the number of events of the streams in tests of software versions.
+const streamEvents = 3
+
+// versionRunner starts a runner of a software version that serves streams.
+func (st *site) versionRunner(id, version string) *standin.Runner {
+	st.t.Helper()
+	rn, err := standin.NewRunner(id)
+	if err != nil {
+		st.t.Fatal(err)
+	}
+	st.t.Cleanup(rn.Close)
+	rn.Events, rn.Version = streamEvents, version
+	st.store.PutTarget(id, rn.Entry(standin.ModelService, "dc-a", "ready"))
+	return rn
+}
+
+// beginStream begins a stream that breaks off after its first event.
+func (ht *host) beginStream(id string) {
+	ht.t.Helper()
+	got := ht.call(ht.t.Context(), standin.Call{Method: http.MethodPost, Path: standin.ChatPath + "x", ID: id, Key: "k-1", Body: "b"})
+	if got.status != http.StatusOK || got.err == nil || got.body != standin.Event(1) {
+		ht.t.Fatalf("got status %d, error %v, body %q, want a stream that breaks off\n%s", got.status, got.err, got.body, ht.log)
+	}
+}
+
+// resumeStream resumes a stream after its first event.
+func (ht *host) resumeStream(id, begun string) reply {
+	ht.t.Helper()
+	return ht.call(ht.t.Context(), standin.Call{
+		Method: http.MethodPost, Path: standin.ChatPath + "x", ID: id, Key: "k-1", Body: "b", LastEvent: "1", Resumes: begun,
+	})
+}
+
+// awaitLog waits until the host's log has the text.
+func (ht *host) awaitLog(text string) {
+	ht.t.Helper()
+	ht.eventually(applyTimeout, "the log has "+text, func() bool { return ht.log.line(text) != "" })
+}
+
+// awaitVersions waits until the store holds the number of versions in use.
+func (st *site) awaitVersions(ht *host, count int) {
+	st.t.Helper()
+	store := platform.NewStore(st.store.Address().String(), time.Second)
+	ht.eventually(applyTimeout, "the versions in use are written", func() bool {
+		batch, err := store.Newest(st.t.Context(), chestnutroad.KeyedVersions, chestnutroad.PageOptions{})
+		return err == nil && len(batch.Records) == count
+	})
+}
+
+// stopAndWait stops the host and waits for its end.
+func (ht *host) stopAndWait() {
+	ht.t.Helper()
+	ht.stop()
+	ht.ended <- <-ht.ended
+}
+
+// writeTime is how long hosts take to write where streams began, with a margin for a busy machine.
+const writeTime = time.Second
+
+// TestStreamsAreNotJoinedFromTwoVersions guards against a stream that goes on at a target of another software version than the one at
+// which it began, and against one that does not go on although a target of its version is left.
+func TestStreamsAreNotJoinedFromTwoVersions(t *testing.T) {
+	t.Parallel()
+	// first is the version of the target at which the stream begins, alone at that time. Before the stream is resumed the targets of
+	// the versions in joined are added.
+	cases := []struct {
+		name   string
+		joined []string
+		// gone is true when the target at which the stream began has left.
+		gone bool
+		// disrupt returns the host at which the caller resumes the stream.
+		resumeAt func(st *site, begunAt, other *host) *host
+		served   bool
+	}{
+		{"same host", []string{"v2"}, false, sameHost, true},
+		{"same host, target gone", []string{"v2"}, true, sameHost, false},
+		{"same host, target gone, another of its version", []string{"v2", "v1"}, true, sameHost, true},
+		{"same host, store down", []string{"v2", "v1"}, true, func(st *site, begunAt, _ *host) *host {
+			st.store.SetFault(standin.Busy)
+			return begunAt
+		}, true},
+		{"other host", []string{"v2"}, false, otherHost, true},
+		{"other host, target gone", []string{"v2"}, true, otherHost, false},
+		{"other host, target gone, another of its version", []string{"v2", "v1"}, true, otherHost, true},
+		{"other host, target gone, store down", []string{"v2", "v1"}, true, func(st *site, _, other *host) *host {
+			st.store.SetFault(standin.Busy)
+			return other
+		}, false},
+		{"other host, one version", nil, false, otherHost, true},
+		{"other host, one version, target gone", []string{"v1"}, true, otherHost, true},
+		{"new host", []string{"v2"}, false, newHost, true},
+		{"new host, target gone", []string{"v2"}, true, newHost, false},
+		{"new host, target gone, another of its version", []string{"v2", "v1"}, true, newHost, true},
+		{"new host, one version", nil, false, newHost, true},
+		{"all hosts started anew", []string{"v2", "v1"}, true, allNew, true},
+		{"all hosts started anew, target gone", []string{"v2"}, true, allNew, false},
+		{"all hosts started anew, one version", []string{"v1"}, true, allNew, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			first := st.versionRunner("i-0", "v1")
+			begunAt, other := st.start("host-1", true), st.start("host-2", true)
+			st.awaitVersions(begunAt, 1)
+			first.SetNext(standin.Cut)
+			begunAt.beginStream("r-1")
+			var others []*standin.Runner
+			for index, version := range tc.joined {
+				id := "i-" + string(rune('1'+index))
+				others = append(others, st.versionRunner(id, version))
+				begunAt.awaitLog(`"Target":"` + id + `"`)
+				other.awaitLog(`"Target":"` + id + `"`)
+			}
+			time.Sleep(writeTime)
+			if tc.gone {
+				st.store.PutTarget("i-0", "")
+				begunAt.awaitLog("target gone")
+				other.awaitLog("target gone")
+			}
+			ht := tc.resumeAt(st, begunAt, other)
+			got := ht.resumeStream("r-2", "r-1")
+			checkResumed(t, ht, &got, tc.served)
+			for index, rn := range others {
+				if runs := rn.Runs(); tc.joined[index] != "v1" && len(runs) > 0 {
+					t.Errorf("a target of another version ran %+v", runs)
+				}
+			}
+		})
+	}
+}
+
+func sameHost(_ *site, begunAt, _ *host) *host { return begunAt }
+
+func otherHost(_ *site, _, other *host) *host { return other }
+
+func newHost(st *site, _, _ *host) *host { return st.start("host-3", true) }
+
+func allNew(st *site, begunAt, other *host) *host {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		other.stopAndWait()
+	}()
+	begunAt.stopAndWait()
+	<-ended
+	return st.start("host-1", true)
+}
+
+// checkResumed checks that a resumed stream went on to its end, or that it was refused.
+func checkResumed(t *testing.T, ht *host, got *reply, served bool) {
+	t.Helper()
+	rest := strings.TrimPrefix(standin.Events(streamEvents), standin.Event(1))
+	if served && (got.status != http.StatusOK || got.err != nil || got.body != rest) {
+		t.Errorf("got status %d, error %v, body %q, want the rest of the stream\n%s", got.status, got.err, got.body, ht.log)
+	}
+	if !served && got.status != http.StatusServiceUnavailable {
+		t.Errorf("got status %d, body %q, want 503\n%s", got.status, got.body, ht.log)
+	}
+}
+
+// TestVersionReplacedWhileNoHostRan guards against a stream that goes on at the version that replaced its own while no host ran, where
+// only the store knows the former one.
+func TestVersionReplacedWhileNoHostRan(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	first := st.versionRunner("i-0", "v1")
+	ht := st.start("host-1", true)
+	st.awaitVersions(ht, 1)
+	first.SetNext(standin.Cut)
+	ht.beginStream("r-1")
+	ht.stopAndWait()
+	st.store.PutTarget("i-0", "")
+	second := st.versionRunner("i-1", "v2")
+	ht = st.start("host-2", true)
+	got := ht.resumeStream("r-2", "r-1")
+	checkResumed(t, ht, &got, false)
+	if runs := second.Runs(); len(runs) > 0 {
+		t.Errorf("a target of another version ran %+v", runs)
+	}
+}
+
+// TestBrokenStreamIsNotResumedAtAnotherVersion guards against one answer with events of two software versions.
+func TestBrokenStreamIsNotResumedAtAnotherVersion(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		versions []string
+		complete bool
+	}{
+		{"two versions", []string{"v1", "v2"}, false},
+		{"one version", []string{"v1", "v1"}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			runs := 0
+			runners := []*standin.Runner{st.versionRunner("i-0", tc.versions[0]), st.versionRunner("i-1", tc.versions[1])}
+			for _, rn := range runners {
+				rn.SetNext(standin.Cut)
+			}
+			ht := st.start("host-1", true)
+			got := ht.call(t.Context(), standin.Call{Method: http.MethodPost, Path: standin.ChatPath + "x", ID: "r-1", Key: "k-1", Body: "b"})
+			for _, rn := range runners {
+				runs += len(rn.Runs())
+			}
+			if wanted := map[bool]int{true: 2, false: 1}[tc.complete]; runs != wanted {
+				t.Errorf("got %d runs, want %d; body %q", runs, wanted, got.body)
+			}
+		})
+	}
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -36,6 +36,9 @@
 	ID chestnutroad.RequestID
 	// Excluded lists the targets that the request was already sent to.
 	Excluded []chestnutroad.TargetID
+	// Pinned restricts the request to targets with the SoftwareVersion.
+	Pinned          bool
+	SoftwareVersion chestnutroad.SoftwareVersion
 	// Only restricts the request to one target, also an excluded one; empty for no restriction.
 	Only chestnutroad.TargetID
 	// RequireHealthy restricts the request to targets that are not suspect.
@@ -96,7 +99,7 @@
 func (pl *Pool) Choose(now time.Time, req *Request) (Choice, bool) {
 	all := pl.services[req.Service]
 	usable := slices.DeleteFunc(slices.Clone(all), func(tg *target) bool {
-		return !tg.usable() || !hasModel(&tg.entry, req.Model) || !pl.allowsRegion(req, tg)
+		return !tg.usable() || !hasModel(&tg.entry, req.Model) || !pl.allowsRegion(req, tg) || !req.AllowsVersion(&tg.entry)
 	})
 	candidates := slices.DeleteFunc(slices.Clone(usable), func(tg *target) bool {
 		return !req.allows(tg.entry.ID)
@@ -171,6 +174,11 @@
 	return !slices.Contains(req.Excluded, id)
 }
 
+// AllowsVersion reports whether the request may be sent to a target with the entry's software version.
+func (req *Request) AllowsVersion(entry *chestnutroad.TargetEntry) bool {
+	return !req.Pinned || entry.SoftwareVersion == req.SoftwareVersion
+}
+
 // healthy returns the targets that are not suspect. If all are suspect, it returns those not known to be unreachable and
 // true, as all may have failed for one transient cause.
 func (pl *Pool) healthy(now time.Time, targets []*target) (healthy []*target, suspect bool) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -151,6 +152,16 @@
 	return entries
 }
 
+// EachVersion calls visit with the service and the software version of each target.
+func (pl *Pool) EachVersion(visit func(service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion)) {
+	for _, tg := range pl.targets {
+		visit(tg.entry.Service, tg.entry.SoftwareVersion)
+	}
+}
+
+// ServiceIDs returns the services that have had targets, in order.
+func (pl *Pool) ServiceIDs() []chestnutroad.ServiceID { return slices.Sorted(maps.Keys(pl.services)) }
+
 // States counts the targets of all services by state: Leaving, Evacuated, Held (refusing this host's requests for a time), Unreachable,
 // Suspect (used only when there is no other) or Ready.
 func (pl *Pool) States(now time.Time) map[string]int {
--- /dev/null
+++ b/internal/resumption/tracker.go
@@ -0,0 +1,201 @@
+package resumption
+
+import (
+	"maps"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad"
+)
+
+// Lifetime is longer than callers wait for the end of a stream, after which it is not resumed any more.
+const Lifetime = 30 * time.Second
+
+// maxListAge is the age of the list of targets from which on it may lack a version with which other hosts have begun streams.
+const maxListAge = 2 * time.Second
+
+// maxStreams bounds the memory for streams; a host of 130 begins some 10 a second.
+const maxStreams = 20_000
+
+// StreamID identifies a stream by the attempt that brought its first event.
+type StreamID uint64
+
+// NewStreamID returns the id of the stream that the attempt began.
+func NewStreamID(attempt chestnutroad.RequestID) StreamID {
+	return StreamID(chestnutroad.HashID(string(attempt)))
+}
+
+// Start states at which version of a service's targets a stream began.
+type Start struct {
+	Service chestnutroad.ServiceID
+	Version chestnutroad.SoftwareVersion
+	Stream  StreamID
+}
+
+// stream is a stream whose start the host knows.
+type stream struct {
+	service chestnutroad.ServiceID
+	version chestnutroad.SoftwareVersion
+	knownAt time.Duration
+}
+
+// aged is an entry of the queue in which streams expire.
+type aged struct {
+	id      StreamID
+	knownAt time.Duration
+}
+
+// versionTimes holds for each version when a target with it was last listed.
+type versionTimes map[chestnutroad.SoftwareVersion]time.Duration
+
+// Tracker tracks for one host the versions of each service's targets and where streams began. Times are the elapsed time since the
+// start of the host. It is not safe for concurrent use.
+type Tracker struct {
+	listed map[chestnutroad.ServiceID]versionTimes
+	// inherited holds the versions that were in use before the host started; inheritedKnown is true once they were read.
+	inherited      map[chestnutroad.ServiceID]map[chestnutroad.SoftwareVersion]bool
+	inheritedKnown bool
+	streams        map[StreamID]stream
+	queue          []aged
+	// unwritten are the streams that began at this host and are not in the log.
+	unwritten []Start
+}
+
+// New returns the tracker of a host that starts.
+func New() *Tracker {
+	return &Tracker{
+		listed:    map[chestnutroad.ServiceID]versionTimes{},
+		inherited: map[chestnutroad.ServiceID]map[chestnutroad.SoftwareVersion]bool{},
+		streams:   map[StreamID]stream{},
+	}
+}
+
+// Observe records that a target of the service with the version is listed.
+func (tr *Tracker) Observe(now time.Duration, service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) {
+	times := tr.listed[service]
+	if times == nil {
+		times = versionTimes{}
+		tr.listed[service] = times
+	}
+	if _, found := times[version]; !found {
+		maps.DeleteFunc(times, func(_ chestnutroad.SoftwareVersion, at time.Duration) bool { return now-at >= Lifetime })
+	}
+	times[version] = now
+}
+
+// Inherit records that a version was in use before the host started, and CompleteInherited that all such versions are recorded.
+func (tr *Tracker) Inherit(service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) {
+	if tr.inherited[service] == nil {
+		tr.inherited[service] = map[chestnutroad.SoftwareVersion]bool{}
+	}
+	tr.inherited[service][version] = true
+}
+
+// CompleteInherited records that Inherit was called for all versions that were in use before the host started.
+func (tr *Tracker) CompleteInherited() { tr.inheritedKnown = true }
+
+// InheritedKnown reports whether CompleteInherited was called.
+func (tr *Tracker) InheritedKnown() bool { return tr.inheritedKnown }
+
+// Recent returns the versions of a service's targets at which streams may have begun that can still be resumed.
+func (tr *Tracker) Recent(now time.Duration, service chestnutroad.ServiceID) map[chestnutroad.SoftwareVersion]bool {
+	recent := map[chestnutroad.SoftwareVersion]bool{}
+	for version, at := range tr.listed[service] {
+		if now-at < Lifetime {
+			recent[version] = true
+		}
+	}
+	if now < Lifetime {
+		for version := range tr.inherited[service] {
+			recent[version] = true
+		}
+	}
+	return recent
+}
+
+// Begin records that a stream began at this host, with its first event.
+func (tr *Tracker) Begin(now time.Duration, start Start) {
+	tr.Observe(now, start.Service, start.Version)
+	tr.add(now, start)
+	tr.unwritten = append(tr.unwritten, start)
+}
+
+// Learn records where a stream began at another host.
+func (tr *Tracker) Learn(now time.Duration, start Start) { tr.add(now, start) }
+
+func (tr *Tracker) add(now time.Duration, start Start) {
+	for len(tr.queue) > 0 && (now-tr.queue[0].knownAt >= Lifetime || len(tr.queue) >= maxStreams) {
+		if oldest := tr.queue[0]; tr.streams[oldest.id].knownAt == oldest.knownAt {
+			delete(tr.streams, oldest.id)
+		}
+		tr.queue = tr.queue[1:]
+	}
+	tr.streams[start.Stream] = stream{service: start.Service, version: start.Version, knownAt: now}
+	tr.queue = append(tr.queue, aged{id: start.Stream, knownAt: now})
+}
+
+// Held returns the number of streams that the host knows.
+func (tr *Tracker) Held() int { return len(tr.streams) }
+
+// TakeUnwritten returns the streams that began at this host, are not in the log yet, and belong to services with several versions.
+// Those of other services stay until a second version appears.
+func (tr *Tracker) TakeUnwritten(now time.Duration) []Start {
+	var taken, left []Start
+	several := map[chestnutroad.ServiceID]bool{}
+	for _, start := range tr.unwritten {
+		known, found := tr.streams[start.Stream]
+		if !found || now-known.knownAt >= Lifetime {
+			continue
+		}
+		if _, counted := several[start.Service]; !counted {
+			several[start.Service] = len(tr.Recent(now, start.Service)) > 1
+		}
+		if several[start.Service] {
+			taken = append(taken, start)
+		} else {
+			left = append(left, start)
+		}
+	}
+	tr.unwritten = left
+	return taken
+}
+
+// ReturnUnwritten takes back streams that could not be written.
+func (tr *Tracker) ReturnUnwritten(starts []Start) { tr.unwritten = append(starts, tr.unwritten...) }
+
+// Basis is how the version is known at which a stream may be resumed, or what has to be read first.
+type Basis string
+
+// The bases.
+const (
+	// Known means that the host knows where the stream began.
+	Known Basis = "Known"
+	// OnlyVersion means that the service has had one version for as long as streams last.
+	OnlyVersion Basis = "OnlyVersion"
+	// NeedsVersions means that the versions in use before the host started have to be read.
+	NeedsVersions Basis = "NeedsVersions"
+	// NeedsStarts means that the starts of streams in the log have to be read.
+	NeedsStarts Basis = "NeedsStarts"
+)
+
+// Decision states at which version a stream may be resumed. The version is valid with the bases Known and OnlyVersion.
+type Decision struct {
+	Basis   Basis
+	Version chestnutroad.SoftwareVersion
+}
+
+// Decide returns at which version of the service's targets the stream may be resumed; listAge is the age of the list of targets.
+func (tr *Tracker) Decide(now time.Duration, service chestnutroad.ServiceID, id StreamID, listAge time.Duration) Decision {
+	if known, found := tr.streams[id]; found && known.service == service {
+		return Decision{Basis: Known, Version: known.version}
+	}
+	if now < Lifetime && !tr.inheritedKnown {
+		return Decision{Basis: NeedsVersions}
+	}
+	recent := tr.Recent(now, service)
+	if len(recent) == 1 && listAge < maxListAge {
+		for version := range recent {
+			return Decision{Basis: OnlyVersion, Version: version}
+		}
+	}
+	return Decision{Basis: NeedsStarts}
+}
--- a/internal/verb/serve_entry.go
+++ b/internal/verb/serve_entry.go
@@ -56,7 +56,7 @@
 	}
 	store := platform.NewStore(set.StoreAddress.String(), storeDialTimeout)
 	running := entry.New(set, store, platform.Wire{}, platform.Decoder{}, logger,
-		entry.WithRequestLog(requests), entry.WithDroppedLines(lines.Dropped))
+		entry.WithRequestLog(requests), entry.WithDroppedLines(lines.Dropped), entry.WithLog(platform.NewLog(store)))
 	reload, settingsLog := make(chan struct{}, 1), logging.For(logger, "settings")
 	go handleSignals(signals, logging.For(logger, "signals"), func() {
 		settingsLog.Info("received SIGHUP, checking the settings file")
--- a/keyed.go
+++ b/keyed.go
@@ -9,11 +9,13 @@
 // KeyedStream names a compacted stream of the platform's store, which may delete any record but the newest of its key.
 type KeyedStream string
 
-// The keyed streams of the configuration, the registered targets and the hosts.
+// The keyed streams.
 const (
 	KeyedConfiguration KeyedStream = "Configuration"
 	KeyedTargets       KeyedStream = "Targets"
 	KeyedHosts         KeyedStream = "Hosts"
+	// KeyedVersions holds the software versions in use by service.
+	KeyedVersions KeyedStream = "Versions"
 )
 
 // ErrRecordsGone is returned when the store does not have the requested offset; the caller must read the newest record of each
--- a/platform.go
+++ b/platform.go
@@ -8,11 +8,13 @@
 // Stream names a stream of the platform's log.
 type Stream string
 
-// The streams of the configuration, the orders and the control records.
+// The streams.
 const (
 	StreamConfiguration Stream = "Configuration"
 	StreamOrders        Stream = "Orders"
 	StreamControl       Stream = "Control"
+	// StreamStarts holds the software versions at which streams began.
+	StreamStarts Stream = "StreamStarts"
 )
 
 // Record is a record of a log stream.
--- a/routing.go
+++ b/routing.go
@@ -118,6 +118,8 @@
 	WarmUp time.Duration
 	// InvalidWarmUp is true when the entry states a time that is negative or longer than an hour.
 	InvalidWarmUp bool
+	// SoftwareVersion is the version of the target's software; versions have no order.
+	SoftwareVersion SoftwareVersion
 	// Models lists the names of the models that an engine has loaded; it is empty for plain services.
 	Models []string
 }
