Take an answer that is reset during the upload for broken off

Cause: the request is written beside the read of the answer. The kernel reports a reset once; if the write gets the error, the read gets an end of the data, which is how an answer without a length ends.

Change: the end of such an answer counts only once the request has been written without an error; before that the read waits for the write, which ends with the connection or the deadline of the request.

--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -199,6 +199,9 @@
 			an.response = resp
 			an.Status, an.Header, an.Body = resp.StatusCode, resp.Header, resp.Body
 			an.Framed = resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+			if !an.Framed {
+				an.Body = &unframedBody{answer: an}
+			}
 			return nil
 		}
 		// A late second answer to an earlier request arrives before the answer to this one.
@@ -211,6 +214,29 @@
 	return errors.Wrap(ErrBadAnswer, "answers to other requests")
 }
 
+// unframedBody is the body of an answer that ends with its connection.
+type unframedBody struct {
+	answer *Answer
+}
+
+// errResetDuringUpload is the end of an answer without a length whose request was not written to its end.
+var errResetDuringUpload = errors.New("the connection ended while the request was being written")
+
+// Read returns io.EOF only once the request has been written. When the target resets the connection, the kernel reports that once: if a
+// write of the request gets the error, the read gets an end of the data.
+func (ub *unframedBody) Read(data []byte) (int, error) {
+	count, err := ub.answer.response.Body.Read(data)
+	if !errors.Is(err, io.EOF) {
+		return count, err
+	}
+	written := <-ub.answer.written
+	ub.answer.written <- written
+	if written != nil {
+		return count, errors.WithSecondaryError(errResetDuringUpload, written)
+	}
+	return count, io.EOF
+}
+
 // Release returns the connection to the pool if it can be reused, and closes it otherwise. Call it only after the body was
 // read to its end.
 func (an *Answer) Release() {
