Take an answer whose status is none of HTTP for invalid

A target in trouble sent an answer with the status 000.

TestInvalidStatus failed for 000, 001, 099, +20, 600 and 999, the new cases of TestServiceFaults for 000 and 999, and TestEngineInvalidStatus for engines over HTTP/1.1; all pass now.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -28,8 +28,9 @@
 var _ chestnutroad.Target = (*Client)(nil)
 
 var (
-	errWrongRequest = fmt.Errorf("%w: it carries the id of another request", target.ErrBadAnswer)
-	errNotResumed   = fmt.Errorf("%w: the engine did not resume at the requested token", target.ErrBadAnswer)
+	errWrongRequest  = fmt.Errorf("%w: it carries the id of another request", target.ErrBadAnswer)
+	errInvalidStatus = fmt.Errorf("%w: the status is none of HTTP", target.ErrBadAnswer)
+	errNotResumed    = fmt.Errorf("%w: the engine did not resume at the requested token", target.ErrBadAnswer)
 )
 
 // New returns a client for the engine at the address, an IP address and port.
@@ -95,6 +96,9 @@
 
 // relay passes the response to the answer. It returns the engine's failure separately from the error of the answer.
 func (cl *Client) relay(resp *http.Response, call *chestnutroad.Call, answer chestnutroad.Answer) (failure, err error) {
+	if !target.ValidStatus(resp.StatusCode) {
+		return errInvalidStatus, nil
+	}
 	echo := resp.Header.Get(target.HeaderRequest)
 	if echo != "" && echo != string(call.Request) {
 		return errWrongRequest, nil
--- a/internal/service/client.go
+++ b/internal/service/client.go
@@ -29,6 +29,7 @@
 	errBodyTimeout    = fmt.Errorf("no data of the body within the timeout: %w", os.ErrDeadlineExceeded)
 	errUnbounded      = fmt.Errorf("%w: neither Content-Length nor chunked, so a cut-off body would look complete", target.ErrBadAnswer)
 	errBodyLimit      = fmt.Errorf("%w: the body is over the size limit", target.ErrBadAnswer)
+	errInvalidStatus  = fmt.Errorf("%w: the status is none of HTTP", target.ErrBadAnswer)
 	errProtocolSwitch = fmt.Errorf("%w: status 101 switches the protocol", target.ErrBadAnswer)
 )
 
@@ -99,6 +100,9 @@
 
 // checkHead returns an error for a response that can't be passed on completely.
 func (cl *Client) checkHead(resp *http.Response) error {
+	if !target.ValidStatus(resp.StatusCode) {
+		return errInvalidStatus
+	}
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		return errProtocolSwitch
 	}
--- a/internal/target/engine_test.go
+++ b/internal/target/engine_test.go
@@ -258,3 +258,13 @@
 		t.Errorf("the engine sent %d bytes ahead of the caller, want at most 65536", sent.Load())
 	}
 }
+
+// TestEngineInvalidStatus guards against an answer whose status is none of HTTP and that the caller gets as an answer.
+func TestEngineInvalidStatus(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "999"} {
+		server := startRaw(t, raw.Respond("HTTP/1.1 "+status+" X\r\nContent-Length: 2\r\n\r\n{}"))
+		err := engine.New(server.Address()).Do(t.Context(), chatCall("mark", false, chestnutroad.RepeatNever), &standin.Recorder{})
+		checkOutcome(t, err, chestnutroad.OutcomeUnknown, false)
+	}
+}
--- a/internal/target/fault_test.go
+++ b/internal/target/fault_test.go
@@ -49,6 +49,8 @@
 	{"body over the limit", raw.RespondForever("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"), chestnutroad.BadAnswer, chestnutroad.OutcomeUnknown, false},
 	{"length over the limit", raw.Respond("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"), chestnutroad.BadAnswer, chestnutroad.OutcomeUnknown, false},
 	{"protocol switch", raw.Respond("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"), chestnutroad.BadAnswer, chestnutroad.OutcomeUnknown, false},
+	{"status 000", raw.Respond("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"), chestnutroad.BadAnswer, chestnutroad.OutcomeUnknown, false},
+	{"status 999", raw.Respond("HTTP/1.1 999 X\r\nContent-Length: 0\r\n\r\n"), chestnutroad.BadAnswer, chestnutroad.OutcomeUnknown, false},
 	{"silent before the head", raw.Respond(""), chestnutroad.OutcomeUnknown, chestnutroad.OutcomeUnknown, false},
 	{"silent in the body", raw.Respond("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbo"), chestnutroad.StreamBroken, chestnutroad.OutcomeUnknown, false},
 	{"refused as not run", raw.Respond("HTTP/1.1 503 Busy\r\nChestnutroad-Not-Run: true\r\nContent-Length: 0\r\n\r\n"), chestnutroad.TargetRefused, chestnutroad.TargetRefused, true},
--- a/internal/target/header.go
+++ b/internal/target/header.go
@@ -73,6 +73,12 @@
 	return refusal.WithRetryAfter(RetryAfter(resp.Header))
 }
 
+// statusEnd is the end of the five classes of HTTP statuses.
+const statusEnd = 600
+
+// ValidStatus reports whether a status has one of the five classes of HTTP; net/http takes any three digits for one.
+func ValidStatus(status int) bool { return status >= http.StatusContinue && status < statusEnd }
+
 // RetryAfter returns the delay of a Retry-After header, or zero when it is missing or not a number of seconds.
 func RetryAfter(header http.Header) time.Duration {
 	seconds, err := strconv.Atoi(header.Get("Retry-After"))
--- a/internal/targetconn/badanswer_test.go
+++ b/internal/targetconn/badanswer_test.go
@@ -85,3 +85,22 @@
 		}
 	}
 }
+
+// TestInvalidStatus guards against an answer whose status is no HTTP status and that is passed on, or read as an interim answer.
+func TestInvalidStatus(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "001", "099", "-01", "+20", "600", "999"} {
+		for _, rest := range []string{
+			"Content-Length: 2\r\n\r\nok", "\r\n", "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+			"\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+		} {
+			address := serveOnce(t, func(conn *net.TCPConn) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 "+status+" X\r\n"+rest)
+			})
+			got, text, err := exchangeOnce(t, address, []byte("b"))
+			if err == nil {
+				t.Errorf("status %s, then %q: got status %d, body %q, error %v", status, rest, got, text, err)
+			}
+		}
+	}
+}
--- a/internal/targetconn/exchange.go
+++ b/internal/targetconn/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/chestnutroad/chestnutroad/internal/target"
 )
 
 // maxInlineBody limits the body that is sent before the answer is read. A larger one is sent concurrently, since a target
@@ -192,6 +194,9 @@
 		if err != nil {
 			return errors.Wrap(err, "answer head")
 		}
+		if !target.ValidStatus(resp.StatusCode) {
+			return errors.Wrapf(ErrBadAnswer, "status %03d", resp.StatusCode)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
