Read where streams began also while a host knows one version only

A host that had not read the list of targets since a version appeared would have continued a stream of that version at the only one that it knew.

The log has where the stream began 0.25 s after its first event, so that a host that gets a resumed stream of another host reads it also while the service seems to have one version: one more call of the store for each such stream. If the store doesn't answer within 0.1 s, a list that is less than 2 s old is relied on as before.

TestVersionThatTheListLacks failed before: the rest of the stream came from the other version.

--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -25,6 +25,8 @@
 	versionsTimeout = time.Second
 	// lookupTimeout limits the time for which a resumed stream waits for reads of the store.
 	lookupTimeout = 400 * time.Millisecond
+	// tryTimeout limits the time for which a stream of a service with one version waits for the log.
+	tryTimeout = 100 * time.Millisecond
 	// versionsRetry is the pause after a failed write of the versions in use.
 	versionsRetry = time.Second
 	// unknownStartRetryAfter is the Retry-After of a resumed stream whose start may be written to the log meanwhile.
@@ -234,6 +236,15 @@
 	}
 }
 
+// tryLoadStarts is loadStarts for a service with one version, whose streams need not wait long for a store that doesn't answer.
+func (sv *streamVersions) tryLoadStarts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if err := sv.loadStarts(ctx); err != nil {
+		sv.entry.logger.Debug("starts of streams were not read", "Error", err)
+	}
+}
+
 func (sv *streamVersions) learn(records []chestnutroad.Record) {
 	now := sv.entry.elapsed()
 	sv.mu.Lock()
@@ -281,6 +292,10 @@
 			err = sv.loadStarts(ctx)
 		case decision.Basis == resumption.NeedsStarts:
 			err = errors.New("the log has no start of the stream")
+		case decision.Basis == resumption.OnlyVersion && !loadedStarts:
+			// The list of targets may lack a version that appeared a moment ago. Without the log, the list is relied on.
+			loadedStarts = true
+			sv.tryLoadStarts(ctx)
 		default:
 			return decision, nil
 		}
--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/resumption"
 	"github.com/chestnutroad/chestnutroad/platform"
 	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
@@ -227,3 +228,31 @@
 		})
 	}
 }
+
+// TestVersionThatTheListLacks guards against a stream that goes on at the only version in a host's list of targets, although it began at
+// one that appeared after the host had read the list.
+func TestVersionThatTheListLacks(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	first := st.versionRunner("i-0", "v1")
+	ht := st.start("host-1", true)
+	st.awaitVersions(ht, 1)
+	data, err := resumption.EncodeStarts([]resumption.Start{
+		{Service: standin.ModelService, Version: "v2", Stream: resumption.NewStreamID("r-1")},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := platform.NewLog(platform.NewStore(st.store.Address().String(), time.Second))
+	if _, err := log.Append(t.Context(), chestnutroad.StreamStarts, data); err != nil {
+		t.Fatal(err)
+	}
+	got := ht.resumeStream("r-2", "r-1")
+	checkResumed(t, ht, &got, false)
+	if runs := first.Runs(); len(runs) > 0 {
+		t.Errorf("a target of another version ran %+v", runs)
+	}
+	other := ht.resumeStream("r-4", "r-3")
+	checkResumed(t, ht, &other, true)
+}
