Check that a resumed stream goes on after the caller's last event

A caller that resumed a stream got events again that it had, when the target ignored Last-Event-Id and began the stream anew: a complete answer with pieces that come twice (ORDER).

Cause: hosts check that the events of a further send follow those that they have forwarded, but a host to which a caller returns has forwarded none.

Change: the check starts at the caller's last event; an answer that doesn't follow it is broken, and the stream goes on at another target if there is one.

--- a/internal/entry/filters.go
+++ b/internal/entry/filters.go
@@ -121,6 +121,10 @@
 		}
 		ex.deadline = ex.started.Add(budget)
 		ex.fingerprint = ex.newFingerprint()
+		if ex.rule.Streaming && ex.rule.Repeat == chestnutroad.RepeatAllowed {
+			// A target that ignores the last event of a resumed stream repeats events that the caller has.
+			ex.stream.lastID = ex.callMetadata.LastEvent
+		}
 		ex.progress = attempt.State{Repeat: ex.rule.Repeat, MaxSends: ex.rule.MaxAttempts}
 		ex.criteria = placement.Request{
 			Service: ex.service, Model: ex.callMetadata.Model, ID: ex.callMetadata.ID, Affinity: sharedPart(ex.callMetadata.Parts),
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -85,3 +85,38 @@
 		})
 	}
 }
+
+// TestCallerResumedAtFailingRunner guards against events that the caller of a resumed stream already has, from a runner that begins the
+// stream anew.
+func TestCallerResumedAtFailingRunner(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name, events string
+		complete     bool
+	}{
+		{"resumed", standin.Event(3) + standin.Event(4), true},
+		{"starts again", standin.Events(4), false},
+		{"repeats the last event", standin.Event(2) + standin.Event(3), false},
+		{"starts again after a comment", standin.Comment + standin.Events(4), false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			st.rawRunner("i-1", "model", func(_ int, req *http.Request) (string, bool) {
+				return answerHead("200 OK", req.Header.Get("Chestnutroad-Attempt-Id"), streamHeader) + tc.events, false
+			})
+			ht := st.start("host-1", true)
+			got := ht.call(t.Context(), standin.Call{
+				Method: http.MethodPost, Path: "/chat/x", ID: "r-2", Key: "k-1", Body: "b", LastEvent: "2", Resumes: "r-1",
+			})
+			if served := got.err == nil && got.status == http.StatusOK; served != tc.complete {
+				t.Errorf("the stream looks complete: %t, want %t; got %q", served, tc.complete, got.body)
+			}
+			if !tc.complete && strings.Contains(got.body, "id: ") {
+				t.Errorf("the caller got events that it has: %q", got.body)
+			}
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -19,7 +19,7 @@
 
 // streamState is the progress of a stream.
 type streamState struct {
-	// lastID is the id of the last event that was forwarded.
+	// lastID is the id of the last event that was forwarded, or that the caller of a resumed stream already has.
 	lastID string
 	// events counts the writes to the caller, each of one or more events.
 	events int
