Apply updates of the targets one at a time

A target that leaves could be in use again until its entry is gone (DRAIN), when a host applies an earlier state of it from another host while its own read of the store applies the later one.

Cause: a record is compared with the one that is held, put into effect and saved in three steps, and the store's reader and the fetches from other hosts take them at the same time.

Change: updates of the targets are serialised.

TestTargetUpdatesFromTwoSources failed before: the target was not leaving, and other hosts would have got the earlier record.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,6 +72,9 @@
 	cutOffAt atomic.Int64
 	// grace holds the time.Duration from the request to stop to the end of the process.
 	grace atomic.Int64
+	// targetUpdates serialises updates of the targets from the store and from other hosts: a record is compared with the one that is
+	// held, and put into effect after that.
+	targetUpdates sync.Mutex
 	// drainTime holds the time.Duration after which a target that left must no longer get requests.
 	drainTime atomic.Int64
 	handler   filter
@@ -364,6 +368,8 @@
 // resetTargets replaces the targets with the newest record of each one up to next. A target without a record is gone, unless
 // the store came back from an older copy, in which targets that joined since are missing until they register again.
 func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Position, source string) {
+	en.targetUpdates.Lock()
+	defer en.targetUpdates.Unlock()
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
 		listed[record.Key] = true
@@ -394,11 +400,13 @@
 
 // applyTargets applies the changes of targets up to next.
 func (en *Entry) applyTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Position) {
+	en.targetUpdates.Lock()
+	defer en.targetUpdates.Unlock()
 	en.updateTargets(records, next, en.state.applyRecords)
 }
 
 // updateTargets puts records of targets into effect and then saves them for other hosts. It returns the number of outdated
-// records, which an older copy of the store brought back.
+// records, which an older copy of the store brought back. en.targetUpdates must be held.
 func (en *Entry) updateTargets(
 	records []chestnutroad.KeyedRecord, next chestnutroad.Position,
 	save func([]chestnutroad.KeyedRecord, chestnutroad.Position),
