State the age of a fetched copy before the first read of the store

A relay that had just started and got its targets from another host announced them as read from the store when it started, also if that copy was older, so that other hosts relied on it for too long if the relay failed before its first read.

TestOwnAgeOfFetchedCopy failed before: 500 ms in place of 1.5 s.

--- a/internal/freshness/fetched_test.go
+++ b/internal/freshness/fetched_test.go
@@ -42,3 +42,35 @@
 		t.Errorf("after a read of its own: got %s, want NoRelay", got)
 	}
 }
+
+// TestOwnAgeOfFetchedCopy guards against a relay that has fetched an old copy at its start and, before its first read of the store, states
+// the time since its start as the age of that read.
+func TestOwnAgeOfFetchedCopy(t *testing.T) {
+	t.Parallel()
+	const now = 500 * time.Millisecond
+	cases := []struct {
+		name    string
+		prepare func(tr *freshness.Tracker)
+		want    time.Duration
+	}{
+		{"nothing read", func(*freshness.Tracker) {}, now},
+		{"older copy", func(tr *freshness.Tracker) { tr.RecordFetched(freshness.Targets, -time.Second) }, now + time.Second},
+		{"copy read since the start", func(tr *freshness.Tracker) {
+			tr.RecordFetched(freshness.Targets, 200*time.Millisecond)
+		}, now},
+		{"older copy, then a read", func(tr *freshness.Tracker) {
+			tr.RecordFetched(freshness.Targets, -time.Second)
+			tr.RecordRead(freshness.Targets, 300*time.Millisecond)
+		}, 200 * time.Millisecond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tr := freshness.New()
+			tc.prepare(tr)
+			if got := tr.OwnAge(now, freshness.Targets); got != tc.want {
+				t.Errorf("got %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -90,8 +90,12 @@
 	})
 }
 
-// OwnAge returns the age of the host's own last read of a stream, which it states in its beacons.
+// OwnAge returns the age of the host's own last read of a stream, which it states in its beacons. Before the first one that is the time
+// since the host's start, or the age of an older copy that it has fetched.
 func (tr *Tracker) OwnAge(now time.Duration, stream Stream) time.Duration {
+	if tr.ownReadAt[stream] == 0 {
+		return now - min(0, tr.fetched[stream].readAt)
+	}
 	return now - tr.ownReadAt[stream]
 }
 
