Let callers of the soak resume streams while runners of two versions serve

Callers resume broken streams at random hosts, runners of a second software version come and go, and all hosts may be killed at once. Events bear the version of their runner, so that a stream with events of both is found.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -47,6 +47,8 @@
 	answeredID string
 	body       string
 	err        error
+	// earlier are the events of a resumed stream that came before, and begun the call that brought the first of them.
+	earlier, begun string
 	// key is the key of the call, host the index of the called host, and incarnation that of its process; it is zero when the
 	// process was replaced during the call.
 	key            string
@@ -57,6 +59,7 @@
 
 // TestSoak guards against violated guarantees under overlapping faults of hosts, connections, runners and the store: an order
 // that runs twice, a refusal of a call that ran, an answer that belongs to another call, a partial answer that looks complete, a
+// stream with events of two software versions, a
 // valid key that is refused, a revoked key that is accepted, a request to an evacuated data centre, a plain call that ran and got no answer although its host was not
 // killed, requests to a removed runner, and hosts that do not recover.
 func TestSoak(t *testing.T) {
@@ -139,7 +142,7 @@
 }
 
 // kinds are the kinds of calls. A kind that is listed twice is sent twice as often.
-var kinds = []string{"order", "order", "stock", "chat", "once"}
+var kinds = []string{"order", "order", "stock", "chat", "chat", "once"}
 
 // runCaller sends calls of random kinds to random hosts, one after the other over keep-alive connections, until ctx ends. A
 // quarter of them have a revocable key.
@@ -160,21 +163,63 @@
 			ex.incarnation = incarnation
 		}
 		exchanges = append(exchanges, ex)
+		for try := 0; try < maxResumptions && ex.mayResume() && ctx.Err() == nil; try++ {
+			time.Sleep(time.Duration(rnd.IntN(300)) * time.Millisecond)
+			ex = tb.resume(ctx, client, rnd.IntN(len(tb.hosts)), fmt.Sprintf("c%d-%d-%d", caller, index, try), &ex)
+			exchanges = append(exchanges, ex)
+		}
 		time.Sleep(time.Duration(rnd.IntN(30)) * time.Millisecond)
 	}
 	return exchanges
 }
 
+// maxResumptions is the number of times that a caller tries to resume a stream.
+const maxResumptions = 4
+
+// events returns the complete events of the stream that the caller has so far.
+func (ex *exchange) events() string {
+	text := strings.ReplaceAll(ex.earlier+ex.body, standin.Comment, "")
+	if ex.status != http.StatusOK {
+		text = ex.earlier
+	}
+	return text[:strings.LastIndex("\n\n"+text, "\n\n")]
+}
+
+// mayResume reports whether the call is a stream that broke off after its first event and may be resumed.
+func (ex *exchange) mayResume() bool {
+	return ex.kind == "chat" && strings.Contains(ex.events(), "id: ") && (ex.err != nil || ex.status != http.StatusOK)
+}
+
+// resume continues a stream at a host.
+func (tb *testbed) resume(ctx context.Context, client *http.Client, host int, id string, broken *exchange) exchange {
+	pr, events, begun := tb.hosts[host], broken.events(), broken.begun
+	if begun == "" {
+		begun = broken.id
+	}
+	incarnation := pr.incarnation.Load()
+	ex := tb.sendCall(ctx, client, pr, broken.kind, &standin.Call{
+		ID: id, Key: broken.key, Budget: shortBudget, LastEvent: strconv.Itoa(strings.Count(events, "id: ")), Resumes: begun,
+	})
+	if ex.host = host; pr.incarnation.Load() == incarnation {
+		ex.incarnation = incarnation
+	}
+	ex.earlier, ex.begun = events, begun
+	return ex
+}
+
 // send sends one call to a host and returns it with its answer or error.
-func (tb *testbed) send(ctx context.Context, client *http.Client, pr *process, kind, id, key string, budget time.Duration) (ex exchange) {
-	ex = exchange{id: id, kind: kind, key: key, started: time.Now()}
+func (tb *testbed) send(ctx context.Context, client *http.Client, pr *process, kind, id, key string, budget time.Duration) exchange {
+	return tb.sendCall(ctx, client, pr, kind, &standin.Call{ID: id, Key: key, Budget: budget})
+}
+
+// sendCall completes a call of a kind and sends it to a host.
+func (tb *testbed) sendCall(ctx context.Context, client *http.Client, pr *process, kind string, call *standin.Call) (ex exchange) {
+	ex = exchange{id: call.ID, kind: kind, key: call.Key, started: time.Now()}
 	defer func() { ex.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", pr.address, callerPort), &standin.Call{
-		Method: http.MethodPost, Path: "/" + kind + "/x", ID: id, Key: key, Body: id,
-		Budget: budget, Prefix: "a:10,b:20",
-	})
+	call.Method, call.Path, call.Body, call.Prefix = http.MethodPost, "/"+kind+"/x", call.ID, "a:10,b:20"
+	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", pr.address, callerPort), call)
 	if err != nil {
 		ex.err = err
 		return ex
@@ -264,6 +309,13 @@
 			},
 			tb.revoke,
 			func() { tb.addTemporaryRunner(span, span/2) },
+			func() { tb.addSecondVersion(span, span/2) },
+			func() { tb.addSecondVersion(4*span, span); tb.addSecondVersion(span, span) },
+			func() {
+				for _, other := range tb.hosts {
+					active.Go(func() { other.signal(syscall.SIGKILL, true) })
+				}
+			},
 			func() { tb.evacuateRunner(span, 0) },
 			func() { tb.evacuateRunner(span/2, span) },
 			func() { tb.store.Restore(plan) },
@@ -303,8 +355,14 @@
 			}
 		}
 	}
-	served := 0
+	served, resumed, continued := 0, 0, 0
 	for _, ex := range exchanges {
+		if events := ex.events(); strings.Contains(events, firstMark) && strings.Contains(events, secondMark) {
+			tb.t.Errorf("%s %s, begun as %q, got events of two software versions: %q", ex.kind, ex.id, ex.begun, events)
+		}
+		if ex.begun != "" {
+			resumed++
+		}
 		atMostOnce := ex.kind == "order" || ex.kind == "once"
 		if atMostOnce && runs[ex.id] > 1 {
 			tb.t.Errorf("%s %s ran %d times, want at most once", ex.kind, ex.id, runs[ex.id])
@@ -323,13 +381,17 @@
 		complete := strings.HasPrefix(ex.body, "answer of i-")
 		if ex.kind == "chat" || ex.kind == "once" {
 			// Comments between events are not part of the answer.
-			complete = strings.ReplaceAll(ex.body, standin.Comment, "") == standin.Events(streamEvents)
+			events := strings.ReplaceAll(ex.earlier+ex.body, standin.Comment, "")
+			complete = strings.NewReplacer(firstMark, "", secondMark, "").Replace(events) == standin.Events(streamEvents)
+		}
+		if ex.begun != "" {
+			continued++
 		}
 		if !complete {
 			tb.t.Errorf("%s %s got %q as a complete answer", ex.kind, ex.id, ex.body)
 		}
 	}
-	tb.t.Logf("%d calls, %d served", len(exchanges), served)
+	tb.t.Logf("%d calls, %d served; %d streams resumed, %d of them to their end", len(exchanges), served, resumed, continued)
 	if served == 0 {
 		tb.t.Error("no call was served")
 	}
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -163,6 +163,35 @@
 	tb.removedRunners = append(tb.removedRunners, rn)
 }
 
+// The marks of the events of runners of two software versions.
+const (
+	firstMark  = " of v1"
+	secondMark = " of v2"
+)
+
+// addSecondVersion adds a runner of the model whose software has another version. It marks the runner as draining after stay and removes it
+// from the store after drain.
+func (tb *testbed) addSecondVersion(stay, drain time.Duration) {
+	tb.mu.Lock()
+	id := fmt.Sprintf("i-second-%d", tb.joinedCount)
+	tb.joinedCount++
+	tb.mu.Unlock()
+	rn, _, setState, err := tb.newRunner(id, "model", dataCentre)
+	if err != nil {
+		tb.t.Error(err)
+		return
+	}
+	rn.Version, rn.Mark = "v2", secondMark
+	setState("ready")
+	time.Sleep(stay)
+	setState("draining")
+	time.Sleep(drain)
+	tb.store.PutTarget(id, "")
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	tb.removedRunners = append(tb.removedRunners, rn)
+}
+
 // evacuateRunner adds a runner in a data centre of its own to the store and evacuates the data centre after stay. If back is
 // positive, it takes the evacuation back after that time.
 func (tb *testbed) evacuateRunner(stay, back time.Duration) {
@@ -200,7 +229,7 @@
 	}
 	tb.t.Cleanup(rn.Close)
 	if service == "model" {
-		rn.Events, rn.Gap = streamEvents, 10*time.Millisecond
+		rn.Events, rn.Gap, rn.Mark = streamEvents, 25*time.Millisecond, firstMark
 	}
 	px, err := newProxy(rn.Address())
 	if err != nil {
