Bound the reads of the log of stream starts

A host that reads where streams began for the first time read all that the log retained, in one answer of up to 1 MB within the 0.4 s for which a request waits. A host with a link of 10 Mbit/s does not get there, so that each resumed stream would begin the read anew and be refused. Found by reading, for installations of a hundred hosts.

--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -23,6 +23,10 @@
 	// startsTimeout limits an append, and versionsTimeout a call for the versions in use.
 	startsTimeout   = time.Second
 	versionsTimeout = time.Second
+	// startsHorizon is the time for which starts are read at most: that of the longest streams.
+	startsHorizon = 15 * time.Second
+	// readStartsTimeout limits a read of the log, which may have several pages.
+	readStartsTimeout = 3 * time.Second
 	// lookupTimeout limits the time for which a resumed stream waits for reads of the store.
 	lookupTimeout = 400 * time.Millisecond
 	// tryTimeout limits the time for which a stream of a service with one version waits for the log.
@@ -42,10 +46,12 @@
 	mu      sync.Mutex
 	tracker *resumption.Tracker
 
-	// readMu serialises reads of the log; next is the offset of the next one, lastRead when the last successful one began.
+	// readMu protects reading, the read of the log that goes on, if one does, and lastRead, when the last successful one began.
 	readMu   sync.Mutex
-	next     chestnutroad.Offset
+	reading  *startsRead
 	lastRead time.Duration
+	// next is the offset from which the log is read on. Only the read that goes on uses it.
+	next chestnutroad.Offset
 
 	// versionsMu serialises reads of the versions in use.
 	versionsMu sync.Mutex
@@ -63,7 +69,7 @@
 
 // run writes the starts of streams and, on a relay, the versions in use until ctx ends.
 func (sv *streamVersions) run(ctx context.Context) {
-	for sleep(ctx, max(startsInterval, time.Duration(sv.entry.state.currentHostCount())*startsPerHost)) {
+	for sleep(ctx, sv.interval()) {
 		sv.observe()
 		sv.writeStarts(ctx)
 		if sv.entry.link.relaying() && sv.entry.state.targetsLoaded.Load() && sv.entry.elapsed() >= sv.retryAt {
@@ -206,19 +212,60 @@
 	return err
 }
 
-// loadStarts reads the starts of streams that were written since the last read. A read that began after the call suffices.
+// loadStarts waits until the starts of streams that were written before the call have been read, or until ctx ends. The read goes on
+// after that, so that later requests don't begin it anew.
 func (sv *streamVersions) loadStarts(ctx context.Context) error {
 	if sv.log == nil {
 		return errors.New("there is no log")
 	}
 	called := sv.entry.elapsed()
+	for {
+		sv.readMu.Lock()
+		if sv.lastRead > called {
+			sv.readMu.Unlock()
+			return nil
+		}
+		if sv.reading == nil {
+			sv.reading = &startsRead{done: make(chan struct{})}
+			go sv.readStarts(sv.reading)
+		}
+		reading := sv.reading
+		sv.readMu.Unlock()
+		select {
+		case <-reading.done:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if reading.err != nil {
+			return reading.err
+		}
+	}
+}
+
+// startsRead is a read of the log; err is valid once done is closed.
+type startsRead struct {
+	done chan struct{}
+	err  error
+}
+
+// readStarts reads the log to its end.
+func (sv *streamVersions) readStarts(reading *startsRead) {
+	ctx, cancel := context.WithTimeout(context.Background(), readStartsTimeout)
+	defer cancel()
+	started := sv.entry.elapsed()
+	reading.err = sv.readLog(ctx)
 	sv.readMu.Lock()
 	defer sv.readMu.Unlock()
-	if sv.lastRead > called {
-		return nil
+	if reading.err == nil {
+		sv.lastRead = started
 	}
-	started := sv.entry.elapsed()
-	for {
+	sv.reading = nil
+	close(reading.done)
+}
+
+// readLog reads the records since the last read, or those of the last startsHorizon if there are more.
+func (sv *streamVersions) readLog(ctx context.Context) error {
+	for first := true; ; first = false {
 		batch, err := sv.log.Read(ctx, chestnutroad.StreamStarts, sv.next, 0)
 		if errors.Is(err, chestnutroad.ErrRecordsGone) && batch.Oldest != sv.next {
 			sv.next = batch.Oldest
@@ -227,15 +274,29 @@
 		if err != nil {
 			return err
 		}
+		if skipTo := batch.Next - sv.maxRecords(); first && skipTo > sv.next+chestnutroad.Offset(len(batch.Records)) {
+			sv.next = skipTo
+			continue
+		}
 		sv.learn(batch.Records)
 		sv.next += chestnutroad.Offset(len(batch.Records))
 		if sv.next >= batch.Next || len(batch.Records) == 0 {
-			sv.lastRead = started
 			return nil
 		}
 	}
 }
 
+// maxRecords returns the number of records that all hosts append in startsHorizon at most.
+func (sv *streamVersions) maxRecords() chestnutroad.Offset {
+	hosts := sv.entry.state.currentHostCount()
+	return chestnutroad.Offset(hosts) * chestnutroad.Offset(startsHorizon/sv.interval())
+}
+
+// interval returns the time between two appends of this host.
+func (sv *streamVersions) interval() time.Duration {
+	return max(startsInterval, time.Duration(sv.entry.state.currentHostCount())*startsPerHost)
+}
+
 // tryLoadStarts is loadStarts for a service with one version, whose streams need not wait long for a store that doesn't answer.
 func (sv *streamVersions) tryLoadStarts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
