Read the versions in use anew when a host becomes relay again

A host that relays, stops and relays again went by what it had last known to be in the store. If another relay had deleted a version meanwhile that then came back, it was not written again, and hosts that start would not know of it. Found by reading; no test, since it takes the 30 s after which versions are deleted.

--- a/internal/entry/versionsinuse.go
+++ b/internal/entry/versionsinuse.go
@@ -16,9 +16,13 @@
 	versionsRetry = time.Second
 )
 
-// maintainVersions updates the versions in use in the store if this host is a relay.
+// maintainVersions updates the versions in use in the store if this host is a relay. A host that becomes relay again reads them anew, since
+// another one may have changed them.
 func (sv *streamVersions) maintainVersions(ctx context.Context) {
-	if sv.entry.link.relaying() && sv.entry.state.targetsLoaded.Load() && sv.entry.elapsed() >= sv.retryAt {
+	switch {
+	case !sv.entry.link.relaying():
+		sv.written = nil
+	case sv.entry.state.targetsLoaded.Load() && sv.entry.elapsed() >= sv.retryAt:
 		if err := sv.updateVersions(ctx); err != nil && ctx.Err() == nil {
 			sv.retryAt = sv.entry.elapsed() + versionsRetry
 			sv.entry.logger.Warn("software versions in use were not updated", "Error", err)
