Refuse resumed streams at once while the log is known not to answer

Each resumed stream whose start is not known waited 0.4 s for the log, also when the read before had failed a moment ago or had got no answer for longer than that; then it was refused.

A read that failed less than 0.3 s ago, or one that goes on and has got no answer for 0.4 s, counts for all. TestSilentLogOfStarts failed before: the second and third call took 0.4 s.

--- a/internal/entry/startslog_test.go
+++ b/internal/entry/startslog_test.go
@@ -76,3 +76,30 @@
 		t.Errorf("got %+v for the last stream in the log", got)
 	}
 }
+
+// silentLog is a log that does not answer.
+type silentLog struct{ slowLog }
+
+// Read waits for the end of ctx.
+func (sl *silentLog) Read(ctx context.Context, _ chestnutroad.Stream, _ chestnutroad.Offset, _ time.Duration) (chestnutroad.Batch, error) {
+	<-ctx.Done()
+	return chestnutroad.Batch{}, ctx.Err()
+}
+
+// TestSilentLogOfStarts guards against resumed streams that each wait for a log that is known not to answer, before they are refused.
+func TestSilentLogOfStarts(t *testing.T) {
+	t.Parallel()
+	en := New(&settings.Entry{
+		ID: "host-1", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1"), RetryWindow: time.Second,
+	}, &pagedStore{}, platform.Wire{}, platform.Decoder{}, log.New(io.Discard), WithLog(&silentLog{}))
+	for call, most := range []time.Duration{2 * lookupTimeout, lookupTimeout / 2, lookupTimeout / 2} {
+		ctx, cancel := context.WithTimeout(t.Context(), lookupTimeout)
+		started := time.Now()
+		err := en.streamVersions.loadStarts(ctx)
+		cancel()
+		if took := time.Since(started); err == nil || took > most {
+			t.Errorf("call %d: got error %v after %s, want one within %s", call, err, took, most)
+		}
+		time.Sleep(timerSlack)
+	}
+}
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +22,8 @@
 	startsHorizon = 15 * time.Second
 	// readStartsTimeout limits a read of the log, which may have several pages.
 	readStartsTimeout = 3 * time.Second
+	// failureMemory is the time after a failed read in which requests are refused without another one.
+	failureMemory = 300 * time.Millisecond
 	// tryTimeout limits the time for which a stream of a service with one version waits for the log.
 	tryTimeout = 100 * time.Millisecond
 )
@@ -57,17 +60,10 @@
 	}
 	called := sv.entry.elapsed()
 	for {
-		sv.readMu.Lock()
-		if sv.lastRead > called {
-			sv.readMu.Unlock()
-			return nil
-		}
-		if sv.reading == nil {
-			sv.reading = &startsRead{done: make(chan struct{})}
-			go sv.readStarts(sv.reading)
+		reading, err := sv.joinRead(called)
+		if reading == nil {
+			return err
 		}
-		reading := sv.reading
-		sv.readMu.Unlock()
 		select {
 		case <-reading.done:
 		case <-ctx.Done():
@@ -79,10 +75,34 @@
 	}
 }
 
-// startsRead is a read of the log; err is valid once done is closed.
+// joinRead returns the read of the log that goes on, or begins one. It returns none if the last one began after the call, and an error if
+// it failed a moment before or if the store has not answered for some time: requests should not all wait for the same failure.
+func (sv *streamVersions) joinRead(called time.Duration) (*startsRead, error) {
+	sv.readMu.Lock()
+	defer sv.readMu.Unlock()
+	now := sv.entry.elapsed()
+	switch {
+	case sv.lastRead > called:
+		return nil, nil
+	case sv.reading != nil && now-time.Duration(sv.reading.progressAt.Load()) > lookupTimeout:
+		return nil, errLogSilent
+	case sv.reading == nil && sv.readError != nil && now-sv.readErrorAt < failureMemory:
+		return nil, sv.readError
+	case sv.reading == nil:
+		sv.reading = &startsRead{done: make(chan struct{})}
+		sv.reading.progressAt.Store(int64(now))
+		go sv.readStarts(sv.reading)
+	}
+	return sv.reading, nil
+}
+
+var errLogSilent = errors.New("the store does not answer")
+
+// startsRead is a read of the log; err is valid once done is closed. progressAt holds the elapsed time of the latest answer of the store.
 type startsRead struct {
-	done chan struct{}
-	err  error
+	done       chan struct{}
+	err        error
+	progressAt atomic.Int64
 }
 
 // readStarts reads the log to its end.
@@ -90,20 +110,21 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readStartsTimeout)
 	defer cancel()
 	started := sv.entry.elapsed()
-	reading.err = sv.readLog(ctx)
+	reading.err = sv.readLog(ctx, reading)
 	sv.readMu.Lock()
 	defer sv.readMu.Unlock()
 	if reading.err == nil {
 		sv.lastRead = started
 	}
-	sv.reading = nil
+	sv.reading, sv.readError, sv.readErrorAt = nil, reading.err, sv.entry.elapsed()
 	close(reading.done)
 }
 
 // readLog reads the records since the last read, or those of the last startsHorizon if there are more.
-func (sv *streamVersions) readLog(ctx context.Context) error {
+func (sv *streamVersions) readLog(ctx context.Context, reading *startsRead) error {
 	for first := true; ; first = false {
 		batch, err := sv.log.Read(ctx, chestnutroad.StreamStarts, sv.next, 0)
+		reading.progressAt.Store(int64(sv.entry.elapsed()))
 		if errors.Is(err, chestnutroad.ErrRecordsGone) && batch.Oldest != sv.next {
 			sv.next = batch.Oldest
 			continue
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -31,10 +31,13 @@
 	mu      sync.Mutex
 	tracker *resumption.Tracker
 
-	// readMu protects reading, the read of the log that goes on, if one does, and lastRead, when the last successful one began.
-	readMu   sync.Mutex
-	reading  *startsRead
-	lastRead time.Duration
+	// readMu protects reading, the read of the log that goes on, if one does, lastRead, when the last successful one began, and the
+	// error of the last one, if it failed.
+	readMu      sync.Mutex
+	reading     *startsRead
+	lastRead    time.Duration
+	readError   error
+	readErrorAt time.Duration
 	// next is the offset from which the log is read on. Only the read that goes on uses it.
 	next chestnutroad.Offset
 
