Let hosts ask their relay where a stream began

Callers got 503 after 0.4 s.

Cause: after connections were reset at half of 130 hosts, all of these read the log of stream starts at once, most of them for the first time: 118 resumed streams waited for it in vain. The log was sent once for each host.

Change: relays read the log once a second while a service has several versions, and the other hosts of the data centre ask them, with the state call. Without a relay that knows, a host reads the log itself. A host also asks before it needs the versions in use, so that a stream of the relay goes on while the store is down.

The written forms of the state call have the new fields, which are left out in other calls.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -208,6 +208,9 @@
 	answer := ln.entry.state.deltaFor(request)
 	answer.ConfigurationAge, answer.TargetsAge = configurationAge, targetsAge
 	answer.Evacuations = ln.entry.evacuations.list()
+	if request.Stream != 0 {
+		answer.Start, answer.StartsRead = ln.entry.streamVersions.find(ctx, request.Service, request.Stream)
+	}
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	if request.HostList != ln.hostListHash() {
--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -7,6 +7,7 @@
 	"github.com/chestnutroad/chestnutroad/internal/freshness"
 	"github.com/chestnutroad/chestnutroad/internal/mechanism"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
 )
 
 // fetchFailureWindow is how long a host reads the store itself after it failed to fetch newer state from another host:
@@ -59,6 +60,19 @@
 	return ln.tracker.Decide(ln.entry.elapsed(), stream, held, status)
 }
 
+// startRequest returns a request for the state of this host's relay that asks for nothing that this host has, and the address of the relay;
+// the address is empty while there is none or this host is one itself.
+func (ln *link) startRequest() (request *siblings.StateRequest, address string) {
+	status := ln.entry.localStatus()
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	if ln.node.Relaying() {
+		return nil, ""
+	}
+	host, _, _ := ln.node.Relay(ln.entry.now())
+	return &siblings.StateRequest{Version: status.Version, Position: status.Position, HostList: ln.hostListHash()}, host.Address
+}
+
 // recordRead records up to which time this host itself has read a stream of the store.
 func (ln *link) recordRead(stream freshness.Stream, at time.Duration) {
 	ln.mu.Lock()
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -9,6 +9,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/resumption"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
 )
 
 const (
@@ -22,9 +23,13 @@
 	startsHorizon = 15 * time.Second
 	// readStartsTimeout limits a read of the log, which may have several pages.
 	readStartsTimeout = 3 * time.Second
+	// followInterval is the time between two reads of a relay while a service has several versions.
+	followInterval = time.Second
+	// askTimeout limits a call to the relay, so that there is time left to read the log.
+	askTimeout = 200 * time.Millisecond
 	// failureMemory is the time after a failed read in which requests are refused without another one.
 	failureMemory = 300 * time.Millisecond
-	// tryTimeout limits the time for which a stream of a service with one version waits for the log.
+	// tryTimeout limits the time for which a stream of a service with one version, or the writer of starts, waits for the log.
 	tryTimeout = 100 * time.Millisecond
 )
 
@@ -155,11 +160,82 @@
 	return max(startsInterval, time.Duration(sv.entry.state.currentHostCount())*startsPerHost)
 }
 
-// tryLoadStarts is loadStarts for a service with one version, whose streams need not wait long for a store that doesn't answer.
-func (sv *streamVersions) tryLoadStarts(ctx context.Context) {
+// followStarts keeps a relay's knowledge current while a service has several versions, so that it can answer the other hosts of its data
+// centre: if all of them read the log, it would be sent once for each host.
+func (sv *streamVersions) followStarts(ctx context.Context) {
+	now := sv.entry.elapsed()
+	if now-sv.followedAt < followInterval || !sv.entry.link.relaying() {
+		return
+	}
+	sv.mu.Lock()
+	several := sv.tracker.HasSeveral(now)
+	sv.mu.Unlock()
+	if several {
+		sv.followedAt = now
+		sv.tryRead(ctx, sv.loadStarts)
+	}
+}
+
+// loadStart learns where a stream began, from the relay if there is one, or else by reading the log.
+func (sv *streamVersions) loadStart(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) error {
+	if sv.askRelay(ctx, service, id) {
+		return nil
+	}
+	return sv.loadStarts(ctx)
+}
+
+// askRelay asks the relay of the data centre where a stream began. It reports whether the relay knows, or has found that the log doesn't
+// have the stream.
+func (sv *streamVersions) askRelay(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) (answered bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request, address := sv.entry.link.startRequest()
+	if address == "" {
+		return false
+	}
+	request.Service, request.Stream = service, id
+	answer, err := siblings.Fetch(ctx, address, request)
+	if err != nil {
+		sv.entry.logger.Debug("the relay was not asked for the start of a stream", "Address", address, "Error", err)
+		return false
+	}
+	if answer.Start != nil {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		sv.tracker.Learn(sv.entry.elapsed(), *answer.Start)
+	}
+	return answer.Start != nil || answer.StartsRead
+}
+
+// find answers another host that asks where a stream began. It reads the log if this host doesn't know.
+func (sv *streamVersions) find(
+	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID,
+) (start *resumption.Start, logRead bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for {
+		sv.mu.Lock()
+		known, found := sv.tracker.Start(service, id)
+		sv.mu.Unlock()
+		if found {
+			return &known, logRead
+		}
+		if logRead || sv.loadStarts(ctx) != nil {
+			return nil, logRead
+		}
+		logRead = true
+	}
+}
+
+// tryLoadStart is loadStart for a service with one version, whose streams need not wait long for a store that doesn't answer.
+func (sv *streamVersions) tryLoadStart(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) {
+	sv.tryRead(ctx, func(ctx context.Context) error { return sv.loadStart(ctx, service, id) })
+}
+
+func (sv *streamVersions) tryRead(ctx context.Context, read func(ctx context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
-	if err := sv.loadStarts(ctx); err != nil {
+	if err := read(ctx); err != nil {
 		sv.entry.logger.Debug("starts of streams were not read", "Error", err)
 	}
 }
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -38,6 +38,8 @@
 	lastRead    time.Duration
 	readError   error
 	readErrorAt time.Duration
+	// followedAt is when this host last read the log as a relay. Only run uses it.
+	followedAt time.Duration
 	// next is the offset from which the log is read on. Only the read that goes on uses it.
 	next chestnutroad.Offset
 
@@ -61,6 +63,7 @@
 		sv.observe()
 		sv.writeStarts(ctx)
 		sv.maintainVersions(ctx)
+		sv.followStarts(ctx)
 	}
 }
 
@@ -92,30 +95,33 @@
 	defer cancel()
 	sv.observe()
 	id := resumption.NewStreamID(ex.callMetadata.Resumes)
-	loadedStarts := false
+	loaded := false
+	var loadErr error
 	for {
 		listAge := sv.entry.copyAge(freshness.Targets)
 		sv.mu.Lock()
 		decision := sv.tracker.Decide(sv.entry.elapsed(), ex.service, id, listAge)
 		sv.mu.Unlock()
-		var err error
 		switch {
-		case decision.Basis == resumption.NeedsVersions:
-			err = sv.loadInherited(ctx)
-		case decision.Basis == resumption.NeedsStarts && !loadedStarts:
-			loadedStarts = true
-			err = sv.loadStarts(ctx)
-		case decision.Basis == resumption.NeedsStarts:
-			err = errors.New("the log has no start of the stream")
-		case decision.Basis == resumption.OnlyVersion && !loadedStarts:
+		case decision.Basis == resumption.Known:
+			return decision, nil
+		case decision.Basis == resumption.OnlyVersion && !loaded:
 			// The list of targets may lack a version that appeared a moment ago. Without the log, the list is relied on.
-			loadedStarts = true
-			sv.tryLoadStarts(ctx)
-		default:
+			loaded = true
+			sv.tryLoadStart(ctx, ex.service, id)
+		case !loaded:
+			loaded = true
+			loadErr = sv.loadStart(ctx, ex.service, id)
+		case decision.Basis == resumption.OnlyVersion:
 			return decision, nil
-		}
-		if err != nil {
-			return decision, err
+		case decision.Basis == resumption.NeedsVersions:
+			if err := sv.loadInherited(ctx); err != nil {
+				return decision, err
+			}
+		case loadErr != nil:
+			return decision, loadErr
+		default:
+			return decision, errors.New("the log has no start of the stream")
 		}
 	}
 }
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -136,6 +136,25 @@
 // Held returns the number of streams that the host knows.
 func (tr *Tracker) Held() int { return len(tr.streams) }
 
+// Start returns where a stream of the service began, if the host knows.
+func (tr *Tracker) Start(service chestnutroad.ServiceID, id StreamID) (start Start, found bool) {
+	known, found := tr.streams[id]
+	if !found || known.service != service {
+		return Start{}, false
+	}
+	return Start{Service: service, Version: known.version, Stream: id}, true
+}
+
+// HasSeveral reports whether a service has had targets of several versions for as long as streams last.
+func (tr *Tracker) HasSeveral(now time.Duration) bool {
+	for service := range tr.listed {
+		if len(tr.Recent(now, service)) > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // TakeUnwritten returns the streams that began at this host, are not in the log yet, and belong to services with several versions.
 // Those of other services stay until a second version appears.
 func (tr *Tracker) TakeUnwritten(now time.Duration) []Start {
@@ -185,8 +204,8 @@
 
 // Decide returns at which version of the service's targets the stream may be resumed; listAge is the age of the list of targets.
 func (tr *Tracker) Decide(now time.Duration, service chestnutroad.ServiceID, id StreamID, listAge time.Duration) Decision {
-	if known, found := tr.streams[id]; found && known.service == service {
-		return Decision{Basis: Known, Version: known.version}
+	if start, found := tr.Start(service, id); found {
+		return Decision{Basis: Known, Version: start.Version}
 	}
 	if now < Lifetime && !tr.inheritedKnown {
 		return Decision{Basis: NeedsVersions}
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -16,6 +16,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
+	"github.com/chestnutroad/chestnutroad/internal/resumption"
 )
 
 // StateRequest describes the state that the requesting host already has.
@@ -28,6 +29,9 @@
 	// AwaitConfiguration is true when the answer should wait for a short time until the called host has a configuration, since
 	// both hosts may be starting.
 	AwaitConfiguration bool `json:",omitempty"`
+	// Stream asks at which software version of the Service's targets a stream began; zero for no stream.
+	Stream  resumption.StreamID    `json:",omitempty"`
+	Service chestnutroad.ServiceID `json:",omitempty"`
 }
 
 // State is the part of a host's state that the requesting host does not have yet.
@@ -49,6 +53,10 @@
 	Evacuations *chestnutroad.EvacuationList `json:",omitempty"`
 	// Hosts is omitted when the requesting host has the same list.
 	Hosts []relay.Host `json:",omitempty"`
+	// Start states where the stream of the request began, if the host knows. StartsRead is true if the host has read the log of starts
+	// since the request, so that the stream is not there without a Start.
+	Start      *resumption.Start `json:",omitempty"`
+	StartsRead bool              `json:",omitempty"`
 }
 
 // StateSource provides this host's state for requests of other hosts.
