Compare fetched targets with the held ones when they are applied

Cause: the position of the answer was compared with the held one before the answer waited for the update that went on.

Change: the comparison and the update are one step. TestFetchedTargetsOfEarlierEra failed before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -370,6 +370,11 @@
 func (en *Entry) resetTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Position, source string) {
 	en.targetUpdates.Lock()
 	defer en.targetUpdates.Unlock()
+	en.replaceTargets(records, next, source)
+}
+
+// replaceTargets is resetTargets; en.targetUpdates must be held.
+func (en *Entry) replaceTargets(records []chestnutroad.KeyedRecord, next chestnutroad.Position, source string) {
 	listed := make(map[string]bool, len(records))
 	for _, record := range records {
 		listed[record.Key] = true
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -435,6 +435,8 @@
 
 // mergeTargets applies the targets from another host's answer. Those of an earlier era than the latest one are ignored.
 func (en *Entry) mergeTargets(answer *siblings.State, from string) {
+	en.targetUpdates.Lock()
+	defer en.targetUpdates.Unlock()
 	switch {
 	case !answer.Position.After(en.state.localStatus(en.now()).Position):
 	case en.eras.observe(answer.Position.Era):
@@ -446,8 +448,8 @@
 			en.logger.Error("targets can't be decompressed", "Source", "host "+from, "Error", err)
 			return
 		}
-		en.resetTargets(records, answer.Position, "host "+from)
+		en.replaceTargets(records, answer.Position, "host "+from)
 	default:
-		en.applyTargets(answer.Targets, answer.Position)
+		en.updateTargets(answer.Targets, answer.Position, en.state.applyRecords)
 	}
 }
--- a/internal/entry/targetupdate_test.go
+++ b/internal/entry/targetupdate_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/settings"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
 	"github.com/chestnutroad/chestnutroad/platform"
 )
 
@@ -69,3 +70,43 @@
 		t.Errorf("the record for other hosts is that of %v, want that of offset 9", got)
 	}
 }
+
+// TestFetchedTargetsOfEarlierEra guards against targets of an earlier era of the store from another host, which are applied after the host
+// has read a later era itself, so that the targets count as gone once they are not listed.
+func TestFetchedTargetsOfEarlierEra(t *testing.T) {
+	t.Parallel()
+	const entry = `{"service":"desk","address":"127.0.0.1:2","zone":"dc-a","slots":8,"state":"ready","sequence":1,"born":1}`
+	decoder := &slowDecoder{decoding: make(chan struct{}), released: make(chan struct{})}
+	en := New(&settings.Entry{
+		ID: "host-1", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1"), RetryWindow: time.Second,
+	}, &pagedStore{}, platform.Wire{}, decoder, log.New(io.Discard))
+	fetched, read := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(read)
+		en.resetTargets([]chestnutroad.KeyedRecord{{
+			Key: "i-1", Value: []byte(entry), Position: chestnutroad.Position{Era: 3},
+		}}, chestnutroad.Position{Era: 3, Offset: 1}, "store")
+	}()
+	<-decoder.decoding
+	go func() {
+		defer close(fetched)
+		en.mergeTargets(&siblings.State{
+			Position: chestnutroad.Position{Era: 2, Offset: 9},
+			Targets: []chestnutroad.KeyedRecord{{
+				Key: "i-2", Value: []byte(strings.Replace(entry, "ready", "draining", 1)), Position: chestnutroad.Position{Era: 2, Offset: 8},
+			}},
+		}, "host-2")
+	}()
+	select {
+	case <-fetched:
+	case <-time.After(100 * time.Millisecond):
+	}
+	close(decoder.released)
+	<-read
+	<-fetched
+	en.state.mu.Lock()
+	defer en.state.mu.Unlock()
+	if _, found := en.state.pool.Entry("i-2"); found {
+		t.Error("a target of the earlier era is in use")
+	}
+}
--- a/test/soak/testbed_test.go
+++ b/test/soak/testbed_test.go
@@ -141,28 +141,6 @@
 	})
 }
 
-// addTemporaryRunner adds a runner of the plain service to the store. It marks the runner as draining after stay and removes it
-// from the store after drain.
-func (tb *testbed) addTemporaryRunner(stay, drain time.Duration) {
-	tb.mu.Lock()
-	id := fmt.Sprintf("i-joined-%d", tb.joinedCount)
-	tb.joinedCount++
-	tb.mu.Unlock()
-	rn, _, setState, err := tb.newRunner(id, "desk", dataCentre)
-	if err != nil {
-		tb.t.Error(err)
-		return
-	}
-	setState("ready")
-	time.Sleep(stay)
-	setState("draining")
-	time.Sleep(drain)
-	tb.store.PutTarget(id, "")
-	tb.mu.Lock()
-	defer tb.mu.Unlock()
-	tb.removedRunners = append(tb.removedRunners, rn)
-}
-
 // The marks of the events of runners of two software versions.
 const (
 	firstMark  = " of v1"
@@ -174,19 +152,29 @@
 	return strings.NewReplacer(firstMark, "", secondMark, "").Replace(events)
 }
 
-// addSecondVersion adds a runner of the model whose software has another version. It marks the runner as draining after stay and removes it
+// addTemporaryRunner adds a runner of the plain service to the store. It marks the runner as draining after stay and removes it
 // from the store after drain.
+func (tb *testbed) addTemporaryRunner(stay, drain time.Duration) {
+	tb.addLeavingRunner("desk", func(*standin.Runner) {}, stay, drain)
+}
+
+// addSecondVersion is addTemporaryRunner for a runner of the model whose software has another version.
 func (tb *testbed) addSecondVersion(stay, drain time.Duration) {
+	tb.addLeavingRunner("model", func(rn *standin.Runner) { rn.Version, rn.Mark = "v2", secondMark }, stay, drain)
+}
+
+// addLeavingRunner adds a runner after prepare has changed it, marks it as draining after stay, and removes it after drain.
+func (tb *testbed) addLeavingRunner(service string, prepare func(rn *standin.Runner), stay, drain time.Duration) {
 	tb.mu.Lock()
-	id := fmt.Sprintf("i-second-%d", tb.joinedCount)
+	id := fmt.Sprintf("i-joined-%d", tb.joinedCount)
 	tb.joinedCount++
 	tb.mu.Unlock()
-	rn, _, setState, err := tb.newRunner(id, "model", dataCentre)
+	rn, _, setState, err := tb.newRunner(id, service, dataCentre)
 	if err != nil {
 		tb.t.Error(err)
 		return
 	}
-	rn.Version, rn.Mark = "v2", secondMark
+	prepare(rn)
 	setState("ready")
 	time.Sleep(stay)
 	setState("draining")
