--- a/internal/entry/fetchstart_test.go
+++ b/internal/entry/fetchstart_test.go
@@ -25,6 +25,8 @@
 		return strings.Contains(large[0].log.String()+large[1].log.String(), `"Relaying":true`)
 	})
 	last := st.start("host-3", true, small)
+	// The host is ready just before it writes the line.
+	last.awaitLog(`"Message":"configuration in force"`)
 	inForce := last.log.line(`"Message":"configuration in force"`)
 	if !strings.Contains(inForce, `"Source":"host `) {
 		t.Errorf("the configuration did not come from another host: %s", inForce)
