Give running hosts of the tests addresses of their own

Tests of package entry start 372 hosts, and their addresses were counted in a byte without regard to those in use: a host got the address of one that had started 256 starts before. If that one still ran, the new host could not listen, and its test either failed with "the host is ready" and an empty log, or called the other test's host.

Whether this is the cause is not known, since the host's error was not printed: the oldest host that still ran was 130 starts old in a run alone. A host that ends before it is ready fails its test with its error now, and addresses are reserved until the end of the test. TestAddressesOfRunningHostsDiffer fails with the former count at the 255th host.

--- a/internal/entry/site_test.go
+++ b/internal/entry/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -88,16 +89,45 @@
 }
 
 var (
-	portMu   sync.Mutex
-	lastHost byte
+	addressMu sync.Mutex
+	// lastAddress is the number of the last address that was reserved, and reserved holds those that are in use.
+	lastAddress byte
+	reserved    = map[byte]bool{}
 )
 
-// freeHost returns a loopback address that no other host of the test process uses, so that all can use the same ports.
-func freeHost() netip.Addr {
-	portMu.Lock()
-	defer portMu.Unlock()
-	lastHost++
-	return standin.Loopback(addressGroup, lastHost)
+// reserveAddress returns a loopback address that no other host of the test process uses until the end of the test, so that all can use
+// the same ports.
+func reserveAddress(t *testing.T) netip.Addr {
+	t.Helper()
+	addressMu.Lock()
+	defer addressMu.Unlock()
+	if len(reserved) > math.MaxUint8 {
+		t.Fatal("all loopback addresses are in use")
+	}
+	for lastAddress++; reserved[lastAddress]; {
+		lastAddress++
+	}
+	number := lastAddress
+	reserved[number] = true
+	t.Cleanup(func() {
+		addressMu.Lock()
+		defer addressMu.Unlock()
+		delete(reserved, number)
+	})
+	return standin.Loopback(addressGroup, number)
+}
+
+// TestAddressesOfRunningHostsDiffer guards against two hosts of the tests that run at once with one address: the second one can't listen
+// there, and its test calls the first one.
+func TestAddressesOfRunningHostsDiffer(t *testing.T) {
+	own := reserveAddress(t)
+	for range 2 * math.MaxUint8 {
+		t.Run("other host", func(t *testing.T) {
+			if other := reserveAddress(t); other == own {
+				t.Errorf("%s is in use and was reserved again", own)
+			}
+		})
+	}
 }
 
 const (
@@ -113,7 +143,7 @@
 // start starts an entry host and waits until it is ready, unless wait is false.
 func (st *site) start(id string, wait bool, opts ...func(*settings.Entry)) *host {
 	st.t.Helper()
-	address := freeHost()
+	address := reserveAddress(st.t)
 	set := &settings.Entry{
 		ID: chestnutroad.HostID(id), DataCentre: "dc-a",
 		CallerAddress: netip.AddrPortFrom(address, callerPort), ReadyAddress: netip.AddrPortFrom(address, readyPort),
@@ -143,11 +173,25 @@
 		ht.ended <- <-ht.ended
 	})
 	if wait {
-		ht.eventually(5*time.Second, "the host is ready", ht.isReady)
+		ht.eventually(5*time.Second, "the host is ready", func() bool {
+			ht.checkRunning()
+			return ht.isReady()
+		})
 	}
 	return ht
 }
 
+// checkRunning fails the test if the host has ended.
+func (ht *host) checkRunning() {
+	ht.t.Helper()
+	select {
+	case err := <-ht.ended:
+		ht.ended <- err
+		ht.t.Fatalf("the host ended: %v", err)
+	default:
+	}
+}
+
 // eventually fails the test unless holds returns true within the limit.
 func (ht *host) eventually(limit time.Duration, condition string, holds func() bool) {
 	ht.t.Helper()
--- a/internal/entry/slowrelay_test.go
+++ b/internal/entry/slowrelay_test.go
@@ -21,7 +21,7 @@
 	st := newSite(t)
 	st.store.Configure(3, 1, "k-1", "k-2")
 	st.runner("i-1", "desk")
-	address := netip.AddrPortFrom(freeHost(), peerPort)
+	address := netip.AddrPortFrom(reserveAddress(t), peerPort)
 	socket, err := siblings.ListenDatagrams(address)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entry/start_test.go
+++ b/internal/entry/start_test.go
@@ -39,7 +39,7 @@
 			st.store.Configure(3, 1, "k-1", "k-2")
 			st.runner("i-1", "desk")
 			st.store.SetFault(tc.fault)
-			seed := freeHost()
+			seed := reserveAddress(t)
 			var config net.ListenConfig
 			listener, err := config.Listen(t.Context(), "tcp", netip.AddrPortFrom(seed, peerPort).String())
 			if err != nil {
