Give the hosts of TestPage an address of their own

The test picks free ports on 127.0.0.1 and closes them before the hosts listen; in between, a connection of another test process got the port, since the kernel assigns it from the same range. test/process and the demo use an address by process id for that reason; so does this test now.

--- a/test/operating/page_test.go
+++ b/test/operating/page_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -14,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
 
 const (
@@ -101,13 +104,17 @@
 	return environment
 }
 
-// freeAddresses returns distinct free loopback addresses. It keeps the listeners open until it has all the addresses, so that the
-// system does not assign one twice.
+// addressGroup separates the loopback addresses of this package from those of other packages.
+const addressGroup = 79
+
+// freeAddresses returns loopback addresses with distinct free ports. It keeps the listeners open until it has all the addresses, so that
+// the system does not assign one twice. The IP address depends on the process: on a shared one, a connection of another process may
+// take a port before the host listens on it.
 func freeAddresses(t *testing.T, count int) []string {
 	t.Helper()
 	addresses := make([]string, 0, count)
 	for range count {
-		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+		listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", netip.AddrPortFrom(standin.Loopback(addressGroup, 1), 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
