Let the cut-off, not the rule's timeout, end the request in TestCutOffAnswersRequests

Both statuses were true. The case uses a rule with a timeout of 20 s now, as the first one does, so that only the cut-off can end it; what it checks is unchanged.

--- a/internal/entry/cutoff_test.go
+++ b/internal/entry/cutoff_test.go
@@ -20,7 +20,7 @@
 		status int
 	}{
 		{"no answer", standin.PatientPath + "x", 0, http.StatusBadGateway},
-		{"repeatable request without an answer", "/stock/x", 0, http.StatusBadGateway},
+		{"repeatable request without an answer", standin.PatientStockPath + "x", 0, http.StatusBadGateway},
 		{"stream without an event", "/once/x", 0, http.StatusBadGateway},
 		{"answer in time", "/order/x", 300 * time.Millisecond, http.StatusOK},
 	}
