--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -245,7 +245,7 @@
 	}
 }
 
-// currentHostCount returns the number of hosts among which the retry slack is divided.
+// currentHostCount returns the number of hosts of the installation.
 func (st *state) currentHostCount() int {
 	st.mu.Lock()
 	defer st.mu.Unlock()
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -145,7 +145,7 @@
 	return Start{Service: service, Version: known.version, Stream: id}, true
 }
 
-// HasSeveral reports whether a service has had targets of several versions for as long as streams last.
+// HasSeveral reports whether a service has had targets of several versions within the time for which streams last.
 func (tr *Tracker) HasSeveral(now time.Duration) bool {
 	for service := range tr.listed {
 		if len(tr.Recent(now, service)) > 1 {
