Wait for the next append before a resumed stream of unknown start is refused

Callers saw: a stream that broke off right after its first events was refused with 503 at the next host, while two software versions served, although a target of its version was there and the host at which it had begun lived on.

Cause: hosts append where streams began every 0.25 s, every 0.65 s on 130 hosts. A host that did not find a stream in the log refused it at once, and most callers come back only once.

A host now looks again for as long as an append may take.

--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -17,6 +17,10 @@
 const (
 	// lookupTimeout limits the time for which a resumed stream waits for reads of the store.
 	lookupTimeout = 400 * time.Millisecond
+	// rereadInterval is the pause before a resumed stream is looked up again, whose start may be written to the log meanwhile, and
+	// appendMargin the time that an append takes on a busy host.
+	rereadInterval = 150 * time.Millisecond
+	appendMargin   = 150 * time.Millisecond
 	// unknownStartRetryAfter is the Retry-After of a resumed stream whose start may be written to the log meanwhile.
 	unknownStartRetryAfter = 300 * time.Millisecond
 )
@@ -88,9 +92,23 @@
 	})
 }
 
-// decide returns at which version the exchange's stream may be resumed; it reads the store if the host doesn't know. With an error the
-// version is not known.
+// errNotInLog means that the log was read and has no start of the stream.
+var errNotInLog = errors.New("the log has no start of the stream")
+
+// decide returns at which version the exchange's stream may be resumed. With an error the version is not known. A stream that began less
+// than an interval of appends ago may not be in the log yet, so that it is looked up for so long.
 func (sv *streamVersions) decide(ex *exchange) (resumption.Decision, error) {
+	end := sv.entry.elapsed() + sv.interval() + appendMargin
+	for {
+		decision, err := sv.lookUp(ex)
+		if !errors.Is(err, errNotInLog) || sv.entry.elapsed() >= end || !sleep(ex.request.Context(), rereadInterval) {
+			return decision, err
+		}
+	}
+}
+
+// lookUp is decide without a wait for appends; it reads the store if the host doesn't know.
+func (sv *streamVersions) lookUp(ex *exchange) (resumption.Decision, error) {
 	ctx, cancel := context.WithTimeout(ex.request.Context(), lookupTimeout)
 	defer cancel()
 	sv.observe()
@@ -121,7 +139,7 @@
 		case loadErr != nil:
 			return decision, loadErr
 		default:
-			return decision, errors.New("the log has no start of the stream")
+			return decision, errNotInLog
 		}
 	}
 }
--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -288,6 +288,31 @@
 	}
 }
 
+// TestStreamNotYetInLogIsResumed guards against a stream that is refused since the host at which it began a moment ago has not written that
+// to the log yet.
+func TestStreamNotYetInLogIsResumed(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	runners := []*standin.Runner{st.versionRunner("i-0", "v1"), st.versionRunner("i-1", "v2")}
+	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
+	begunAt := st.start("host-2", true)
+	st.awaitVersions(relay, 2)
+	begunAt.awaitLog(`"Reason":"FollowsRelay"`)
+	for index := range 4 {
+		for _, rn := range runners {
+			rn.SetNext(standin.Cut)
+		}
+		begun := fmt.Sprintf("r-%d-a", index)
+		begunAt.beginStream(begun)
+		for _, rn := range runners {
+			rn.SetNext(standin.Serve)
+		}
+		got := relay.resumeStream(fmt.Sprintf("r-%d-b", index), begun)
+		checkResumed(t, relay, &got, true)
+	}
+}
+
 // TestUnknownStreamIsRefused guards against a stream of which nobody knows where it began and that goes on at some version.
 func TestUnknownStreamIsRefused(t *testing.T) {
 	t.Parallel()
