Read the log of stream starts on while the store answers

Callers saw: resumed streams were refused 0.4 s after half of the hosts were killed, in data centres whose relay was among them, though the store was sound.

Cause: a lookup ended after 0.4 s. Without a relay each host reads the log by itself, which takes longer on a link of 10 Mbit/s; the error named the versions in use, which were to be read after it.

TestStreamWaitsForSlowLog failed with the former limit. TestSilentLogOfStarts checks as before that a store that does not answer costs 0.4 s once.

--- a/internal/entry/startslog_test.go
+++ b/internal/entry/startslog_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -17,9 +19,10 @@
 )
 
 // slowLog is a log with a number of records, of which it returns pageRecords after a delay. Each record has the start of the stream with the
-// number of its offset.
+// number of its offset, the last one that of the stream last, if there is one.
 type slowLog struct {
 	records, pageRecords chestnutroad.Offset
+	last                 *resumption.Start
 	delay                time.Duration
 	reads                atomic.Int64
 }
@@ -37,7 +40,11 @@
 	time.Sleep(sl.delay)
 	batch := chestnutroad.Batch{Next: sl.records}
 	for offset := from; offset < min(sl.records, from+sl.pageRecords); offset++ {
-		data, err := resumption.EncodeStarts([]resumption.Start{{Service: "model", Version: "v1", Stream: resumption.StreamID(offset)}})
+		start := resumption.Start{Service: "model", Version: "v1", Stream: resumption.StreamID(offset)}
+		if sl.last != nil && offset == sl.records-1 {
+			start = *sl.last
+		}
+		data, err := resumption.EncodeStarts([]resumption.Start{start})
 		if err != nil {
 			return batch, err
 		}
@@ -77,6 +84,24 @@
 	}
 }
 
+// TestStreamWaitsForSlowLog guards against a stream that is refused while its host on a small link reads the log in which it is.
+func TestStreamWaitsForSlowLog(t *testing.T) {
+	t.Parallel()
+	records := &slowLog{records: 100, pageRecords: 10, delay: 80 * time.Millisecond}
+	en := New(&settings.Entry{
+		ID: "host-1", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1"), RetryWindow: time.Second,
+	}, &pagedStore{}, platform.Wire{}, platform.Decoder{}, log.New(io.Discard), WithLog(records))
+	records.last = &resumption.Start{Service: "model", Version: "v1", Stream: resumption.NewStreamID("r-1")}
+	ex := &exchange{
+		request: httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/", http.NoBody), service: "model",
+		callMetadata: chestnutroad.CallMetadata{ID: "r-2", Resumes: "r-1", LastEvent: "1"}, deadline: en.now().Add(10 * time.Second),
+	}
+	want := resumption.Decision{Basis: resumption.Known, Version: "v1"}
+	if got, err := en.streamVersions.decide(ex); got != want || err != nil {
+		t.Errorf("got %+v, error %v, want %+v", got, err, want)
+	}
+}
+
 // silentLog is a log that does not answer.
 type silentLog struct{ slowLog }
 
@@ -92,7 +117,7 @@
 	en := New(&settings.Entry{
 		ID: "host-1", CallerAddress: netip.MustParseAddrPort("127.0.0.1:1"), RetryWindow: time.Second,
 	}, &pagedStore{}, platform.Wire{}, platform.Decoder{}, log.New(io.Discard), WithLog(&silentLog{}))
-	for call, most := range []time.Duration{2 * lookupTimeout, lookupTimeout / 2, lookupTimeout / 2} {
+	for call, most := range []time.Duration{2 * silenceTimeout, silenceTimeout / 2, silenceTimeout / 2} {
 		ctx, cancel := context.WithTimeout(t.Context(), lookupTimeout)
 		started := time.Now()
 		err := en.streamVersions.loadStarts(ctx)
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -71,12 +71,13 @@
 		}
 		select {
 		case <-reading.done:
+			if reading.err != nil {
+				return reading.err
+			}
+		case <-time.After(silenceTimeout):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if reading.err != nil {
-			return reading.err
-		}
 	}
 }
 
@@ -89,7 +90,7 @@
 	switch {
 	case sv.lastRead > called:
 		return nil, nil
-	case sv.reading != nil && now-time.Duration(sv.reading.progressAt.Load()) > lookupTimeout:
+	case sv.reading != nil && now-time.Duration(sv.reading.progressAt.Load()) >= silenceTimeout:
 		return nil, errLogSilent
 	case sv.reading == nil && sv.readError != nil && now-sv.readErrorAt < failureMemory:
 		return nil, sv.readError
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// lookupTimeout limits the time for which a resumed stream waits for reads of the store.
-	lookupTimeout = 400 * time.Millisecond
+	// lookupTimeout limits the time for which a resumed stream waits until its start is found. Callers wait for 2 s or longer.
+	lookupTimeout = 1500 * time.Millisecond
+	// silenceTimeout is the time without an answer of the store after which it counts as not answering.
+	silenceTimeout = 400 * time.Millisecond
 	// rereadInterval is the pause before a resumed stream is looked up again, whose start may be written to the log meanwhile, and
 	// appendMargin the time that an append takes on a busy host.
 	rereadInterval = 150 * time.Millisecond
@@ -98,19 +100,19 @@
 // decide returns at which version the exchange's stream may be resumed. With an error the version is not known. A stream that began less
 // than an interval of appends ago may not be in the log yet, so that it is looked up for so long.
 func (sv *streamVersions) decide(ex *exchange) (resumption.Decision, error) {
+	ctx, cancel := context.WithTimeout(ex.request.Context(), min(lookupTimeout, ex.remaining(sv.entry.now())/2))
+	defer cancel()
 	end := sv.entry.elapsed() + sv.interval() + appendMargin
 	for {
-		decision, err := sv.lookUp(ex)
-		if !errors.Is(err, errNotInLog) || sv.entry.elapsed() >= end || !sleep(ex.request.Context(), rereadInterval) {
+		decision, err := sv.lookUp(ctx, ex)
+		if !errors.Is(err, errNotInLog) || sv.entry.elapsed() >= end || !sleep(ctx, rereadInterval) {
 			return decision, err
 		}
 	}
 }
 
 // lookUp is decide without a wait for appends; it reads the store if the host doesn't know.
-func (sv *streamVersions) lookUp(ex *exchange) (resumption.Decision, error) {
-	ctx, cancel := context.WithTimeout(ex.request.Context(), lookupTimeout)
-	defer cancel()
+func (sv *streamVersions) lookUp(ctx context.Context, ex *exchange) (resumption.Decision, error) {
 	sv.observe()
 	id := resumption.NewStreamID(ex.callMetadata.Resumes)
 	loaded := false
@@ -132,7 +134,7 @@
 			loadErr = sv.loadStart(ctx, ex.service, id)
 		case decision.Basis == resumption.OnlyVersion:
 			return decision, nil
-		case decision.Basis == resumption.NeedsVersions:
+		case decision.Basis == resumption.NeedsVersions && !errors.Is(loadErr, errLogSilent):
 			if err := sv.loadInherited(ctx); err != nil {
 				return decision, err
 			}
