Let relays write the starts of streams

Cause: each host appended to one partition of the log, which takes an append in 2 ms, so that 130 hosts could do so every 0.65 s and 195 every second. The streams of that time were in no log.

Hosts hand the starts of streams to the relay of their data centre every 0.15 s, which knows them at once and appends them every 0.1 s. What was handed to a relay that is followed no more is handed again. Without a relay that can read the store, hosts append as before.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -211,6 +211,9 @@
 	if request.Stream != 0 {
 		answer.Start, answer.StartsRead = ln.entry.streamVersions.find(ctx, request.Service, request.Stream)
 	}
+	if len(request.Starts) > 0 {
+		answer.StartsTaken = ln.entry.streamVersions.takeStarts(request.Starts)
+	}
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	if request.HostList != ln.hostListHash() {
--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -60,17 +60,27 @@
 	return ln.tracker.Decide(ln.entry.elapsed(), stream, held, status)
 }
 
-// startRequest returns a request for the state of this host's relay that asks for nothing that this host has, and the address of the relay;
-// the address is empty while there is none or this host is one itself.
-func (ln *link) startRequest() (request *siblings.StateRequest, address string) {
+// relayCall is a call to the relay of a host. Its request asks for nothing that the host has.
+type relayCall struct {
+	request *siblings.StateRequest
+	address string
+	// fresh is true if the relay can read the store.
+	fresh bool
+}
+
+// newRelayCall returns a call to this host's relay; false while there is none or this host is one itself.
+func (ln *link) newRelayCall() (call relayCall, found bool) {
 	status := ln.entry.localStatus()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	if ln.node.Relaying() {
-		return nil, ""
+		return call, false
 	}
-	host, _, _ := ln.node.Relay(ln.entry.now())
-	return &siblings.StateRequest{Version: status.Version, Position: status.Position, HostList: ln.hostListHash()}, host.Address
+	host, fresh, found := ln.node.Relay(ln.entry.now())
+	return relayCall{
+		request: &siblings.StateRequest{Version: status.Version, Position: status.Position, HostList: ln.hostListHash()},
+		address: host.Address, fresh: fresh,
+	}, found
 }
 
 // recordRead records up to which time this host itself has read a stream of the store.
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -13,12 +13,6 @@
 )
 
 const (
-	// startsInterval is the time between two appends of the starts of streams on small installations, and startsPerHost its minimum for
-	// each host: a partition of the log takes an append in 2 ms.
-	startsInterval = 250 * time.Millisecond
-	startsPerHost  = 5 * time.Millisecond
-	// startsTimeout limits an append.
-	startsTimeout = time.Second
 	// startsHorizon is the time for which starts are read at most: that of the longest streams.
 	startsHorizon = 15 * time.Second
 	// readStartsTimeout limits a read of the log, which may have several pages.
@@ -33,30 +27,6 @@
 	tryTimeout = 100 * time.Millisecond
 )
 
-// writeStarts appends the starts of streams of services with several versions that are not in the log yet.
-func (sv *streamVersions) writeStarts(ctx context.Context) {
-	sv.mu.Lock()
-	starts := sv.tracker.TakeUnwritten(sv.entry.elapsed())
-	sv.mu.Unlock()
-	if len(starts) == 0 || sv.log == nil {
-		return
-	}
-	data, err := resumption.EncodeStarts(starts)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(ctx, startsTimeout)
-		defer cancel()
-		_, err = sv.log.Append(ctx, chestnutroad.StreamStarts, data)
-	}
-	if err == nil {
-		sv.entry.counters.countStarts(len(starts))
-		return
-	}
-	sv.entry.logger.Warn("starts of streams were not written", "Count", len(starts), "Error", err)
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	sv.tracker.ReturnUnwritten(starts)
-}
-
 // loadStarts waits until the starts of streams that were written before the call have been read, or until ctx ends. The read goes on
 // after that, so that later requests don't begin it anew.
 func (sv *streamVersions) loadStarts(ctx context.Context) error {
@@ -150,17 +120,6 @@
 	}
 }
 
-// maxRecords returns the number of records that all hosts append in startsHorizon at most.
-func (sv *streamVersions) maxRecords() chestnutroad.Offset {
-	hosts := sv.entry.state.currentHostCount()
-	return chestnutroad.Offset(hosts) * chestnutroad.Offset(startsHorizon/sv.interval())
-}
-
-// interval returns the time between two appends of this host.
-func (sv *streamVersions) interval() time.Duration {
-	return max(startsInterval, time.Duration(sv.entry.state.currentHostCount())*startsPerHost)
-}
-
 // followStarts keeps a relay's knowledge current while a service has several versions, so that it can answer the other hosts of its data
 // centre: if all of them read the log, it would be sent once for each host.
 func (sv *streamVersions) followStarts(ctx context.Context) {
@@ -190,14 +149,14 @@
 func (sv *streamVersions) askRelay(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) (answered bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	request, address := sv.entry.link.startRequest()
-	if address == "" {
+	call, found := sv.entry.link.newRelayCall()
+	if !found {
 		return false
 	}
-	request.Service, request.Stream = service, id
-	answer, err := siblings.Fetch(ctx, address, request)
+	call.request.Service, call.request.Stream = service, id
+	answer, err := siblings.Fetch(ctx, call.address, call.request)
 	if err != nil {
-		sv.entry.logger.Debug("the relay was not asked for the start of a stream", "Address", address, "Error", err)
+		sv.entry.logger.Debug("the relay was not asked for the start of a stream", "Address", call.address, "Error", err)
 		return false
 	}
 	if answer.Start != nil {
@@ -256,8 +215,3 @@
 		}
 	}
 }
-
-// countStarts counts starts of streams that were written to the log.
-func (cn *counters) countStarts(count int) {
-	cn.set.GetOrCreateCounter("chestnutroad_stream_starts_written_total").Add(count)
-}
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -19,10 +19,8 @@
 	lookupTimeout = 1500 * time.Millisecond
 	// silenceTimeout is the time without an answer of the store after which it counts as not answering.
 	silenceTimeout = 400 * time.Millisecond
-	// rereadInterval is the pause before a resumed stream is looked up again, whose start may be written to the log meanwhile, and
-	// appendMargin the time that an append takes on a busy host.
+	// rereadInterval is the pause before a resumed stream is looked up again, whose start may be written to the log meanwhile.
 	rereadInterval = 150 * time.Millisecond
-	appendMargin   = 150 * time.Millisecond
 	// unknownStartRetryAfter is the Retry-After of a resumed stream whose start may be written to the log meanwhile.
 	unknownStartRetryAfter = 300 * time.Millisecond
 )
@@ -36,6 +34,11 @@
 
 	mu      sync.Mutex
 	tracker *resumption.Tracker
+	// handed are the starts that were handed to the relay at handedTo a moment ago, the oldest first. Only run uses them and appendedAt, the
+	// time of this host's latest append.
+	handed     []handedStarts
+	handedTo   string
+	appendedAt time.Duration
 
 	// readMu protects reading, the read of the log that goes on, if one does, lastRead, when the last successful one began, and the
 	// error of the last one, if it failed.
@@ -98,11 +101,11 @@
 var errNotInLog = errors.New("the log has no start of the stream")
 
 // decide returns at which version the exchange's stream may be resumed. With an error the version is not known. A stream that began less
-// than an interval of appends ago may not be in the log yet, so that it is looked up for so long.
+// a moment ago may not be in the log yet, so that it is looked up until it would be.
 func (sv *streamVersions) decide(ex *exchange) (resumption.Decision, error) {
 	ctx, cancel := context.WithTimeout(ex.request.Context(), min(lookupTimeout, ex.remaining(sv.entry.now())/2))
 	defer cancel()
-	end := sv.entry.elapsed() + sv.interval() + appendMargin
+	end := sv.entry.elapsed() + sv.writeDelay()
 	for {
 		decision, err := sv.lookUp(ctx, ex)
 		if !errors.Is(err, errNotInLog) || sv.entry.elapsed() >= end || !sleep(ctx, rereadInterval) {
--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -313,6 +313,30 @@
 	}
 }
 
+// TestRelayAppendsStarts guards against each host of a data centre that writes to the log by itself, and against a relay that does not
+// write what it has taken.
+func TestRelayAppendsStarts(t *testing.T) {
+	t.Parallel()
+	const written = "chestnutroad_stream_starts_written_total"
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	st.versionRunner("i-0", "v1")
+	st.versionRunner("i-1", "v2")
+	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
+	begunAt := st.start("host-2", true)
+	st.awaitVersions(relay, 2)
+	begunAt.awaitLog(`"Reason":"FollowsRelay"`)
+	for index := range 5 {
+		begunAt.call(t.Context(), standin.Call{
+			Method: http.MethodPost, Path: standin.ChatPath + "x", ID: fmt.Sprintf("r-%d", index), Key: "k-1", Body: "b",
+		})
+	}
+	relay.eventually(writeTime, "the relay has written the starts", func() bool { return relay.metric(written) == "5" })
+	if got := begunAt.metric(written); got != "" {
+		t.Errorf("the other host has written %s starts", got)
+	}
+}
+
 // TestUnknownStreamIsRefused guards against a stream of which nobody knows where it began and that goes on at some version.
 func TestUnknownStreamIsRefused(t *testing.T) {
 	t.Parallel()
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -32,6 +32,8 @@
 	// Stream asks at which software version of the Service's targets a stream began; zero for no stream.
 	Stream  resumption.StreamID    `json:",omitempty"`
 	Service chestnutroad.ServiceID `json:",omitempty"`
+	// Starts holds streams that began at the requesting host, as a record of the log, into which the called host is to write them.
+	Starts []byte `json:",omitempty"`
 }
 
 // State is the part of a host's state that the requesting host does not have yet.
@@ -57,6 +59,8 @@
 	// since the request, so that the stream is not there without a Start.
 	Start      *resumption.Start `json:",omitempty"`
 	StartsRead bool              `json:",omitempty"`
+	// StartsTaken is true if the host writes the Starts of the request to the log.
+	StartsTaken bool `json:",omitempty"`
 }
 
 // StateSource provides this host's state for requests of other hosts.
