Refuse streams that are known not to be in the log at once

TestMissedStreamIsRefusedAtOnce and TestMiss are new; the refusal at the second host took as long as the first one before.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -209,7 +209,7 @@
 	answer.ConfigurationAge, answer.TargetsAge = configurationAge, targetsAge
 	answer.Evacuations = ln.entry.evacuations.list()
 	if request.Stream != 0 {
-		answer.Start, answer.StartsRead = ln.entry.streamVersions.find(ctx, request.Service, request.Stream)
+		ln.entry.streamVersions.find(ctx, request.Service, request.Stream, answer)
 	}
 	if len(request.Starts) > 0 {
 		answer.StartsTaken = ln.entry.streamVersions.takeStarts(request.Starts)
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -159,32 +159,52 @@
 		sv.entry.logger.Debug("the relay was not asked for the start of a stream", "Address", call.address, "Error", err)
 		return false
 	}
-	if answer.Start != nil {
-		sv.mu.Lock()
-		defer sv.mu.Unlock()
-		sv.tracker.Learn(sv.entry.elapsed(), *answer.Start)
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	now := sv.entry.elapsed()
+	switch {
+	case answer.Start != nil:
+		sv.tracker.Learn(now, *answer.Start)
+	case answer.StartsRead:
+		sv.tracker.Miss(now, now-answer.StartMissed, id)
 	}
 	return answer.Start != nil || answer.StartsRead
 }
 
 // find answers another host that asks where a stream began. It reads the log if this host doesn't know.
 func (sv *streamVersions) find(
-	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID,
-) (start *resumption.Start, logRead bool) {
+	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID, answer *siblings.State,
+) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	for {
-		sv.mu.Lock()
-		known, found := sv.tracker.Start(service, id)
-		sv.mu.Unlock()
-		if found {
-			return &known, logRead
-		}
-		if logRead || sv.loadStarts(ctx) != nil {
-			return nil, logRead
-		}
-		logRead = true
+	if answer.Start = sv.start(service, id); answer.Start != nil {
+		return
+	}
+	if sv.loadStarts(ctx) != nil {
+		return
+	}
+	if answer.Start = sv.start(service, id); answer.Start != nil {
+		return
+	}
+	answer.StartsRead, answer.StartMissed = true, sv.missedFor(id)
+}
+
+// start returns where a stream of the service began; nil if the host doesn't know.
+func (sv *streamVersions) start(service chestnutroad.ServiceID, id resumption.StreamID) *resumption.Start {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if known, found := sv.tracker.Start(service, id); found {
+		return &known
 	}
+	return nil
+}
+
+// missedFor records that the log has no start of the stream and returns for how long it has been missed.
+func (sv *streamVersions) missedFor(id resumption.StreamID) time.Duration {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	now := sv.entry.elapsed()
+	return now - sv.tracker.Miss(now, now, id)
 }
 
 // tryLoadStart is loadStart for a service with one version, whose streams need not wait long for a store that doesn't answer.
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -105,25 +105,26 @@
 func (sv *streamVersions) decide(ex *exchange) (resumption.Decision, error) {
 	ctx, cancel := context.WithTimeout(ex.request.Context(), min(lookupTimeout, ex.remaining(sv.entry.now())/2))
 	defer cancel()
-	end := sv.entry.elapsed() + sv.writeDelay()
+	id := resumption.NewStreamID(ex.callMetadata.Resumes)
 	for {
-		decision, err := sv.lookUp(ctx, ex)
-		if !errors.Is(err, errNotInLog) || sv.entry.elapsed() >= end || !sleep(ctx, rereadInterval) {
+		decision, err := sv.lookUp(ctx, ex.service, id)
+		if !errors.Is(err, errNotInLog) || sv.missedFor(id) >= sv.writeDelay() || !sleep(ctx, rereadInterval) {
 			return decision, err
 		}
 	}
 }
 
 // lookUp is decide without a wait for appends; it reads the store if the host doesn't know.
-func (sv *streamVersions) lookUp(ctx context.Context, ex *exchange) (resumption.Decision, error) {
+func (sv *streamVersions) lookUp(
+	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID,
+) (resumption.Decision, error) {
 	sv.observe()
-	id := resumption.NewStreamID(ex.callMetadata.Resumes)
 	loaded := false
 	var loadErr error
 	for {
 		listAge := sv.entry.copyAge(freshness.Targets)
 		sv.mu.Lock()
-		decision := sv.tracker.Decide(sv.entry.elapsed(), ex.service, id, listAge)
+		decision := sv.tracker.Decide(sv.entry.elapsed(), service, id, listAge)
 		sv.mu.Unlock()
 		switch {
 		case decision.Basis == resumption.Known:
@@ -131,10 +132,10 @@
 		case decision.Basis == resumption.OnlyVersion && !loaded:
 			// The list of targets may lack a version that appeared a moment ago. Without the log, the list is relied on.
 			loaded = true
-			sv.tryLoadStart(ctx, ex.service, id)
+			sv.tryLoadStart(ctx, service, id)
 		case !loaded:
 			loaded = true
-			loadErr = sv.loadStart(ctx, ex.service, id)
+			loadErr = sv.loadStart(ctx, service, id)
 		case decision.Basis == resumption.OnlyVersion:
 			return decision, nil
 		case decision.Basis == resumption.NeedsVersions && !errors.Is(loadErr, errLogSilent):
--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -337,6 +337,31 @@
 	}
 }
 
+// TestMissedStreamIsRefusedAtOnce guards against a caller who waits at each host anew for a stream that is known not to be in the log.
+func TestMissedStreamIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	st := newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	st.versionRunner("i-0", "v1")
+	st.versionRunner("i-1", "v2")
+	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
+	other := st.start("host-2", true)
+	st.awaitVersions(relay, 2)
+	other.awaitLog(`"Reason":"FollowsRelay"`)
+	took := func(ht *host, id string) time.Duration {
+		started := time.Now()
+		got := ht.resumeStream(id, "r-unknown")
+		checkResumed(t, ht, &got, false)
+		return time.Since(started)
+	}
+	first := took(relay, "r-1")
+	for _, ht := range []*host{relay, other} {
+		if again := took(ht, "r-2"); again > first/2 {
+			t.Errorf("the refusal took %s, after a first one that took %s\n%s", again, first, ht.log)
+		}
+	}
+}
+
 // TestUnknownStreamIsRefused guards against a stream of which nobody knows where it began and that goes on at some version.
 func TestUnknownStreamIsRefused(t *testing.T) {
 	t.Parallel()
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -58,6 +58,9 @@
 	queue          []aged
 	// unwritten are the streams that began at this host and are not in the log.
 	unwritten []Start
+	// missed holds when streams were first missed in the log; it was last pruned at prunedAt.
+	missed   map[StreamID]time.Duration
+	prunedAt time.Duration
 }
 
 // New returns the tracker of a host that starts.
@@ -66,6 +69,7 @@
 		listed:    map[chestnutroad.ServiceID]versionTimes{},
 		inherited: map[chestnutroad.ServiceID]map[chestnutroad.SoftwareVersion]bool{},
 		streams:   map[StreamID]stream{},
+		missed:    map[StreamID]time.Duration{},
 	}
 }
 
@@ -145,6 +149,20 @@
 	return Start{Service: service, Version: known.version, Stream: id}, true
 }
 
+// Miss records that the log has no start of a stream, which this host or another one missed at a time already, and returns when it was
+// first missed.
+func (tr *Tracker) Miss(now, at time.Duration, id StreamID) time.Duration {
+	if now-tr.prunedAt >= Lifetime {
+		maps.DeleteFunc(tr.missed, func(_ StreamID, at time.Duration) bool { return now-at >= Lifetime })
+		tr.prunedAt = now
+	}
+	if first, found := tr.missed[id]; found {
+		at = min(at, first)
+	}
+	tr.missed[id] = at
+	return at
+}
+
 // HasSeveral reports whether a service has had targets of several versions within the time for which streams last.
 func (tr *Tracker) HasSeveral(now time.Duration) bool {
 	for service := range tr.listed {
--- a/internal/resumption/tracker_test.go
+++ b/internal/resumption/tracker_test.go
@@ -169,3 +169,33 @@
 		}
 	}
 }
+
+// TestMiss guards against a stream of unknown start for which each host waits anew, and against memory for all streams that were ever
+// missed.
+func TestMiss(t *testing.T) {
+	t.Parallel()
+	const later = time.Minute
+	cases := []struct {
+		name     string
+		previous time.Duration
+		now, at  time.Duration
+		want     time.Duration
+	}{
+		{"missed first", 0, later, later, later},
+		{"missed before at this host", later - time.Second, later, later, later - time.Second},
+		{"missed before at another host", later - time.Second, later, later - 2*time.Second, later - 2*time.Second},
+		{"missed long ago", later - resumption.Lifetime, later, later, later},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tr := resumption.New()
+			if tc.previous > 0 {
+				tr.Miss(tc.previous, tc.previous, 1)
+			}
+			if got := tr.Miss(tc.now, tc.at, 1); got != tc.want {
+				t.Errorf("got %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -56,9 +56,10 @@
 	// Hosts is omitted when the requesting host has the same list.
 	Hosts []relay.Host `json:",omitempty"`
 	// Start states where the stream of the request began, if the host knows. StartsRead is true if the host has read the log of starts
-	// since the request, so that the stream is not there without a Start.
-	Start      *resumption.Start `json:",omitempty"`
-	StartsRead bool              `json:",omitempty"`
+	// since the request, so that the stream is not there without a Start; the host first missed it StartMissed ago.
+	Start       *resumption.Start `json:",omitempty"`
+	StartsRead  bool              `json:",omitempty"`
+	StartMissed time.Duration     `json:",omitempty"`
 	// StartsTaken is true if the host writes the Starts of the request to the log.
 	StartsTaken bool `json:",omitempty"`
 }
