--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -59,9 +59,9 @@
 
 // TestSoak guards against violated guarantees under overlapping faults of hosts, connections, runners and the store: an order
 // that runs twice, a refusal of a call that ran, an answer that belongs to another call, a partial answer that looks complete, a
-// stream with events of two software versions, a
-// valid key that is refused, a revoked key that is accepted, a request to an evacuated data centre, a plain call that ran and got no answer although its host was not
-// killed, requests to a removed runner, and hosts that do not recover.
+// stream with events of two software versions, a valid key that is refused, a revoked key that is accepted, a request to an evacuated data
+// centre, a plain call that ran and got no answer although its host was not killed, requests to a removed runner, and hosts that do not
+// recover.
 func TestSoak(t *testing.T) {
 	t.Parallel()
 	binary := buildHost(t)
