--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -70,6 +70,21 @@
 	ht.ended <- <-ht.ended
 }
 
+// startRelayed starts runners of the software versions, a host that becomes the relay and one that follows it.
+func startRelayed(t *testing.T, versions ...string) (st *site, runners []*standin.Runner, relay, follower *host) {
+	t.Helper()
+	st = newSite(t)
+	st.store.Configure(3, 1, "k-1", "k-2")
+	for index, version := range versions {
+		runners = append(runners, st.versionRunner(fmt.Sprintf("i-%d", index), version))
+	}
+	relay = st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
+	follower = st.start("host-2", true)
+	st.awaitVersions(relay, len(versions))
+	follower.awaitLog(`"Reason":"FollowsRelay"`)
+	return st, runners, relay, follower
+}
+
 // writeTime is how long hosts take to write where streams began, with a margin for a busy machine.
 const writeTime = time.Second
 
@@ -268,18 +283,12 @@
 // centre knows where the stream began.
 func TestRelayKnowsWhereStreamBegan(t *testing.T) {
 	t.Parallel()
-	st := newSite(t)
-	st.store.Configure(3, 1, "k-1", "k-2")
-	first := st.versionRunner("i-0", "v1")
-	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
-	other := st.start("host-2", true)
-	st.awaitVersions(relay, 1)
-	first.SetNext(standin.Cut)
+	st, runners, relay, other := startRelayed(t, "v1")
+	runners[0].SetNext(standin.Cut)
 	relay.beginStream("r-1")
 	second := st.versionRunner("i-1", "v2")
 	relay.awaitLog(`"Target":"i-1"`)
 	other.awaitLog(`"Target":"i-1"`)
-	other.awaitLog(`"Reason":"FollowsRelay"`)
 	st.store.SetFault(standin.Busy)
 	got := other.resumeStream("r-2", "r-1")
 	checkResumed(t, other, &got, true)
@@ -292,13 +301,7 @@
 // to the log yet.
 func TestStreamNotYetInLogIsResumed(t *testing.T) {
 	t.Parallel()
-	st := newSite(t)
-	st.store.Configure(3, 1, "k-1", "k-2")
-	runners := []*standin.Runner{st.versionRunner("i-0", "v1"), st.versionRunner("i-1", "v2")}
-	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
-	begunAt := st.start("host-2", true)
-	st.awaitVersions(relay, 2)
-	begunAt.awaitLog(`"Reason":"FollowsRelay"`)
+	_, runners, relay, begunAt := startRelayed(t, "v1", "v2")
 	for index := range 4 {
 		for _, rn := range runners {
 			rn.SetNext(standin.Cut)
@@ -318,14 +321,7 @@
 func TestRelayAppendsStarts(t *testing.T) {
 	t.Parallel()
 	const written = "chestnutroad_stream_starts_written_total"
-	st := newSite(t)
-	st.store.Configure(3, 1, "k-1", "k-2")
-	st.versionRunner("i-0", "v1")
-	st.versionRunner("i-1", "v2")
-	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
-	begunAt := st.start("host-2", true)
-	st.awaitVersions(relay, 2)
-	begunAt.awaitLog(`"Reason":"FollowsRelay"`)
+	_, _, relay, begunAt := startRelayed(t, "v1", "v2")
 	for index := range 5 {
 		begunAt.call(t.Context(), standin.Call{
 			Method: http.MethodPost, Path: standin.ChatPath + "x", ID: fmt.Sprintf("r-%d", index), Key: "k-1", Body: "b",
@@ -340,14 +336,7 @@
 // TestMissedStreamIsRefusedAtOnce guards against a caller who waits at each host anew for a stream that is known not to be in the log.
 func TestMissedStreamIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
-	st := newSite(t)
-	st.store.Configure(3, 1, "k-1", "k-2")
-	st.versionRunner("i-0", "v1")
-	st.versionRunner("i-1", "v2")
-	relay := st.start("host-1", true, func(set *settings.Entry) { set.Processors = 2 })
-	other := st.start("host-2", true)
-	st.awaitVersions(relay, 2)
-	other.awaitLog(`"Reason":"FollowsRelay"`)
+	_, _, relay, other := startRelayed(t, "v1", "v2")
 	took := func(ht *host, id string) time.Duration {
 		started := time.Now()
 		got := ht.resumeStream(id, "r-unknown")
