Add a review case of streams that can't be taken up while a release begins

Hosts write where streams began only while a service has two software versions. A host that stands still when the second one appears has not written its streams, so that all other hosts refuse them.

Adds the case with its script.

--- a/review/bed-2/client.go
+++ b/review/bed-2/client.go
@@ -22,6 +22,17 @@
 	wrong bool
 }
 
+// eventGap is the time without an event after which clients abandon a stream: four times the objective of 600 ms.
+const eventGap = 2400 * time.Millisecond
+
+// attempt is one client attempt.
+type attempt struct {
+	sentAt time.Time
+	host   *host
+	// resumes is true when the client takes a stream up again, goesOn when it got at least one event.
+	resumes, goesOn bool
+}
+
 // streamClient asks for a stream and takes it up again at another host when it breaks off, within its time budget.
 type streamClient struct {
 	fleet  *fleet
@@ -31,6 +42,8 @@
 	events int
 	budget time.Duration
 	tries  int
+	// ended is called at the end of each client attempt; nil for none.
+	ended func(at attempt)
 }
 
 func attemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -42,12 +55,16 @@
 	defer cancel()
 	end := time.Now().Add(sc.budget)
 	last, resumes := 0, ""
+	var hs *host
 	for result.tries < sc.tries && time.Until(end) > 200*time.Millisecond {
 		result.tries++
 		id := attemptID()
-		hs := sc.fleet.hosts[rand.IntN(len(sc.fleet.hosts))]
-		before := last
+		hs = sc.fleet.pick(hs)
+		before, sentAt := last, time.Now()
 		wait, done := sc.try(ctx, &result, hs, id, &last, resumes, time.Until(end))
+		if sc.ended != nil {
+			sc.ended(attempt{sentAt: sentAt, host: hs, resumes: before > 0, goesOn: last > before})
+		}
 		if resumes == "" && last > before {
 			resumes = id
 		}
@@ -69,6 +86,10 @@
 func (sc *streamClient) try(
 	ctx context.Context, result *outcome, hs *host, id string, last *int, resumes string, left time.Duration,
 ) (wait time.Duration, done bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gap := time.AfterFunc(eventGap, cancel)
+	defer gap.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d/chat/x", hs.address, hs.callerPort),
 		strings.NewReader("prompt "+result.name))
 	if err != nil {
@@ -100,6 +121,7 @@
 	reader := bufio.NewScanner(resp.Body)
 	number := 0
 	for reader.Scan() {
+		gap.Reset(eventGap)
 		line := reader.Text()
 		if text, found := strings.CutPrefix(line, "id: "); found {
 			number, _ = strconv.Atoi(text)
--- a/review/bed-2/fleet.go
+++ b/review/bed-2/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +36,9 @@
 	settingsPath        string
 	logPath             string
 
+	// out is true while the balancer sends no new connections to the host.
+	out atomic.Bool
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
@@ -139,6 +143,46 @@
 	return nil
 }
 
+// pick returns a host that the balancer has in rotation, another one than the host of the attempt before, which may be nil.
+func (fl *fleet) pick(before *host) *host {
+	var choices []*host
+	for _, hs := range fl.hosts {
+		if hs != before && !hs.out.Load() {
+			choices = append(choices, hs)
+		}
+	}
+	return choices[rand.IntN(len(choices))]
+}
+
+// balance checks each host once a second, and takes those out of rotation that miss two checks, until stop is closed.
+func (fl *fleet) balance(stop <-chan struct{}) {
+	for _, hs := range fl.hosts {
+		go func() {
+			for misses := 0; ; {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Second):
+				}
+				if hs.ready() {
+					misses = 0
+				} else {
+					misses++
+				}
+				hs.out.Store(misses >= 2)
+			}
+		}()
+	}
+}
+
+// signal sends a signal to the process of the host.
+func (fl *fleet) signal(hs *host, sig syscall.Signal) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	fl.log.printf("host %s gets %s", hs.name, sig)
+	_ = hs.command.Process.Signal(sig)
+}
+
 // ready reports whether the host's readiness check answers 200.
 func (hs *host) ready() bool {
 	client := http.Client{Timeout: time.Second}
--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -15,6 +15,7 @@
 // cases are the scripted cases by name.
 var cases = map[string]func(binary string, log *record, trouble bool) (broken bool, err error){
 	"versions": versionsCase,
+	"resumed":  resumedCase,
 }
 
 func main() { os.Exit(run()) }
--- a/review/bed-2/runner.go
+++ b/review/bed-2/runner.go
@@ -75,10 +75,7 @@
 
 // drain reports that the runner is leaving and waits until the time has passed and nothing runs on it.
 func (rn *runner) drain(wait time.Duration) {
-	rn.mu.Lock()
-	rn.state = "draining"
-	rn.mu.Unlock()
-	rn.register()
+	rn.leave()
 	time.Sleep(wait)
 	for rn.count() > 0 {
 		time.Sleep(20 * time.Millisecond)
@@ -174,3 +171,12 @@
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil
 }
+
+// leave reports that the runner is leaving; it goes on to serve.
+func (rn *runner) leave() {
+	rn.mu.Lock()
+	rn.state = "draining"
+	rn.mu.Unlock()
+	rn.log.printf("runner %s is draining", rn.id)
+	rn.register()
+}
--- a/review/bed-2/versions.go
+++ b/review/bed-2/versions.go
@@ -59,7 +59,7 @@
 	for index := range versionClients {
 		clients.Go(func() {
 			sc := &streamClient{
-				fleet: fl, log: log, events: versionEvents, budget: 12 * time.Second, tries: 3,
+				fleet: fl, log: log, events: versionEvents, budget: 12 * time.Second, tries: 2,
 				client: &http.Client{Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true}},
 			}
 			time.Sleep(time.Duration(index) * 50 * time.Millisecond)
