Add a review case of short streams that are lost with a killed host

Hosts hand where streams began to their relay every 0.15 s. Streams of three events are younger than that when their host dies, so that the other hosts refuse most of them.

--- a/review/bed-2/fleet.go
+++ b/review/bed-2/fleet.go
@@ -224,3 +224,13 @@
 		_ = os.RemoveAll(fl.directory)
 	}
 }
+
+// restart waits until the process of the host has ended, and starts it again.
+func (fl *fleet) restart(hs *host) error {
+	hs.mu.Lock()
+	exited := hs.exited
+	hs.mu.Unlock()
+	<-exited
+	fl.log.printf("host %s starts again", hs.name)
+	return fl.start(hs)
+}
--- a/review/bed-2/main.go
+++ b/review/bed-2/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(binary string, log *record, trouble bool) (broken bool, err error){
 	"versions": versionsCase,
 	"resumed":  resumedCase,
+	"killed":   killedCase,
 }
 
 func main() { os.Exit(run()) }
