--- a/review/bed-2/fleet.go
+++ b/review/bed-2/fleet.go
@@ -143,14 +143,22 @@
 	return nil
 }
 
-// pick returns a host that the balancer has in rotation, another one than the host of the attempt before, which may be nil.
+// pick returns a host that the balancer has in rotation, another one than the host of the attempt before, which may be nil. With fewer
+// than half of the hosts in rotation it uses all.
 func (fl *fleet) pick(before *host) *host {
-	var choices []*host
+	var choices, others []*host
 	for _, hs := range fl.hosts {
-		if hs != before && !hs.out.Load() {
+		if hs == before {
+			continue
+		}
+		others = append(others, hs)
+		if !hs.out.Load() {
 			choices = append(choices, hs)
 		}
 	}
+	if 2*len(choices) < len(others) {
+		choices = others
+	}
 	return choices[rand.IntN(len(choices))]
 }
 
--- a/review/bed-2/killed.go
+++ b/review/bed-2/killed.go
@@ -75,16 +75,17 @@
 		})
 	}
 	time.Sleep(6 * time.Second)
-	down := map[*host][]time.Time{}
+	down := map[*host]outage{}
 	for index := range kills {
 		hs := fl.hosts[index]
 		if trouble {
-			down[hs] = append(down[hs], time.Now())
+			killedAt := time.Now()
 			fl.signal(hs, syscall.SIGKILL)
 			time.Sleep(downPause)
 			if err := fl.restart(hs); err != nil {
 				return false, err
 			}
+			down[hs] = outage{killedAt: killedAt, startedAt: time.Now()}
 		}
 		time.Sleep(killPause - downPause)
 	}
@@ -96,15 +97,15 @@
 // contact is contact_ms, for which a host does not count after it was killed or started.
 const contact = 3 * time.Second
 
-// judgeKilled applies LOST to the attempts at hosts that were not killed or started within contact before.
-func judgeKilled(log *record, attempts []attempt, down map[*host][]time.Time) bool {
+// outage is the time from the kill of a host to its next start.
+type outage struct{ killedAt, startedAt time.Time }
+
+// judgeKilled applies LOST to the attempts at hosts that were not killed or started within contact before, nor killed right after.
+func judgeKilled(log *record, attempts []attempt, down map[*host]outage) bool {
 	resumed, goOn, begun, begin := 0, 0, 0, 0
 	for _, at := range attempts {
-		excused := false
-		for _, killed := range down[at.host] {
-			since := at.sentAt.Sub(killed)
-			excused = excused || since > -time.Second && since < downPause+contact
-		}
+		killed, found := down[at.host]
+		excused := found && at.sentAt.After(killed.killedAt.Add(-time.Second)) && at.sentAt.Before(killed.startedAt.Add(contact))
 		switch {
 		case excused:
 		case at.resumes && at.goesOn:
--- a/review/bed-2/runner.go
+++ b/review/bed-2/runner.go
@@ -37,10 +37,14 @@
 	PutTarget(id, text string)
 }
 
+// runnerAddress is the loopback address of the runners. Other processes connect from 127.0.0.1, so that they don't take the port of a runner
+// that is down.
+const runnerAddress = "127.0.77.1:0"
+
 // newRunner starts a runner at a free port of a loopback address and registers it.
 func newRunner(id, service, zone, version string, events int, gap time.Duration, store entryStore, log *record) (*runner, error) {
 	rn := &runner{
-		id: id, service: service, zone: zone, events: events, gap: gap, store: store, log: log, address: "127.0.0.1:0",
+		id: id, service: service, zone: zone, events: events, gap: gap, store: store, log: log, address: runnerAddress,
 		conns: map[net.Conn]bool{},
 	}
 	return rn, rn.start(version)
