Report starts of streams to the relays at all times

Cause: hosts wrote where streams began only while a service had targets of several versions. Until then each start was known to its host alone, and the others deduced the version from their list of targets. When a second version was listed, they needed the fact, and the host that had it stood still.

Change: reports, exchanges and beacons carry the starts of streams of the last tick. The relay of a data centre, its two deputies and the relays of the other data centres hold copies, whatever versions the service has; a host to which a caller returns asks them at once with the relay. This works since the copies exist before anyone needs them, and since no single host, relay or data centre holds all of them.

--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -103,6 +103,7 @@
 		if listed && message.Kind == relay.Beacon {
 			ln.announce(message)
 		}
+		relaying := ln.node.Relaying()
 		others := ln.node.PeerView(ln.entry.now())
 		rates, ratesKnown := ln.node.PeerRates(ln.entry.now())
 		ln.mu.Unlock()
@@ -110,6 +111,7 @@
 			ln.fetchUnknown(from.String())
 			continue
 		}
+		ln.entry.streamVersions.learnReported(message, relaying)
 		ln.entry.evacuations.merge(message.Evacuations, string(message.From))
 		ln.entry.state.applyResidences(ln.entry.now(), message.Residences)
 		ln.entry.state.mergeEvidence(ln.entry.now(), message.Evidence)
@@ -141,6 +143,7 @@
 		status.Residences = ln.entry.state.pendingResidences(now)
 		status.Evidence = ln.entry.state.pendingEvidence(now)
 		status.Rates = ln.entry.state.pendingRates(now)
+		ln.entry.streamVersions.addPendingStarts(&status)
 		ln.entry.evacuations.refresh()
 		status.Evacuations = ln.entry.evacuations.list()
 		ln.entry.logSuspects(now)
@@ -153,7 +156,9 @@
 		relaying := ln.node.Relaying()
 		others := ln.node.PeerView(now)
 		rates, ratesKnown := ln.node.PeerRates(now)
+		followed, _, _ := ln.node.Relay(now)
 		ln.mu.Unlock()
+		ln.entry.streamVersions.completeReport(&status, len(sends) > 0, followed.ID)
 		if relaying && others != nil {
 			ln.entry.state.setRemoteView(now, others)
 			ln.entry.observeSides(now)
@@ -209,10 +214,10 @@
 	answer.ConfigurationAge, answer.TargetsAge = configurationAge, targetsAge
 	answer.Evacuations = ln.entry.evacuations.list()
 	if request.Stream != 0 {
-		ln.entry.streamVersions.find(ctx, request.Service, request.Stream, answer)
+		ln.entry.streamVersions.find(ctx, request, answer)
 	}
 	if len(request.Starts) > 0 {
-		answer.StartsTaken = ln.entry.streamVersions.takeStarts(request.Starts)
+		answer.StartsTaken = ln.entry.streamVersions.takeHandedStarts(request.Starts)
 	}
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
--- a/internal/entry/startswriter.go
+++ b/internal/entry/startswriter.go
@@ -135,8 +135,8 @@
 	return answer.StartsTaken
 }
 
-// takeStarts takes the starts of streams at another host of the data centre, which this host appends to the log.
-func (sv *streamVersions) takeStarts(data []byte) (taken bool) {
+// takeHandedStarts takes the starts of streams at another host of the data centre, which this host appends to the log.
+func (sv *streamVersions) takeHandedStarts(data []byte) (taken bool) {
 	if sv.log == nil || !sv.entry.link.relaying() {
 		return false
 	}
@@ -148,7 +148,7 @@
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
 	for _, start := range starts {
-		sv.tracker.Begin(sv.entry.elapsed(), start)
+		sv.tracker.Take(sv.entry.elapsed(), start)
 	}
 	return true
 }
--- a/internal/entry/storeread.go
+++ b/internal/entry/storeread.go
@@ -70,17 +70,40 @@
 
 // newRelayCall returns a call to this host's relay; false while there is none or this host is one itself.
 func (ln *link) newRelayCall() (call relayCall, found bool) {
-	status := ln.entry.localStatus()
+	request := ln.newStateRequest()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	if ln.node.Relaying() {
 		return call, false
 	}
 	host, fresh, found := ln.node.Relay(ln.entry.now())
-	return relayCall{
-		request: &siblings.StateRequest{Version: status.Version, Position: status.Position, HostList: ln.hostListHash()},
-		address: host.Address, fresh: fresh,
-	}, found
+	return relayCall{request: request, address: host.Address, fresh: fresh}, found
+}
+
+// newStateRequest returns a request that asks for nothing that this host has.
+func (ln *link) newStateRequest() *siblings.StateRequest {
+	status := ln.entry.localStatus()
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	return &siblings.StateRequest{Version: status.Version, Position: status.Position, HostList: ln.hostListHash()}
+}
+
+// holders returns the addresses of the hosts that may know where streams began: those of this data centre, its relay left out, and on a
+// relay those of the others.
+func (ln *link) holders() (local, remote []string) {
+	now := ln.entry.now()
+	ln.mu.Lock()
+	defer ln.mu.Unlock()
+	relay, _, _ := ln.node.Relay(now)
+	for _, hs := range ln.node.LocalHolders() {
+		if ln.node.Relaying() || hs != relay {
+			local = append(local, hs.Address)
+		}
+	}
+	for _, hs := range ln.node.RemoteRelays(now) {
+		remote = append(remote, hs.Address)
+	}
+	return local, remote
 }
 
 // recordRead records up to which time this host itself has read a stream of the store.
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -136,14 +137,60 @@
 	}
 }
 
-// loadStart learns where a stream began, from the relay if there is one, or else by reading the log.
+// loadStart learns where a stream began, from the other hosts of the data centre that may hold it, from its relay if there is one, or else
+// by reading the log.
 func (sv *streamVersions) loadStart(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) error {
-	if sv.askRelay(ctx, service, id) {
+	local, remote := sv.entry.link.holders()
+	var answered atomic.Bool
+	found := sv.search(service, id,
+		func() { sv.askHolders(ctx, service, id, slices.Concat(local, remote)) },
+		func() { answered.Store(sv.askRelay(ctx, service, id)) },
+	)
+	if found || answered.Load() {
 		return nil
 	}
 	return sv.loadStarts(ctx)
 }
 
+// search runs lookups at once, until one of them has learned where the stream began or all have ended. It reports whether one has.
+func (sv *streamVersions) search(service chestnutroad.ServiceID, id resumption.StreamID, lookups ...func()) (found bool) {
+	ended := make(chan struct{}, len(lookups))
+	for _, lookUp := range lookups {
+		go func() {
+			lookUp()
+			ended <- struct{}{}
+		}()
+	}
+	for range lookups {
+		<-ended
+		if sv.start(service, id) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// askHolders asks other hosts whether they hold the start of a stream.
+func (sv *streamVersions) askHolders(
+	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID, addresses []string,
+) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request := sv.entry.link.newStateRequest()
+	request.Service, request.Stream, request.Held = service, id, true
+	lookups := make([]func(), 0, len(addresses))
+	for _, address := range addresses {
+		lookups = append(lookups, func() {
+			if answer, err := siblings.Fetch(ctx, address, request); err == nil && answer.Start != nil {
+				sv.mu.Lock()
+				defer sv.mu.Unlock()
+				sv.tracker.Learn(sv.entry.elapsed(), *answer.Start)
+			}
+		})
+	}
+	sv.search(service, id, lookups...)
+}
+
 // askRelay asks the relay of the data centre where a stream began. It reports whether the relay knows, or has found that the log doesn't
 // have the stream.
 func (sv *streamVersions) askRelay(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) (answered bool) {
@@ -171,22 +218,24 @@
 	return answer.Start != nil || answer.StartsRead
 }
 
-// find answers another host that asks where a stream began. It reads the log if this host doesn't know.
-func (sv *streamVersions) find(
-	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID, answer *siblings.State,
-) {
+// find answers another host that asks where a stream began. It reads the log and asks the relays of the other data centres if this host
+// doesn't know.
+func (sv *streamVersions) find(ctx context.Context, request *siblings.StateRequest, answer *siblings.State) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if answer.Start = sv.start(service, id); answer.Start != nil {
-		return
-	}
-	if sv.loadStarts(ctx) != nil {
+	service, id := request.Service, request.Stream
+	if answer.Start = sv.start(service, id); answer.Start != nil || request.Held {
 		return
 	}
-	if answer.Start = sv.start(service, id); answer.Start != nil {
-		return
+	_, remote := sv.entry.link.holders()
+	var read atomic.Bool
+	sv.search(service, id,
+		func() { sv.askHolders(ctx, service, id, remote) },
+		func() { read.Store(sv.loadStarts(ctx) == nil) },
+	)
+	if answer.Start = sv.start(service, id); answer.Start == nil && read.Load() {
+		answer.StartsRead, answer.StartMissed = true, sv.missedFor(id)
 	}
-	answer.StartsRead, answer.StartMissed = true, sv.missedFor(id)
 }
 
 // start returns where a stream of the service began; nil if the host doesn't know.
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -39,6 +39,10 @@
 	handed     []handedStarts
 	handedTo   string
 	appendedAt time.Duration
+	// reportedTo is the relay to which starts were last reported; empty while this host relays. localStarts and remoteStarts are what a
+	// relay has learned of streams in its own and in other data centres and has not passed on.
+	reportedTo                chestnutroad.HostID
+	localStarts, remoteStarts []resumption.Start
 
 	// readMu protects reading, the read of the log that goes on, if one does, lastRead, when the last successful one began, and the
 	// error of the last one, if it failed.
--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -88,6 +88,9 @@
 // writeTime is how long hosts take to write where streams began, with a margin for a busy machine.
 const writeTime = time.Second
 
+// relayTime is how long hosts take to agree on their relays, with a margin for a busy machine.
+const relayTime = 2 * time.Second
+
 // TestStreamsAreNotJoinedFromTwoVersions guards against a stream that goes on at a target of another software version than the one at
 // which it began, and against one that does not go on although a target of its version is left.
 func TestStreamsAreNotJoinedFromTwoVersions(t *testing.T) {
@@ -375,3 +378,62 @@
 		})
 	}
 }
+
+// TestStreamOutlivesItsHosts guards against a stream that is refused while a target of its version serves, since all hosts that knew where
+// it began have ended before a second version appeared.
+func TestStreamOutlivesItsHosts(t *testing.T) {
+	t.Parallel()
+	const otherCentre = 3
+	cases := []struct {
+		name string
+		// ended are the hosts that end, in order, started those that start again; the stream begins at host 2 and is resumed at
+		// resumeAt. Host 0 is the relay of hosts 0 to 2, host 3 is in another data centre.
+		ended, started []int
+		resumeAt       int
+	}{
+		{"its host", []int{2}, nil, 1},
+		{"its host and then the relay", []int{2, 0}, nil, 1},
+		{"its host, and the relay starts again", []int{2, 0}, []int{0}, 0},
+		{"its data centre", []int{2, 1, 0}, nil, otherCentre},
+		{"its data centre, which starts again", []int{2, 1, 0}, []int{0, 1}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			first := st.versionRunner("i-0", "v1")
+			start := func(index int) *host {
+				return st.start(fmt.Sprintf("host-%d", index), true, func(set *settings.Entry) {
+					set.Processors = float64(4 - index)
+					if index == otherCentre {
+						set.DataCentre = "dc-b"
+					}
+				})
+			}
+			hosts := make([]*host, 0, otherCentre+1)
+			for index := range otherCentre + 1 {
+				hosts = append(hosts, start(index))
+			}
+			time.Sleep(relayTime)
+			first.SetNext(standin.Cut)
+			hosts[2].beginStream("r-1")
+			time.Sleep(writeTime)
+			for _, index := range tc.ended {
+				hosts[index].stopAndWait()
+			}
+			for _, index := range tc.started {
+				hosts[index] = start(index)
+			}
+			second := st.versionRunner("i-1", "v2")
+			ht := hosts[tc.resumeAt]
+			ht.awaitLog(`"Target":"i-1"`)
+			time.Sleep(writeTime)
+			got := ht.resumeStream("r-2", "r-1")
+			checkResumed(t, ht, &got, true)
+			if runs := second.Runs(); len(runs) > 0 {
+				t.Errorf("a target of another version ran %+v", runs)
+			}
+		})
+	}
+}
--- a/internal/relay/node.go
+++ b/internal/relay/node.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
+	"github.com/chestnutroad/chestnutroad/internal/resumption"
 )
 
 // Host is a host as the store's list of hosts describes it.
@@ -63,6 +64,9 @@
 	// Rates are the requests sent to targets that limit them: the host's own in a report, the sums of the data centre in an
 	// exchange, and of all hosts in a beacon. Package siblings encodes them in a binary form instead.
 	Rates []chestnutroad.TargetRate `json:"-"`
+	// Starts are the streams that began a moment ago: at the sender in a report, in the data centre in an exchange, and at all hosts in a
+	// beacon to a deputy. Package siblings encodes them in a binary form instead.
+	Starts []resumption.Start `json:"-"`
 }
 
 // Send is a message with the address that it goes to.
@@ -91,6 +95,9 @@
 	Evidence []chestnutroad.CrashEvidence
 	// Rates are the host's own requests for targets that limit them.
 	Rates []chestnutroad.TargetRate
+	// Starts are the streams that other hosts are to know: those that began at this host, and on a relay in its data centre. RemoteStarts
+	// are those of other data centres, on a relay.
+	Starts, RemoteStarts []resumption.Start
 }
 
 const (
@@ -393,6 +400,7 @@
 	report.Residences = state.Residences
 	report.Evidence = state.Evidence
 	report.Rates = rotation(state.Rates, maxRates, nd.ratesTurn)
+	report.Starts = state.Starts
 	return []Send{{Address: relay.Address, Message: report}}
 }
 
@@ -437,17 +445,65 @@
 	nd.localEvidence, nd.remoteEvidence = nil, nil
 	exchange.Rates = rotation(dataCentreRates.without(now, nil), maxRates, nd.ratesTurn)
 	beacon.Rates = rotation(totalRates.without(now, nil), maxBeaconRates, nd.ratesTurn)
+	deputies := nd.deputies(now)
+	if len(deputies) > 0 {
+		copied := beacon
+		copied.Starts = slices.Concat(state.Starts, state.RemoteStarts)
+		for _, hs := range deputies {
+			sends = append(sends, Send{Address: hs.Address, Message: copied})
+		}
+	}
 	for _, hs := range nd.localHosts {
-		if hs.ID != nd.self.ID {
+		if hs.ID != nd.self.ID && !slices.Contains(deputies, hs) {
 			sends = append(sends, Send{Address: hs.Address, Message: beacon})
 		}
 	}
+	exchange.Starts = state.Starts
 	for _, hs := range nd.remoteRelays(now) {
 		sends = append(sends, Send{Address: hs.Address, Message: exchange})
 	}
 	return sends
 }
 
+// deputyCount is the number of deputies of a relay.
+const deputyCount = 2
+
+// deputies returns the hosts that come first in the order of relays, besides this relay, among those that report to it. They hold copies
+// of what the relay knows of streams, so that it is not lost with the relay.
+func (nd *Node) deputies(now time.Time) []Host {
+	var hosts []Host
+	for _, hs := range nd.localHosts {
+		pr := nd.peers[hs.ID]
+		if pr == nil || now.Sub(pr.receivedAt) >= messageTTL || pr.lastMessage.Leaving {
+			continue
+		}
+		if hosts = append(hosts, hs); len(hosts) == deputyCount {
+			break
+		}
+	}
+	return hosts
+}
+
+// LocalHolders returns the other hosts of the data centre that may hold copies of what its relay knows of streams: those that come first
+// in the order of relays.
+func (nd *Node) LocalHolders() []Host {
+	hosts := make([]Host, 0, deputyCount+1)
+	for _, hs := range nd.localHosts {
+		if hs.ID != nd.self.ID && len(hosts) <= deputyCount {
+			hosts = append(hosts, hs)
+		}
+	}
+	return hosts
+}
+
+// RemoteRelays returns the relays of the other data centres if this host relays.
+func (nd *Node) RemoteRelays(now time.Time) []Host {
+	if !nd.relaying {
+		return nil
+	}
+	return nd.remoteRelays(now)
+}
+
 // remoteCandidates is the number of hosts of another data centre that get an exchange while its relay is not known.
 const remoteCandidates = 2
 
--- a/internal/relay/node_test.go
+++ b/internal/relay/node_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/relay"
+	"github.com/chestnutroad/chestnutroad/internal/resumption"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -25,6 +26,8 @@
 	residences map[chestnutroad.HostID]int
 	// evidence is the evidence about prompt parts that each host received.
 	evidence map[chestnutroad.HostID][]chestnutroad.CrashEvidence
+	// starts is the number of starts of streams that each host received.
+	starts map[chestnutroad.HostID]int
 }
 
 func newCluster(dataCentres, perCentre int) *cluster {
@@ -87,6 +90,9 @@
 					if cl.evidence != nil {
 						cl.evidence[to] = append(cl.evidence[to], send.Message.Evidence...)
 					}
+					if cl.starts != nil {
+						cl.starts[to] += len(send.Message.Starts)
+					}
 					cl.nodes[to].Receive(cl.now, &send.Message)
 				}
 			}
@@ -326,3 +332,41 @@
 		}
 	}
 }
+
+// TestStartsReachDeputiesAndOtherRelays guards against streams of which only one host of a data centre knows, and against starts that are
+// sent to all hosts.
+func TestStartsReachDeputiesAndOtherRelays(t *testing.T) {
+	t.Parallel()
+	cl := newCluster(2, 6)
+	cl.run(3 * time.Second)
+	relayID := cl.relays("dc-0")[0]
+	for _, hs := range cl.hosts {
+		if hs.DataCentre == "dc-0" && hs.ID != relayID {
+			cl.dead[hs.ID] = true
+			break
+		}
+	}
+	cl.run(2 * time.Second)
+	state := cl.states[relayID]
+	state.Starts = []resumption.Start{{Service: "model", Version: "v1", Stream: 1}}
+	state.RemoteStarts = []resumption.Start{{Service: "model", Version: "v1", Stream: 2}}
+	cl.starts = map[chestnutroad.HostID]int{}
+	cl.run(relay.TickInterval)
+	deputies := 0
+	for id, count := range cl.starts {
+		want := 0
+		switch {
+		case id == cl.relays("dc-1")[0]:
+			want = 1
+		case count > 0:
+			want = 2
+			deputies++
+		}
+		if count != want {
+			t.Errorf("%s received %d starts, want %d", id, count, want)
+		}
+	}
+	if deputies != 2 {
+		t.Errorf("%d deputies received the starts, want 2", deputies)
+	}
+}
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/chestnutroad/chestnutroad"
@@ -13,8 +14,11 @@
 // maxListAge is the age of the list of targets from which on it may lack a version with which other hosts have begun streams.
 const maxListAge = 2 * time.Second
 
-// maxStreams bounds the memory for streams; a host of 130 begins some 10 a second.
-const maxStreams = 20_000
+// maxStreams bounds the memory for streams. Relays hold those of the whole fleet: 4,400 a second at the largest size planned for.
+const maxStreams = 150_000
+
+// maxUnreported bounds the streams that wait to be reported to other hosts.
+const maxUnreported = 2_000
 
 // StreamID identifies a stream by the attempt that brought its first event.
 type StreamID uint64
@@ -36,6 +40,8 @@
 	service chestnutroad.ServiceID
 	version chestnutroad.SoftwareVersion
 	knownAt time.Duration
+	// own is true for a stream that began at this host.
+	own bool
 }
 
 // aged is an entry of the queue in which streams expire.
@@ -58,6 +64,8 @@
 	queue          []aged
 	// unwritten are the streams that began at this host and are not in the log.
 	unwritten []Start
+	// unreported are the streams that began at this host and were not reported to other hosts.
+	unreported []Start
 	// missed holds when streams were first missed in the log; it was last pruned at prunedAt.
 	missed   map[StreamID]time.Duration
 	prunedAt time.Duration
@@ -119,21 +127,35 @@
 // Begin records that a stream began at this host, with its first event.
 func (tr *Tracker) Begin(now time.Duration, start Start) {
 	tr.Observe(now, start.Service, start.Version)
-	tr.add(now, start)
+	tr.add(now, start, true)
 	tr.unwritten = append(tr.unwritten, start)
+	tr.unreported = append(tr.unreported, start)
 }
 
-// Learn records where a stream began at another host.
-func (tr *Tracker) Learn(now time.Duration, start Start) { tr.add(now, start) }
+// Take records where a stream began at another host, for which this host is to write it to the log.
+func (tr *Tracker) Take(now time.Duration, start Start) {
+	tr.Observe(now, start.Service, start.Version)
+	tr.add(now, start, false)
+	tr.unwritten = append(tr.unwritten, start)
+}
 
-func (tr *Tracker) add(now time.Duration, start Start) {
+// Learn records where a stream began at another host, and reports whether the host did not know.
+func (tr *Tracker) Learn(now time.Duration, start Start) (isNew bool) {
+	if known, found := tr.streams[start.Stream]; found && known.service == start.Service && known.version == start.Version {
+		return false
+	}
+	tr.add(now, start, false)
+	return true
+}
+
+func (tr *Tracker) add(now time.Duration, start Start, own bool) {
 	for len(tr.queue) > 0 && (now-tr.queue[0].knownAt >= Lifetime || len(tr.queue) >= maxStreams) {
 		if oldest := tr.queue[0]; tr.streams[oldest.id].knownAt == oldest.knownAt {
 			delete(tr.streams, oldest.id)
 		}
 		tr.queue = tr.queue[1:]
 	}
-	tr.streams[start.Stream] = stream{service: start.Service, version: start.Version, knownAt: now}
+	tr.streams[start.Stream] = stream{service: start.Service, version: start.Version, knownAt: now, own: own}
 	tr.queue = append(tr.queue, aged{id: start.Stream, knownAt: now})
 }
 
@@ -199,6 +221,32 @@
 // ReturnUnwritten takes back streams that could not be written.
 func (tr *Tracker) ReturnUnwritten(starts []Start) { tr.unwritten = append(starts, tr.unwritten...) }
 
+// TakeUnreported returns up to most streams that began at this host and were not reported to other hosts yet, the oldest first.
+func (tr *Tracker) TakeUnreported(most int) []Start {
+	if surplus := len(tr.unreported) - maxUnreported; surplus > 0 {
+		tr.unreported = tr.unreported[surplus:]
+	}
+	taken := tr.unreported[:min(most, len(tr.unreported))]
+	tr.unreported = tr.unreported[len(taken):]
+	return taken
+}
+
+// ReturnUnreported takes back streams that could not be reported.
+func (tr *Tracker) ReturnUnreported(starts []Start) {
+	tr.unreported = slices.Concat(starts, tr.unreported)
+}
+
+// ReportAgain lets all streams be reported that began at this host and can still be resumed.
+func (tr *Tracker) ReportAgain(now time.Duration) {
+	tr.unreported = nil
+	for _, entry := range tr.queue {
+		known, found := tr.streams[entry.id]
+		if found && known.own && known.knownAt == entry.knownAt && now-known.knownAt < Lifetime {
+			tr.unreported = append(tr.unreported, Start{Service: known.service, Version: known.version, Stream: entry.id})
+		}
+	}
+}
+
 // Basis is how the version is known at which a stream may be resumed, or what has to be read first.
 type Basis string
 
--- a/internal/resumption/tracker_test.go
+++ b/internal/resumption/tracker_test.go
@@ -199,3 +199,32 @@
 		})
 	}
 }
+
+// TestReports guards against streams that only the host knows at which they began, since a relay failed before it had passed them on.
+func TestReports(t *testing.T) {
+	t.Parallel()
+	const later = resumption.Lifetime + time.Second
+	tr := resumption.New()
+	tr.Begin(time.Second, start(1, "v1"))
+	tr.Begin(later, start(2, "v1"))
+	tr.Begin(later, start(3, "v1"))
+	tr.Learn(later, start(4, "v1"))
+	steps := []struct {
+		name string
+		do   func()
+		want int
+	}{
+		{"begun", func() {}, 2},
+		{"the rest", func() {}, 1},
+		{"reported", func() {}, 0},
+		{"returned", func() { tr.ReturnUnreported([]resumption.Start{start(2, "v1")}) }, 1},
+		{"reported again", func() { tr.ReportAgain(later + time.Second) }, 2},
+		{"too old", func() { tr.ReportAgain(later + resumption.Lifetime) }, 0},
+	}
+	for _, step := range steps {
+		step.do()
+		if got := tr.TakeUnreported(2); len(got) != step.want {
+			t.Errorf("%s: got %v, want %d streams", step.name, got, step.want)
+		}
+	}
+}
--- a/internal/siblings/datagram.go
+++ b/internal/siblings/datagram.go
@@ -40,6 +40,8 @@
 	Ages []byte `json:",omitempty"`
 	// Evacuated is the encoded list of evacuated data centres, see encodeEvacuations. Hosts of earlier versions ignore the field.
 	Evacuated []byte `json:",omitempty"`
+	// Begun are the encoded starts of streams, see encodeStarts. Hosts of earlier versions ignore the field.
+	Begun []byte `json:",omitempty"`
 }
 
 // residenceSize is the size of an encoded residence in bytes.
@@ -99,14 +101,15 @@
 func (sk *Socket) Close() error { return sk.conn.Close() }
 
 // Send sends the messages and returns the number of bytes sent. A failed send doesn't stop the others; the last failure is
-// returned. Consecutive messages of one kind are encoded once, so they must be equal.
+// returned. Consecutive messages of one kind with the same number of starts are encoded once, so they must be equal.
 func (sk *Socket) Send(sends []relay.Send) (int, error) {
 	var data []byte
 	var lastErr error
 	total := 0
 	for index := range sends {
-		if index == 0 || sends[index].Message.Kind != sends[index-1].Message.Kind {
-			encoded, err := sk.encode(&sends[index].Message)
+		message := &sends[index].Message
+		if index == 0 || message.Kind != sends[index-1].Message.Kind || len(message.Starts) != len(sends[index-1].Message.Starts) {
+			encoded, err := sk.encode(message)
 			if err != nil {
 				return total, err
 			}
@@ -148,6 +151,7 @@
 	dg.Limits = encodeRates(message.Rates)
 	dg.Ages = encodeAges(message.ConfigurationAge, message.TargetsAge)
 	dg.Evacuated = encodeEvacuations(message.Evacuations)
+	dg.Begun = encodeStarts(message.Starts)
 	data, err := json.Marshal(&dg)
 	return data, errors.Wrap(err, "encode datagram")
 }
@@ -202,6 +206,7 @@
 	dg.Rates = decodeRates(dg.Limits)
 	dg.ConfigurationAge, dg.TargetsAge = decodeAges(dg.Ages)
 	dg.Evacuations = decodeEvacuations(dg.Evacuated)
+	dg.Starts = decodeStarts(dg.Begun)
 	return &dg.Message, nil
 }
 
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -34,6 +34,8 @@
 	Service chestnutroad.ServiceID `json:",omitempty"`
 	// Starts holds streams that began at the requesting host, as a record of the log, into which the called host is to write them.
 	Starts []byte `json:",omitempty"`
+	// Held is true if the called host is to answer from memory, without a read of the log or a call to others.
+	Held bool `json:",omitempty"`
 }
 
 // State is the part of a host's state that the requesting host does not have yet.
--- /dev/null
+++ b/test/soak/versions_test.go
@@ -0,0 +1,91 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+const (
+	// abandonTime is the time after which callers abandon a stream without events at the least.
+	abandonTime = 2 * time.Second
+	// lostStreams is the number of streams that each host has begun when it is lost.
+	lostStreams = 6
+)
+
+// TestStreamsOfLostHostAreResumed guards against streams that no other host resumes, since the one at which they began stands still or has
+// ended when the targets of a second software version join.
+func TestStreamsOfLostHostAreResumed(t *testing.T) {
+	t.Parallel()
+	binary := buildHost(t)
+	for index, signal := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGKILL} {
+		// Each host in turn, so that one of them is the relay.
+		for lost := range hostCount {
+			t.Run(fmt.Sprintf("host %d, %s", lost, signal), func(t *testing.T) {
+				t.Parallel()
+				tb := newTestbed(t, binary, byte(230+hostCount*index+lost))
+				tb.awaitReady()
+				time.Sleep(settleTime)
+				begun := tb.beginStreams(lost)
+				time.Sleep(settleTime - abandonTime)
+				tb.hosts[lost].signal(signal, false)
+				if _, err := tb.joinModel("i-second", secondVersion); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(abandonTime)
+				tb.checkResumable(begun, lost)
+			})
+		}
+	}
+}
+
+const secondVersion = "v2"
+
+// joinModel adds a runner of the model with a software version.
+func (tb *testbed) joinModel(id, version string) (*standin.Runner, error) {
+	rn, _, setState, err := tb.newRunner(id, "model", dataCentre)
+	if err != nil {
+		return nil, err
+	}
+	if version == secondVersion {
+		rn.Mark = secondMark
+	}
+	rn.Version = version
+	setState("ready")
+	return rn, nil
+}
+
+// beginStreams lets lostStreams streams run at a host and returns their ids. Their callers resume them after the first event as if
+// they had got no other one.
+func (tb *testbed) beginStreams(host int) (begun []string) {
+	tb.t.Helper()
+	for index := range lostStreams {
+		id := fmt.Sprintf("b%d-%d", host, index)
+		if ex := tb.send(tb.t.Context(), http.DefaultClient, tb.hosts[host], "chat", id, "k-1", longBudget); ex.status != http.StatusOK || ex.err != nil {
+			tb.t.Fatalf("the stream did not begin: %+v", ex)
+		}
+		begun = append(begun, id)
+	}
+	return begun
+}
+
+// checkResumable resumes streams of the first software version at the hosts other than the lost one.
+func (tb *testbed) checkResumable(begun []string, lost int) {
+	tb.t.Helper()
+	want := strings.TrimPrefix(strings.ReplaceAll(standin.Events(streamEvents), "\n\n", firstMark+"\n\n"),
+		strings.ReplaceAll(standin.Event(1), "\n\n", firstMark+"\n\n"))
+	for index, id := range begun {
+		host := (lost + 1 + index%(hostCount-1)) % hostCount
+		ex := tb.sendCall(tb.t.Context(), http.DefaultClient, tb.hosts[host], "chat", &standin.Call{
+			ID: "again-" + id, Key: "k-1", Budget: longBudget, LastEvent: "1", Resumes: id,
+		})
+		if got := strings.ReplaceAll(ex.body, standin.Comment, ""); ex.status != http.StatusOK || ex.err != nil || got != want {
+			tb.t.Errorf("%s at host %d: got status %d, error %v, body %q, want the rest of the stream", id, host, ex.status, ex.err, got)
+		}
+	}
+}
