Read the list of targets before a stream is taken for one of the only version

Cause: a host relied on the only version in its list for up to 2 s after the list was read, if the log or the relay had no start of the stream or did not answer in 0.1 s. Hosts read the list at other moments, and one that is cut off or stands still later than all; others use a new version as soon as they have read of it.

Change: the only version counts if the list was read after the caller's request, by the relay or by the host itself; requests that come at once share the read. This works since the stream began before its caller resumed it, at a target that its host had read of before, so that the read shows its version whatever the host knew until then. Without a read and without a copy of the start the stream is refused. The shared read of the log moves to a type of its own, which both reads use. The argument of Decide changes with it: the case of a list of 3 s in TestDecide is now one of a list that was not read after the request, which refuses the stream at any age.

--- a/internal/entry/startslog_test.go
+++ b/internal/entry/startslog_test.go
@@ -79,7 +79,7 @@
 	if got := records.reads.Load(); got > pages {
 		t.Errorf("%d pages were read, want at most %d", got, pages)
 	}
-	if got := sv.tracker.Decide(0, "model", resumption.StreamID(records.records-1), 0); got.Basis != resumption.Known {
+	if got := sv.tracker.Decide(0, "model", resumption.StreamID(records.records-1), nil); got.Basis != resumption.Known {
 		t.Errorf("got %+v for the last stream in the log", got)
 	}
 }
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -16,92 +16,42 @@
 const (
 	// startsHorizon is the time for which starts are read at most: that of the longest streams.
 	startsHorizon = 15 * time.Second
-	// readStartsTimeout limits a read of the log, which may have several pages.
-	readStartsTimeout = 3 * time.Second
 	// followInterval is the time between two reads of a relay while a service has several versions.
 	followInterval = time.Second
 	// askTimeout limits a call to the relay, so that there is time left to read the log.
 	askTimeout = 200 * time.Millisecond
-	// failureMemory is the time after a failed read in which requests are refused without another one.
-	failureMemory = 300 * time.Millisecond
-	// tryTimeout limits the time for which a stream of a service with one version, or the writer of starts, waits for the log.
+	// tryTimeout limits the time for which the writer of starts waits for the log.
 	tryTimeout = 100 * time.Millisecond
 )
 
-// loadStarts waits until the starts of streams that were written before the call have been read, or until ctx ends. The read goes on
-// after that, so that later requests don't begin it anew.
+// loadStarts waits until the starts of streams that were written before the call have been read.
 func (sv *streamVersions) loadStarts(ctx context.Context) error {
 	if sv.log == nil {
 		return errors.New("there is no log")
 	}
-	called := sv.entry.elapsed()
-	for {
-		reading, err := sv.joinRead(called)
-		if reading == nil {
-			return err
-		}
-		select {
-		case <-reading.done:
-			if reading.err != nil {
-				return reading.err
-			}
-		case <-time.After(silenceTimeout):
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
+	return sv.starts.await(ctx)
 }
 
-// joinRead returns the read of the log that goes on, or begins one. It returns none if the last one began after the call, and an error if
-// it failed a moment before or if the store has not answered for some time: requests should not all wait for the same failure.
-func (sv *streamVersions) joinRead(called time.Duration) (*startsRead, error) {
-	sv.readMu.Lock()
-	defer sv.readMu.Unlock()
-	now := sv.entry.elapsed()
-	switch {
-	case sv.lastRead > called:
-		return nil, nil
-	case sv.reading != nil && now-time.Duration(sv.reading.progressAt.Load()) >= silenceTimeout:
-		return nil, errLogSilent
-	case sv.reading == nil && sv.readError != nil && now-sv.readErrorAt < failureMemory:
-		return nil, sv.readError
-	case sv.reading == nil:
-		sv.reading = &startsRead{done: make(chan struct{})}
-		sv.reading.progressAt.Store(int64(now))
-		go sv.readStarts(sv.reading)
+// readVersions returns the versions at which streams of the service may have begun before the call. The list of targets is read for that:
+// a host reads of a target before it sends it a request, so that a version that is listed later is not that of such a stream.
+func (sv *streamVersions) readVersions(ctx context.Context, service chestnutroad.ServiceID) ([]chestnutroad.SoftwareVersion, error) {
+	if err := sv.list.await(ctx); err != nil {
+		return nil, err
 	}
-	return sv.reading, nil
-}
-
-var errLogSilent = errors.New("the store does not answer")
-
-// startsRead is a read of the log; err is valid once done is closed. progressAt holds the elapsed time of the latest answer of the store.
-type startsRead struct {
-	done       chan struct{}
-	err        error
-	progressAt atomic.Int64
-}
-
-// readStarts reads the log to its end.
-func (sv *streamVersions) readStarts(reading *startsRead) {
-	ctx, cancel := context.WithTimeout(context.Background(), readStartsTimeout)
-	defer cancel()
-	started := sv.entry.elapsed()
-	reading.err = sv.readLog(ctx, reading)
-	sv.readMu.Lock()
-	defer sv.readMu.Unlock()
-	if reading.err == nil {
-		sv.lastRead = started
+	sv.observe()
+	if err := sv.loadInherited(ctx); err != nil {
+		return nil, err
 	}
-	sv.reading, sv.readError, sv.readErrorAt = nil, reading.err, sv.entry.elapsed()
-	close(reading.done)
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return slices.Sorted(maps.Keys(sv.tracker.Recent(sv.entry.elapsed(), service))), nil
 }
 
 // readLog reads the records since the last read, or those of the last startsHorizon if there are more.
-func (sv *streamVersions) readLog(ctx context.Context, reading *startsRead) error {
+func (sv *streamVersions) readLog(ctx context.Context, progress func()) error {
 	for first := true; ; first = false {
 		batch, err := sv.log.Read(ctx, chestnutroad.StreamStarts, sv.next, 0)
-		reading.progressAt.Store(int64(sv.entry.elapsed()))
+		progress()
 		if errors.Is(err, chestnutroad.ErrRecordsGone) && batch.Oldest != sv.next {
 			sv.next = batch.Oldest
 			continue
@@ -137,19 +87,46 @@
 	}
 }
 
-// loadStart learns where a stream began, from the other hosts of the data centre that may hold it, from its relay if there is one, or else
-// by reading the log.
-func (sv *streamVersions) loadStart(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) error {
+// load learns where a stream began, from the other hosts of the data centre that may hold it, from its relay if there is one, or else by
+// reading the store. It returns the versions at which the stream may have begun if the store or the relay has told them.
+func (sv *streamVersions) load(
+	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID,
+) (versions []chestnutroad.SoftwareVersion, err error) {
 	local, remote := sv.entry.link.holders()
-	var answered atomic.Bool
+	answers := make(chan *siblings.State, 1)
 	found := sv.search(service, id,
 		func() { sv.askHolders(ctx, service, id, slices.Concat(local, remote)) },
-		func() { answered.Store(sv.askRelay(ctx, service, id)) },
+		func() { answers <- sv.askRelay(ctx, service, id) },
 	)
-	if found || answered.Load() {
-		return nil
+	if found {
+		return nil, nil
+	}
+	if answer := <-answers; answer != nil && answer.StartsRead && len(answer.Versions) > 0 {
+		return answer.Versions, nil
+	}
+	return sv.readStore(ctx, service, id)
+}
+
+// readStore learns where a stream began from the log, and returns the versions at which it may have begun if the log doesn't have it. err is
+// set if the log was not read.
+func (sv *streamVersions) readStore(
+	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID,
+) (versions []chestnutroad.SoftwareVersion, err error) {
+	logRead, listRead := make(chan error, 1), make(chan []chestnutroad.SoftwareVersion, 1)
+	found := sv.search(service, id,
+		func() { logRead <- sv.loadStarts(ctx) },
+		func() {
+			listed, err := sv.readVersions(ctx, service)
+			if err != nil {
+				sv.entry.logger.Debug("versions in use were not read", "Service", service, "Error", err)
+			}
+			listRead <- listed
+		},
+	)
+	if found {
+		return nil, nil
 	}
-	return sv.loadStarts(ctx)
+	return <-listRead, <-logRead
 }
 
 // search runs lookups at once, until one of them has learned where the stream began or all have ended. It reports whether one has.
@@ -191,20 +168,19 @@
 	sv.search(service, id, lookups...)
 }
 
-// askRelay asks the relay of the data centre where a stream began. It reports whether the relay knows, or has found that the log doesn't
-// have the stream.
-func (sv *streamVersions) askRelay(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) (answered bool) {
+// askRelay asks the relay of the data centre where a stream began. It returns nil if there is no relay or it does not answer.
+func (sv *streamVersions) askRelay(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) *siblings.State {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	call, found := sv.entry.link.newRelayCall()
 	if !found {
-		return false
+		return nil
 	}
 	call.request.Service, call.request.Stream = service, id
 	answer, err := siblings.Fetch(ctx, call.address, call.request)
 	if err != nil {
 		sv.entry.logger.Debug("the relay was not asked for the start of a stream", "Address", call.address, "Error", err)
-		return false
+		return nil
 	}
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -215,7 +191,7 @@
 	case answer.StartsRead:
 		sv.tracker.Miss(now, now-answer.StartMissed, id)
 	}
-	return answer.Start != nil || answer.StartsRead
+	return answer
 }
 
 // find answers another host that asks where a stream began. It reads the log and asks the relays of the other data centres if this host
@@ -228,14 +204,24 @@
 		return
 	}
 	_, remote := sv.entry.link.holders()
-	var read atomic.Bool
-	sv.search(service, id,
+	stored := make(chan error, 1)
+	var versions []chestnutroad.SoftwareVersion
+	found := sv.search(service, id,
 		func() { sv.askHolders(ctx, service, id, remote) },
-		func() { read.Store(sv.loadStarts(ctx) == nil) },
+		func() {
+			var err error
+			versions, err = sv.readStore(ctx, service, id)
+			stored <- err
+		},
 	)
-	if answer.Start = sv.start(service, id); answer.Start == nil && read.Load() {
+	if found {
+		answer.Start = sv.start(service, id)
+		return
+	}
+	if err := <-stored; err == nil {
 		answer.StartsRead, answer.StartMissed = true, sv.missedFor(id)
 	}
+	answer.Versions = versions
 }
 
 // start returns where a stream of the service began; nil if the host doesn't know.
@@ -256,11 +242,7 @@
 	return now - sv.tracker.Miss(now, now, id)
 }
 
-// tryLoadStart is loadStart for a service with one version, whose streams need not wait long for a store that doesn't answer.
-func (sv *streamVersions) tryLoadStart(ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID) {
-	sv.tryRead(ctx, func(ctx context.Context) error { return sv.loadStart(ctx, service, id) })
-}
-
+// tryRead is read for callers that need not wait long for a store that doesn't answer.
 func (sv *streamVersions) tryRead(ctx context.Context, read func(ctx context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/chestnutroad/chestnutroad"
-	"github.com/chestnutroad/chestnutroad/internal/freshness"
 	"github.com/chestnutroad/chestnutroad/internal/placement"
 	"github.com/chestnutroad/chestnutroad/internal/resumption"
 )
@@ -17,8 +16,6 @@
 const (
 	// lookupTimeout limits the time for which a resumed stream waits until its start is found. Callers wait for 2 s or longer.
 	lookupTimeout = 1500 * time.Millisecond
-	// silenceTimeout is the time without an answer of the store after which it counts as not answering.
-	silenceTimeout = 400 * time.Millisecond
 	// rereadInterval is the pause before a resumed stream is looked up again, whose start may be written to the log meanwhile.
 	rereadInterval = 150 * time.Millisecond
 	// unknownStartRetryAfter is the Retry-After of a resumed stream whose start may be written to the log meanwhile.
@@ -44,13 +41,8 @@
 	reportedTo                chestnutroad.HostID
 	localStarts, remoteStarts []resumption.Start
 
-	// readMu protects reading, the read of the log that goes on, if one does, lastRead, when the last successful one began, and the
-	// error of the last one, if it failed.
-	readMu      sync.Mutex
-	reading     *startsRead
-	lastRead    time.Duration
-	readError   error
-	readErrorAt time.Duration
+	// starts reads the log, list the changes of the list of targets.
+	starts, list sharedRead
 	// followedAt is when this host last read the log as a relay. Only run uses it.
 	followedAt time.Duration
 	// next is the offset from which the log is read on. Only the read that goes on uses it.
@@ -67,7 +59,12 @@
 }
 
 func newStreamVersions(en *Entry) *streamVersions {
-	return &streamVersions{entry: en, tracker: resumption.New()}
+	sv := &streamVersions{entry: en, tracker: resumption.New()}
+	if en != nil {
+		sv.starts = sharedRead{elapsed: en.elapsed, read: sv.readLog}
+		sv.list = sharedRead{elapsed: en.elapsed, read: en.readTargetChanges}
+	}
+	return sv
 }
 
 // run writes the starts of streams and, on a relay, the versions in use until ctx ends.
@@ -118,42 +115,34 @@
 	}
 }
 
-// lookUp is decide without a wait for appends; it reads the store if the host doesn't know.
+// lookUp is decide without a wait for appends; it asks other hosts and reads the store if the host doesn't know.
 func (sv *streamVersions) lookUp(
 	ctx context.Context, service chestnutroad.ServiceID, id resumption.StreamID,
 ) (resumption.Decision, error) {
-	sv.observe()
-	loaded := false
-	var loadErr error
-	for {
-		listAge := sv.entry.copyAge(freshness.Targets)
-		sv.mu.Lock()
-		decision := sv.tracker.Decide(sv.entry.elapsed(), service, id, listAge)
-		sv.mu.Unlock()
-		switch {
-		case decision.Basis == resumption.Known:
-			return decision, nil
-		case decision.Basis == resumption.OnlyVersion && !loaded:
-			// The list of targets may lack a version that appeared a moment ago. Without the log, the list is relied on.
-			loaded = true
-			sv.tryLoadStart(ctx, service, id)
-		case !loaded:
-			loaded = true
-			loadErr = sv.loadStart(ctx, service, id)
-		case decision.Basis == resumption.OnlyVersion:
-			return decision, nil
-		case decision.Basis == resumption.NeedsVersions && !errors.Is(loadErr, errLogSilent):
-			if err := sv.loadInherited(ctx); err != nil {
-				return decision, err
-			}
-		case loadErr != nil:
-			return decision, loadErr
-		default:
-			return decision, errNotInLog
-		}
+	if decision := sv.decideNow(service, id, nil); decision.Basis == resumption.Known {
+		return decision, nil
+	}
+	versions, err := sv.load(ctx, service, id)
+	decision := sv.decideNow(service, id, versions)
+	switch {
+	case decision.Basis == resumption.Known || decision.Basis == resumption.OnlyVersion:
+		return decision, nil
+	case err != nil:
+		return decision, err
+	default:
+		return decision, errNotInLog
 	}
 }
 
+// decideNow returns the tracker's decision, with the versions at which the stream may have begun if they are known.
+func (sv *streamVersions) decideNow(
+	service chestnutroad.ServiceID, id resumption.StreamID, versions []chestnutroad.SoftwareVersion,
+) resumption.Decision {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	return sv.tracker.Decide(sv.entry.elapsed(), service, id, versions)
+}
+
 // pinVersion restricts a resumed stream to targets of the software version at which it began. If that is not known the request is
 // refused: a text that is joined from two versions looks complete to the caller.
 func (en *Entry) pinVersion(next filter) filter {
--- a/internal/entry/streamversions_test.go
+++ b/internal/entry/streamversions_test.go
@@ -127,6 +127,10 @@
 		}, true},
 		{"other host, one version", nil, false, otherHost, true},
 		{"other host, one version, target gone", []string{"v1"}, true, otherHost, true},
+		{"other host, one version, store down", nil, false, func(st *site, _, other *host) *host {
+			st.store.SetFault(standin.Silent)
+			return other
+		}, true},
 		{"new host", []string{"v2"}, false, newHost, true},
 		{"new host, target gone", []string{"v2"}, true, newHost, false},
 		{"new host, target gone, another of its version", []string{"v2", "v1"}, true, newHost, true},
@@ -437,3 +441,36 @@
 		})
 	}
 }
+
+// TestHostOutOfStepDoesNotJoinVersions guards against a stream that goes on at the only version in a host's list of targets, since the host has
+// not read yet, or can't read, that others have begun streams at a version that joined a moment ago.
+func TestHostOutOfStepDoesNotJoinVersions(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// change happens just before the stream is resumed.
+		change func(st *site)
+		served bool
+	}{
+		{"in step", func(*site) {}, true},
+		{"not read yet", func(st *site) { st.versionRunner("i-1", "v2") }, false},
+		{"cut off, no answer", func(st *site) { st.store.SetFault(standin.Silent) }, false},
+		{"cut off, errors", func(st *site) { st.store.SetFault(standin.Busy) }, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			st := newSite(t)
+			st.store.Configure(3, 1, "k-1", "k-2")
+			first := st.versionRunner("i-0", "v1")
+			ht := st.start("host-1", true)
+			st.awaitVersions(ht, 1)
+			tc.change(st)
+			got := ht.resumeStream("r-2", "r-1")
+			checkResumed(t, ht, &got, tc.served)
+			if runs := first.Runs(); !tc.served && len(runs) > 0 {
+				t.Errorf("a target of another version ran %+v", runs)
+			}
+		})
+	}
+}
--- a/internal/entry/versionsinuse.go
+++ b/internal/entry/versionsinuse.go
@@ -35,8 +35,8 @@
 	return string(service) + "/" + string(version)
 }
 
-// readVersions returns the keys of the versions in use that the store holds.
-func (sv *streamVersions) readVersions(ctx context.Context) ([]string, error) {
+// readInUse returns the keys of the versions in use that the store holds.
+func (sv *streamVersions) readInUse(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
 	defer cancel()
 	batch, err := sv.entry.store.Newest(ctx, chestnutroad.KeyedVersions, chestnutroad.PageOptions{})
@@ -53,7 +53,7 @@
 // updateVersions writes versions that are new in a service, and deletes those that have not been listed for as long as streams last.
 func (sv *streamVersions) updateVersions(ctx context.Context) error {
 	if eras := sv.entry.eras.count(); sv.written == nil || sv.eras != eras {
-		keys, err := sv.readVersions(ctx)
+		keys, err := sv.readInUse(ctx)
 		if err != nil {
 			return err
 		}
@@ -108,17 +108,17 @@
 	sv.tracker.CompleteInherited()
 }
 
-// loadInherited reads the versions that were in use before this host started.
+// loadInherited reads the versions that were in use before this host started, unless they are known or no longer matter.
 func (sv *streamVersions) loadInherited(ctx context.Context) error {
 	sv.versionsMu.Lock()
 	defer sv.versionsMu.Unlock()
 	sv.mu.Lock()
-	known := sv.tracker.InheritedKnown()
+	known := sv.tracker.KnowsVersions(sv.entry.elapsed())
 	sv.mu.Unlock()
 	if known {
 		return nil
 	}
-	keys, err := sv.readVersions(ctx)
+	keys, err := sv.readInUse(ctx)
 	if err == nil {
 		sv.inherit(keys)
 	}
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -11,9 +11,6 @@
 // Lifetime is longer than callers wait for the end of a stream, after which it is not resumed any more.
 const Lifetime = 30 * time.Second
 
-// maxListAge is the age of the list of targets from which on it may lack a version with which other hosts have begun streams.
-const maxListAge = 2 * time.Second
-
 // maxStreams bounds the memory for streams. Relays hold those of the whole fleet: 4,400 a second at the largest size planned for.
 const maxStreams = 150_000
 
@@ -105,8 +102,8 @@
 // CompleteInherited records that Inherit was called for all versions that were in use before the host started.
 func (tr *Tracker) CompleteInherited() { tr.inheritedKnown = true }
 
-// InheritedKnown reports whether CompleteInherited was called.
-func (tr *Tracker) InheritedKnown() bool { return tr.inheritedKnown }
+// KnowsVersions reports whether Recent also returns all versions that were in use before the host started.
+func (tr *Tracker) KnowsVersions(now time.Duration) bool { return now >= Lifetime || tr.inheritedKnown }
 
 // Recent returns the versions of a service's targets at which streams may have begun that can still be resumed.
 func (tr *Tracker) Recent(now time.Duration, service chestnutroad.ServiceID) map[chestnutroad.SoftwareVersion]bool {
@@ -254,11 +251,11 @@
 const (
 	// Known means that the host knows where the stream began.
 	Known Basis = "Known"
-	// OnlyVersion means that the service has had one version for as long as streams last.
+	// OnlyVersion means that the service has had one version for as long as streams last, by a list read after the request.
 	OnlyVersion Basis = "OnlyVersion"
 	// NeedsVersions means that the versions in use before the host started have to be read.
 	NeedsVersions Basis = "NeedsVersions"
-	// NeedsStarts means that the starts of streams in the log have to be read.
+	// NeedsStarts means that the start of the stream has to be known, as there may be several versions.
 	NeedsStarts Basis = "NeedsStarts"
 )
 
@@ -268,19 +265,20 @@
 	Version chestnutroad.SoftwareVersion
 }
 
-// Decide returns at which version of the service's targets the stream may be resumed; listAge is the age of the list of targets.
-func (tr *Tracker) Decide(now time.Duration, service chestnutroad.ServiceID, id StreamID, listAge time.Duration) Decision {
-	if start, found := tr.Start(service, id); found {
+// Decide returns at which version of the service's targets the stream may be resumed. The versions are all at which it may have begun, as
+// they were read after the caller's request; none if they could not be read.
+func (tr *Tracker) Decide(
+	now time.Duration, service chestnutroad.ServiceID, id StreamID, versions []chestnutroad.SoftwareVersion,
+) Decision {
+	start, found := tr.Start(service, id)
+	switch {
+	case found:
 		return Decision{Basis: Known, Version: start.Version}
-	}
-	if now < Lifetime && !tr.inheritedKnown {
+	case len(versions) == 1:
+		return Decision{Basis: OnlyVersion, Version: versions[0]}
+	case len(versions) == 0 && !tr.KnowsVersions(now):
 		return Decision{Basis: NeedsVersions}
+	default:
+		return Decision{Basis: NeedsStarts}
 	}
-	recent := tr.Recent(now, service)
-	if len(recent) == 1 && listAge < maxListAge {
-		for version := range recent {
-			return Decision{Basis: OnlyVersion, Version: version}
-		}
-	}
-	return Decision{Basis: NeedsStarts}
 }
--- a/internal/resumption/tracker_test.go
+++ b/internal/resumption/tracker_test.go
@@ -1,6 +1,8 @@
 package resumption_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,63 +27,64 @@
 	only := resumption.Decision{Basis: resumption.OnlyVersion, Version: "v1"}
 	needsStarts := resumption.Decision{Basis: resumption.NeedsStarts}
 	cases := []struct {
-		name    string
-		now     time.Duration
-		listAge time.Duration
+		name string
+		now  time.Duration
+		// unread is true if the list of targets could not be read after the request.
+		unread  bool
 		prepare func(tr *resumption.Tracker)
 		want    resumption.Decision
 	}{
-		{"began here", later, 0, func(tr *resumption.Tracker) {
+		{"began here", later, false, func(tr *resumption.Tracker) {
 			tr.Begin(later-time.Second, start(1, "v1"))
 			tr.Observe(later, service, "v2")
 		}, known("v1")},
-		{"began here, old list of targets", later, time.Hour, func(tr *resumption.Tracker) {
+		{"began here, list not read", later, true, func(tr *resumption.Tracker) {
 			tr.Begin(later-time.Second, start(1, "v1"))
 		}, known("v1")},
-		{"learned", later, 0, func(tr *resumption.Tracker) {
+		{"learned", later, false, func(tr *resumption.Tracker) {
 			tr.Observe(later, service, "v1")
 			tr.Learn(later, start(1, "v2"))
 		}, known("v2")},
-		{"began in another service", later, 0, func(tr *resumption.Tracker) {
+		{"began in another service", later, false, func(tr *resumption.Tracker) {
 			tr.Observe(later, service, "v1")
 			tr.Learn(later, resumption.Start{Service: "other", Version: "v2", Stream: 1})
 		}, only},
-		{"one version", later, 0, func(tr *resumption.Tracker) { tr.Observe(later, service, "v1") }, only},
-		{"one version, old list of targets", later, 3 * time.Second, func(tr *resumption.Tracker) {
+		{"one version", later, false, func(tr *resumption.Tracker) { tr.Observe(later, service, "v1") }, only},
+		{"one version, list not read", later, true, func(tr *resumption.Tracker) {
 			tr.Observe(later, service, "v1")
 		}, needsStarts},
-		{"two versions", later, 0, func(tr *resumption.Tracker) {
+		{"two versions", later, false, func(tr *resumption.Tracker) {
 			tr.Observe(later, service, "v1")
 			tr.Observe(later, service, "v2")
 		}, needsStarts},
-		{"former version gone a moment ago", later, 0, func(tr *resumption.Tracker) {
+		{"former version gone a moment ago", later, false, func(tr *resumption.Tracker) {
 			tr.Observe(later-resumption.Lifetime+time.Second, service, "v0")
 			tr.Observe(later, service, "v1")
 		}, needsStarts},
-		{"former version gone for long", later, 0, func(tr *resumption.Tracker) {
+		{"former version gone for long", later, false, func(tr *resumption.Tracker) {
 			tr.Observe(later-resumption.Lifetime, service, "v0")
 			tr.Observe(later, service, "v1")
 		}, only},
-		{"no target", later, 0, func(*resumption.Tracker) {}, needsStarts},
-		{"started a moment ago", time.Second, 0, func(tr *resumption.Tracker) {
+		{"no target", later, false, func(*resumption.Tracker) {}, needsStarts},
+		{"started a moment ago", time.Second, false, func(tr *resumption.Tracker) {
 			tr.Observe(time.Second, service, "v1")
 		}, resumption.Decision{Basis: resumption.NeedsVersions}},
-		{"started a moment ago, same version before", time.Second, 0, func(tr *resumption.Tracker) {
+		{"started a moment ago, same version before", time.Second, false, func(tr *resumption.Tracker) {
 			tr.Observe(time.Second, service, "v1")
 			tr.Inherit(service, "v1")
 			tr.CompleteInherited()
 		}, only},
-		{"started a moment ago, other version before", time.Second, 0, func(tr *resumption.Tracker) {
+		{"started a moment ago, other version before", time.Second, false, func(tr *resumption.Tracker) {
 			tr.Observe(time.Second, service, "v1")
 			tr.Inherit(service, "v0")
 			tr.CompleteInherited()
 		}, needsStarts},
-		{"other version before a start long ago", later, 0, func(tr *resumption.Tracker) {
+		{"other version before a start long ago", later, false, func(tr *resumption.Tracker) {
 			tr.Observe(later, service, "v1")
 			tr.Inherit(service, "v0")
 			tr.CompleteInherited()
 		}, only},
-		{"too old a stream", later, 0, func(tr *resumption.Tracker) {
+		{"too old a stream", later, false, func(tr *resumption.Tracker) {
 			tr.Begin(time.Second, start(1, "v0"))
 			tr.Begin(later, start(2, "v1"))
 		}, only},
@@ -91,7 +94,11 @@
 			t.Parallel()
 			tr := resumption.New()
 			tc.prepare(tr)
-			if got := tr.Decide(tc.now, service, 1, tc.listAge); got != tc.want {
+			var versions []chestnutroad.SoftwareVersion
+			if !tc.unread && tr.KnowsVersions(tc.now) {
+				versions = slices.Collect(maps.Keys(tr.Recent(tc.now, service)))
+			}
+			if got := tr.Decide(tc.now, service, 1, versions); got != tc.want {
 				t.Errorf("got %+v, want %+v", got, tc.want)
 			}
 		})
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -62,6 +62,9 @@
 	Start       *resumption.Start `json:",omitempty"`
 	StartsRead  bool              `json:",omitempty"`
 	StartMissed time.Duration     `json:",omitempty"`
+	// Versions are the versions at which streams of the request's service may have begun before the request, omitted if the host could
+	// not read them.
+	Versions []chestnutroad.SoftwareVersion `json:",omitempty"`
 	// StartsTaken is true if the host writes the Starts of the request to the log.
 	StartsTaken bool `json:",omitempty"`
 }
