--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -89,3 +89,56 @@
 		}
 	}
 }
+
+// TestWokenHostDoesNotJoinVersions guards against a host that has stood still while a second software version joined, and resumes streams that
+// began there at the first one.
+func TestWokenHostDoesNotJoinVersions(t *testing.T) {
+	t.Parallel()
+	binary := buildHost(t)
+	for frozen := range hostCount {
+		for index, cut := range []bool{false, true} {
+			t.Run(fmt.Sprintf("host %d, cut off from the store: %t", frozen, cut), func(t *testing.T) {
+				t.Parallel()
+				tb := newTestbed(t, binary, byte(240+2*frozen+index))
+				tb.awaitReady()
+				time.Sleep(settleTime)
+				tb.hosts[frozen].signal(syscall.SIGSTOP, false)
+				if _, err := tb.joinModel("i-second", secondVersion); err != nil {
+					t.Fatal(err)
+				}
+				begun := tb.beginAtSecondVersion((frozen + 1) % hostCount)
+				for other := range hostCount {
+					if other != frozen {
+						tb.hosts[other].signal(syscall.SIGSTOP, false)
+					}
+				}
+				tb.hosts[frozen].storeProxy.setFaults(0, cut)
+				tb.hosts[frozen].signal(syscall.SIGCONT, false)
+				for _, id := range begun {
+					ex := tb.sendCall(t.Context(), http.DefaultClient, tb.hosts[frozen], "chat", &standin.Call{
+						ID: "again-" + id, Key: "k-1", Budget: longBudget, LastEvent: "1", Resumes: id,
+					})
+					if strings.Contains(ex.body, firstMark) {
+						t.Errorf("%s went on at the first version: %+v", id, ex)
+					}
+				}
+			})
+		}
+	}
+}
+
+// beginAtSecondVersion begins streams at a host until lostStreams of them have run at the second version, and returns the ids of these.
+func (tb *testbed) beginAtSecondVersion(host int) (begun []string) {
+	tb.t.Helper()
+	for index := 0; len(begun) < lostStreams; index++ {
+		id := fmt.Sprintf("s%d", index)
+		ex := tb.send(tb.t.Context(), http.DefaultClient, tb.hosts[host], "chat", id, "k-1", longBudget)
+		if strings.Contains(ex.body, secondMark) {
+			begun = append(begun, id)
+		}
+		if index > 100 {
+			tb.t.Fatalf("%d of %d streams began at the second version", len(begun), index)
+		}
+	}
+	return begun
+}
