--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -34,9 +34,7 @@
 				begun := tb.beginStreams(lost)
 				time.Sleep(settleTime - abandonTime)
 				tb.hosts[lost].signal(signal, false)
-				if _, err := tb.joinModel("i-second", secondVersion); err != nil {
-					t.Fatal(err)
-				}
+				tb.joinSecondVersion()
 				time.Sleep(abandonTime)
 				tb.checkResumable(begun, lost)
 			})
@@ -44,20 +42,15 @@
 	}
 }
 
-const secondVersion = "v2"
-
-// joinModel adds a runner of the model with a software version.
-func (tb *testbed) joinModel(id, version string) (*standin.Runner, error) {
-	rn, _, setState, err := tb.newRunner(id, "model", dataCentre)
+// joinSecondVersion adds a runner of the model whose software has another version, which stays.
+func (tb *testbed) joinSecondVersion() {
+	tb.t.Helper()
+	rn, _, setState, err := tb.newRunner("i-second", "model", dataCentre)
 	if err != nil {
-		return nil, err
+		tb.t.Fatal(err)
 	}
-	if version == secondVersion {
-		rn.Mark = secondMark
-	}
-	rn.Version = version
+	rn.Version, rn.Mark = "v2", secondMark
 	setState("ready")
-	return rn, nil
 }
 
 // beginStreams lets lostStreams streams run at a host and returns their ids. Their callers resume them after the first event as if
@@ -103,9 +96,7 @@
 				tb.awaitReady()
 				time.Sleep(settleTime)
 				tb.hosts[frozen].signal(syscall.SIGSTOP, false)
-				if _, err := tb.joinModel("i-second", secondVersion); err != nil {
-					t.Fatal(err)
-				}
+				tb.joinSecondVersion()
 				begun := tb.beginAtSecondVersion((frozen + 1) % hostCount)
 				for other := range hostCount {
 					if other != frozen {
