--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -78,12 +78,14 @@
 	if now-sv.followedAt < followInterval || !sv.entry.link.relaying() {
 		return
 	}
-	sv.mu.Lock()
-	several := sv.tracker.HasSeveral(now)
-	sv.mu.Unlock()
-	if several {
-		sv.followedAt = now
-		sv.tryRead(ctx, sv.loadStarts)
+	if !sv.hasSeveral() {
+		return
+	}
+	sv.followedAt = now
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if err := sv.loadStarts(ctx); err != nil {
+		sv.entry.logger.Debug("starts of streams were not read", "Error", err)
 	}
 }
 
@@ -242,15 +244,6 @@
 	return now - sv.tracker.Miss(now, now, id)
 }
 
-// tryRead is read for callers that need not wait long for a store that doesn't answer.
-func (sv *streamVersions) tryRead(ctx context.Context, read func(ctx context.Context) error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
-	defer cancel()
-	if err := read(ctx); err != nil {
-		sv.entry.logger.Debug("starts of streams were not read", "Error", err)
-	}
-}
-
 func (sv *streamVersions) learn(records []chestnutroad.Record) {
 	now := sv.entry.elapsed()
 	sv.mu.Lock()
