Review: streams join two software versions after a restore of the store

Cause: a host that has just started takes the list of targets, the versions in use and the log of starts for complete, also when the store has just come back from an older copy that lacks a version and its streams.

--- /dev/null
+++ b/review/lab3/main.go
@@ -0,0 +1,136 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"github.com/chestnutroad/chestnutroad/platform/standin"
+)
+
+// The exit codes of a case.
+const (
+	codeHeld      = 0
+	codeBroken    = 1
+	codeCannotRun = 2
+)
+
+// site is a small deployment with its stand-ins.
+type site struct {
+	store   *standin.Store
+	record  *recorder
+	hosts   []*host
+	runners []*runner
+	// trouble is false when the case is played without its disruption.
+	trouble bool
+	// outage is true while the store is down.
+	outage atomic.Bool
+}
+
+// scenario plays a case and reports whether the rule held.
+type scenario func(st *site) (held bool, err error)
+
+var scenarios = map[string]scenario{
+	"in-place":   playInPlace,
+	"drill":      playDrill,
+	"idle-crash": playIdleCrash,
+	"amnesia":    playAmnesia,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: lab3 CASE RECORD")
+		return codeCannotRun
+	}
+	record, err := newRecorder(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return codeCannotRun
+	}
+	defer record.close()
+	held, err := play(scenarios[os.Args[1]], record)
+	switch {
+	case err != nil:
+		record.printf("the case could not run: %v", err)
+		fmt.Fprintln(os.Stderr, err)
+		return codeCannotRun
+	case held:
+		record.printf("the rule held")
+		return codeHeld
+	default:
+		record.printf("the rule was broken")
+		return codeBroken
+	}
+}
+
+func play(sc scenario, record *recorder) (held bool, err error) {
+	directory, err := os.MkdirTemp("", "lab3-")
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = os.RemoveAll(directory) }()
+	st := &site{store: standin.NewStore(), record: record, trouble: os.Getenv("TROUBLE") != "0"}
+	defer st.close(directory)
+	hosts, err := newHosts(directory, hostCount, st.store.Address())
+	if err != nil {
+		return false, err
+	}
+	st.hosts = hosts
+	return sc(st)
+}
+
+// close ends all processes and stand-ins. LAB3_LOGS names a folder that keeps the logs of the hosts.
+func (st *site) close(directory string) {
+	for _, hs := range st.hosts {
+		hs.stop()
+		if kept := os.Getenv("LAB3_LOGS"); kept != "" {
+			text, _ := os.ReadFile(hs.logPath)
+			_ = os.WriteFile(filepath.Join(kept, hs.name+".log"), text, 0o600)
+		}
+	}
+	for _, rn := range st.runners {
+		rn.close()
+	}
+	st.store.Close()
+	_ = directory
+}
+
+// addRunner starts a runner and registers it.
+func (st *site) addRunner(version string, spec runnerSpec) error {
+	rn, err := newRunner(st.store, st.record, version, spec)
+	if err == nil {
+		st.runners = append(st.runners, rn)
+	}
+	return err
+}
+
+// startHosts starts all hosts and waits until they are ready.
+func (st *site) startHosts() error {
+	for _, hs := range st.hosts {
+		if err := hs.start(); err != nil {
+			return err
+		}
+	}
+	for _, hs := range st.hosts {
+		if err := hs.awaitReady(); err != nil {
+			return err
+		}
+	}
+	st.record.printf("%d hosts are ready", len(st.hosts))
+	return nil
+}
+
+const hostCount = 4
+
+// configuration has the routes of a small deployment: streams that may be resumed and orders.
+const configuration = `{"version":11,"routes":[
+{"name":"chat","host":"ficu95.example","path_prefix":"/lohu930/","route_kind":"streaming","timeout_ms":12000,"latency_goal_ms":600,"priority":0,"service":"assistant","max_attempts":2,"stream_resume":true,"itl_target_ms":300,"session_affinity":true},
+{"name":"reply","host":"ficu95.example","path_prefix":"/pufi791/","route_kind":"streaming","timeout_ms":10000,"latency_goal_ms":600,"priority":1,"service":"assistant","max_attempts":1,"stream_resume":false,"itl_target_ms":300,"session_affinity":true},
+{"name":"booking","host":"ficu95.example","path_prefix":"/puxa403/","route_kind":"non_idempotent","timeout_ms":800,"latency_goal_ms":300,"priority":2,"service":"bookings","max_attempts":1}],
+"services":[{"name":"assistant","health_path":"/healthz","max_connections":720,"inference_engine":{"slots":64,"kv_capacity_tokens":680532}},
+{"name":"bookings","health_path":"/healthz","max_connections":192}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"]}]}`
