Review: a prompt part that crashes many targets at once is suspected only weakly

Cause: crashes within 0.1 s count as one, so that the part is refused for 2 s only, and each host then admits trials on its own. Adds: case 15 with its script.

--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -35,6 +35,7 @@
 	"in-place":   playInPlace,
 	"drill":      playDrill,
 	"idle-crash": playIdleCrash,
+	"trial":      playTrial,
 	"amnesia":    playAmnesia,
 }
 
