--- a/review/lab3/drill.go
+++ b/review/lab3/drill.go
@@ -20,7 +20,8 @@
 	// registerTime is the time from the store's return until the runner that joined is registered again.
 	registerTime = 1500 * time.Millisecond
 	drillLength  = 10 * time.Second
-	// retryPause is the time after which a client takes its stream up again, once.
+	// A client takes its stream up once, retryPause after it broke.
+	drillTries = 2
 	retryPause = 1500 * time.Millisecond
 )
 
@@ -38,7 +39,7 @@
 	tally := &streamTally{}
 	var running sync.WaitGroup
 	stop := make(chan struct{})
-	running.Go(func() { st.sendStreams(stop, tally, retryPause) })
+	running.Go(func() { st.sendStreams(stop, tally, &streamPlan{tries: drillTries, pause: retryPause}) })
 	time.Sleep(joinTime)
 	if err := st.addRunner(newVersion, st.chatRunner(oldEngines)); err != nil {
 		return false, err
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -32,10 +32,10 @@
 type scenario func(st *site) (held bool, err error)
 
 var scenarios = map[string]scenario{
-	"in-place":   playInPlace,
 	"drill":      playDrill,
 	"idle-crash": playIdleCrash,
 	"trial":      playTrial,
+	"rejoin":     playRejoin,
 	"amnesia":    playAmnesia,
 }
 
--- a/review/lab3/streams.go
+++ b/review/lab3/streams.go
@@ -14,12 +14,24 @@
 	eventGap               = 60 * time.Millisecond
 	streamBudget           = 12 * time.Second
 	streamInterval         = 25 * time.Millisecond
-	// streamTries is the number of tries of a client.
-	streamTries = 2
 	// allowedMixed is the number of streams with events of two versions that the rule allows.
 	allowedMixed = 2
 )
 
+// try is one try of a client; lastEvent is the last event of the stream that it takes up, or empty.
+type try struct {
+	sent      time.Time
+	lastEvent string
+	out       outcome
+}
+
+// streamPlan is what a client does about its stream: it tries again after a pause. observe receives each try; it may be nil.
+type streamPlan struct {
+	tries   int
+	pause   time.Duration
+	observe func(tr *try)
+}
+
 // streamTally counts streams over all tries of their clients.
 type streamTally struct {
 	mu                     sync.Mutex
@@ -47,7 +59,7 @@
 }
 
 // sendStreams begins a stream each streamInterval until stop is closed, and waits for their ends.
-func (st *site) sendStreams(stop <-chan struct{}, tally *streamTally, pause time.Duration) {
+func (st *site) sendStreams(stop <-chan struct{}, tally *streamTally, plan *streamPlan) {
 	ticker := time.NewTicker(streamInterval)
 	defer ticker.Stop()
 	var running sync.WaitGroup
@@ -58,24 +70,28 @@
 			return
 		case <-ticker.C:
 		}
-		running.Go(func() { tally.add(st.playStream(number, pause)) })
+		running.Go(func() { tally.add(st.playStream(number, plan)) })
 	}
 }
 
-// playStream plays a stream, which its client takes up at another host when its channel breaks after a pause, once. It returns the versions that its
-// events name, and whether it ended.
-func (st *site) playStream(number int, pause time.Duration) (versions map[string]bool, ended bool) {
+// playStream plays a stream, which its client takes up at another host when its channel breaks. It returns the versions that its events name,
+// and whether it ended.
+func (st *site) playStream(stream int, plan *streamPlan) (versions map[string]bool, ended bool) {
 	versions = map[string]bool{}
-	id := fmt.Sprintf("9c41d07b%08x", number)
+	id := fmt.Sprintf("9c41d07b%08x", stream)
 	cl := &call{
-		id: id, method: http.MethodPost, path: "/lohu930/2f", body: fmt.Sprintf("chat %d", number), budget: streamBudget,
-		prefix: fmt.Sprintf("5c1e07a2:119,%08x:580,%08x:130", number/2, number),
+		id: id, method: http.MethodPost, path: "/lohu930/2f", body: fmt.Sprintf("chat %d", stream), budget: streamBudget,
+		prefix: fmt.Sprintf("5c1e07a2:119,%08x:580,%08x:130", stream/2, stream),
 	}
 	deadline := time.Now().Add(streamBudget)
-	for try := range streamTries {
-		hs := st.hosts[(number+try)%len(st.hosts)]
+	for number := range plan.tries {
+		hs := st.hosts[(stream+number)%len(st.hosts)]
 		st.record.printf("client sends %s to %s, last event %q", cl.id, hs.name, cl.lastEvent)
+		sent := time.Now()
 		out := send(hs, cl)
+		if plan.observe != nil {
+			plan.observe(&try{sent: sent, lastEvent: cl.lastEvent, out: out})
+		}
 		for _, version := range out.versions {
 			versions[version] = true
 		}
@@ -93,8 +109,8 @@
 				cl.resumes = cl.id
 			}
 		}
-		time.Sleep(pause)
-		cl.id = fmt.Sprintf("%s-%d", id, try+1)
+		time.Sleep(plan.pause)
+		cl.id = fmt.Sprintf("%s-%d", id, number+1)
 		if cl.budget = time.Until(deadline); cl.budget <= 0 {
 			break
 		}
--- a/review/lab3/trial.go
+++ b/review/lab3/trial.go
@@ -11,8 +11,8 @@
 const (
 	// usualInterval is the time between two requests of the tenant whose prompts have the tainted part, hotInterval the same while it sends
 	// 7.5 times its usual, for hotLength.
-	usualInterval = 112 * time.Millisecond
-	hotInterval   = 15 * time.Millisecond
+	usualInterval = 90 * time.Millisecond
+	hotInterval   = 12 * time.Millisecond
 	hotLength     = 11 * time.Second
 	afterHot      = 9 * time.Second
 )
