--- a/review/lab3/amnesia.go
+++ b/review/lab3/amnesia.go
@@ -46,7 +46,7 @@
 	}
 	var running sync.WaitGroup
 	stop := make(chan struct{})
-	running.Go(func() { st.sendReplies(stop) })
+	running.Go(func() { st.sendReplies(replyInterval, stop) })
 	running.Go(func() { st.sendTainted(stop) })
 	restarted, err := st.killAfter(crashes)
 	close(stop)
@@ -80,9 +80,9 @@
 	return restarted, nil
 }
 
-// sendReplies sends sound requests until stop is closed.
-func (st *site) sendReplies(stop <-chan struct{}) {
-	ticker := time.NewTicker(replyInterval)
+// sendReplies sends a sound request at each interval until stop is closed.
+func (st *site) sendReplies(interval time.Duration, stop <-chan struct{}) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	var running sync.WaitGroup
 	var mu sync.Mutex
--- a/review/lab3/drill.go
+++ b/review/lab3/drill.go
@@ -81,7 +81,7 @@
 // chatRunner returns a runner of the streams that can be resumed.
 func (st *site) chatRunner(index int) runnerSpec {
 	return runnerSpec{
-		id: fmt.Sprintf("i-7f3a91c%d", index), service: "assistant", zone: zones[index%len(zones)], slots: 64,
+		id: fmt.Sprintf("i-7f3a91c%d", index), service: "assistant", zone: zoneName(index, st.zones), slots: 64,
 		events: streamEvents, gap: eventGap, storeDown: st.outage.Load,
 	}
 }
--- a/review/lab3/hosts.go
+++ b/review/lab3/hosts.go
@@ -19,8 +19,8 @@
 	hostBinary   = "target/chestnutroad"
 )
 
-// zones are the data centres of the cases, all of one region.
-var zones = []string{"zone-a", "zone-b"}
+// zoneName returns the data centre of the host or runner with an index, of count ones, all of one region.
+func zoneName(index, count int) string { return fmt.Sprintf("zone-%d", index%count) }
 
 // host is an entry host, which runs as a process.
 type host struct {
@@ -48,30 +48,33 @@
 	return ports{caller: numbers[0], ready: numbers[1], peer: numbers[2], metrics: numbers[3]}, nil
 }
 
-// hostAddress returns a loopback address of its own for each host of this process.
-func hostAddress(index int) string {
+// runnerAddresses is the index of the first address of a runner; those of hosts begin with zero.
+const runnerAddresses = 100
+
+// loopbackAddress returns the loopback address of this process with an index.
+func loopbackAddress(index int) string {
 	pid := os.Getpid()
 	return netip.AddrFrom4([4]byte{127, byte(1 + pid%250), byte(1 + pid/250%250), byte(1 + index)}).String()
 }
 
-// newHosts writes the settings of count hosts, divided among the zones, as the deploy file's template fills them in.
-func newHosts(directory string, count int, store netip.AddrPort) ([]*host, error) {
-	free, err := freePorts(hostAddress(0))
+// newHosts writes the settings of the hosts, divided among the zones, as the deploy file's template fills them in.
+func newHosts(directory string, size *siteSize, store netip.AddrPort) ([]*host, error) {
+	free, err := freePorts(loopbackAddress(0))
 	if err != nil {
 		return nil, err
 	}
 	var seeds, regions []string
-	for index := range min(count, 3) {
-		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(hostAddress(index), "8229")))
+	for index := range min(size.hosts, 3) {
+		seeds = append(seeds, fmt.Sprintf("%q", net.JoinHostPort(loopbackAddress(index), "8229")))
 	}
-	for _, zone := range zones {
-		regions = append(regions, fmt.Sprintf("%q = \"region\"", zone))
+	for index := range size.zones {
+		regions = append(regions, fmt.Sprintf("%q = \"region\"", zoneName(index, size.zones)))
 	}
-	hosts := make([]*host, 0, count)
-	for index := range count {
-		address := hostAddress(index)
+	hosts := make([]*host, 0, size.hosts)
+	for index := range size.hosts {
+		address := loopbackAddress(index)
 		hs := &host{
-			name: fmt.Sprintf("edge-%d", index), zone: zones[index%len(zones)],
+			name: fmt.Sprintf("edge-%d", index), zone: zoneName(index, size.zones),
 			caller: net.JoinHostPort(address, fmt.Sprint(free.caller)), ready: net.JoinHostPort(address, fmt.Sprint(free.ready)),
 		}
 		hs.settings = filepath.Join(directory, hs.name+".toml")
--- a/review/lab3/idlecrash.go
+++ b/review/lab3/idlecrash.go
@@ -100,7 +100,7 @@
 	crashes := &crashLog{}
 	for index := range bookingRunners {
 		err := st.addRunner(oldVersion, runnerSpec{
-			id: fmt.Sprintf("i-02d9e6b%d", index), service: "bookings", zone: zones[index%len(zones)], slots: 6, work: bookingWork,
+			id: fmt.Sprintf("i-02d9e6b%d", index), service: "bookings", zone: zoneName(index, st.zones), slots: 6, work: bookingWork,
 			crashes: func(body string) bool { return body == deadlyBody }, onCrash: st.backAfterCrash(crashes),
 		})
 		if err != nil {
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -22,27 +22,46 @@
 	record  *recorder
 	hosts   []*host
 	runners []*runner
+	// zones is the number of data centres.
+	zones int
 	// trouble is false when the case is played without its disruption.
 	trouble bool
 	// outage is true while the store is down.
 	outage atomic.Bool
 }
 
-// scenario plays a case and reports whether the rule held.
-type scenario func(st *site) (held bool, err error)
+// siteSize is the size of a deployment.
+type siteSize struct{ hosts, zones int }
+
+// The sizes of the cases: a small deployment, and that of kaffivakt-router.
+var (
+	smallSite = siteSize{hosts: 4, zones: 2}
+	wholeSite = siteSize{hosts: 12, zones: 4}
+)
+
+// scenario is a case; play plays it and reports whether the rule held.
+type scenario struct {
+	size siteSize
+	play func(st *site) (held bool, err error)
+}
 
 var scenarios = map[string]scenario{
-	"drill":      playDrill,
-	"idle-crash": playIdleCrash,
-	"trial":      playTrial,
-	"rejoin":     playRejoin,
-	"amnesia":    playAmnesia,
+	"drill":      {smallSite, playDrill},
+	"idle-crash": {smallSite, playIdleCrash},
+	"trial":      {wholeSite, playTrial},
+	"rejoin":     {smallSite, playRejoin},
+	"amnesia":    {smallSite, playAmnesia},
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
+	var sc scenario
+	found := false
+	if len(os.Args) == 3 {
+		sc, found = scenarios[os.Args[1]]
+	}
+	if !found {
 		fmt.Fprintln(os.Stderr, "usage: lab3 CASE RECORD")
 		return codeCannotRun
 	}
@@ -52,7 +71,7 @@
 		return codeCannotRun
 	}
 	defer record.close()
-	held, err := play(scenarios[os.Args[1]], record)
+	held, err := play(&sc, record)
 	switch {
 	case err != nil:
 		record.printf("the case could not run: %v", err)
@@ -67,24 +86,24 @@
 	}
 }
 
-func play(sc scenario, record *recorder) (held bool, err error) {
+func play(sc *scenario, record *recorder) (held bool, err error) {
 	directory, err := os.MkdirTemp("", "lab3-")
 	if err != nil {
 		return false, err
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	st := &site{store: standin.NewStore(), record: record, trouble: os.Getenv("TROUBLE") != "0"}
-	defer st.close(directory)
-	hosts, err := newHosts(directory, hostCount, st.store.Address())
+	st := &site{store: standin.NewStore(), record: record, zones: sc.size.zones, trouble: os.Getenv("TROUBLE") != "0"}
+	defer st.close()
+	hosts, err := newHosts(directory, &sc.size, st.store.Address())
 	if err != nil {
 		return false, err
 	}
 	st.hosts = hosts
-	return sc(st)
+	return sc.play(st)
 }
 
 // close ends all processes and stand-ins. LAB3_LOGS names a folder that keeps the logs of the hosts.
-func (st *site) close(directory string) {
+func (st *site) close() {
 	for _, hs := range st.hosts {
 		hs.stop()
 		if kept := os.Getenv("LAB3_LOGS"); kept != "" {
@@ -96,12 +115,11 @@
 		rn.close()
 	}
 	st.store.Close()
-	_ = directory
 }
 
 // addRunner starts a runner and registers it.
 func (st *site) addRunner(version string, spec runnerSpec) error {
-	rn, err := newRunner(st.store, st.record, version, spec)
+	rn, err := newRunner(st.store, st.record, loopbackAddress(runnerAddresses+len(st.runners)), version, spec)
 	if err == nil {
 		st.runners = append(st.runners, rn)
 	}
@@ -124,9 +142,7 @@
 	return nil
 }
 
-const hostCount = 4
-
-// configuration has the routes of a small deployment: streams that may be resumed and orders.
+// configuration has the routes of a small deployment: streams that may be resumed, streams that may not, and bookings.
 const configuration = `{"version":11,"routes":[
 {"name":"chat","host":"ficu95.example","path_prefix":"/lohu930/","route_kind":"streaming","timeout_ms":12000,"latency_goal_ms":600,"priority":0,"service":"assistant","max_attempts":2,"stream_resume":true,"itl_target_ms":300,"session_affinity":true},
 {"name":"reply","host":"ficu95.example","path_prefix":"/pufi791/","route_kind":"streaming","timeout_ms":10000,"latency_goal_ms":600,"priority":1,"service":"assistant","max_attempts":1,"stream_resume":false,"itl_target_ms":300,"session_affinity":true},
--- a/review/lab3/runner.go
+++ b/review/lab3/runner.go
@@ -55,9 +55,10 @@
 	stop     chan struct{}
 }
 
-// newRunner starts a runner with a version of its software and registers it.
-func newRunner(store *standin.Store, record *recorder, version string, spec runnerSpec) (*runner, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // The listener ends with the runner.
+// newRunner starts a runner with a version of its software and registers it. It has an IP address of its own, so that no outgoing connection
+// takes its port while it is down.
+func newRunner(store *standin.Store, record *recorder, address, version string, spec runnerSpec) (*runner, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(address, "0")) //nolint:noctx // The listener ends with the runner.
 	if err != nil {
 		return nil, err
 	}
--- a/review/lab3/trial.go
+++ b/review/lab3/trial.go
@@ -11,17 +11,21 @@
 const (
 	// usualInterval is the time between two requests of the tenant whose prompts have the tainted part, hotInterval the same while it sends
 	// 7.5 times its usual, for hotLength.
-	usualInterval = 90 * time.Millisecond
-	hotInterval   = 12 * time.Millisecond
+	soundInterval = 20 * time.Millisecond
+	trialEngines  = 12
+	usualInterval = 30 * time.Millisecond
+	hotInterval   = 4 * time.Millisecond
 	hotLength     = 11 * time.Second
 	afterHot      = 9 * time.Second
+	// beforeHot is the time of sound traffic before the tenant begins to send.
+	beforeHot = 4 * time.Second
 )
 
 // playTrial lets a tenant whose prompts all have the tainted part send many times its usual.
 func playTrial(st *site) (held bool, err error) {
 	st.store.PutConfiguration(configuration)
 	crashes := &crashLog{}
-	for index := range replyEngines {
+	for index := range trialEngines {
 		spec := st.chatRunner(index)
 		spec.crashes = func(body string) bool { return strings.HasPrefix(body, taintedPart) }
 		spec.onCrash = st.backAfterCrash(crashes)
@@ -34,7 +38,8 @@
 	}
 	var running sync.WaitGroup
 	stop := make(chan struct{})
-	running.Go(func() { st.sendReplies(stop) })
+	running.Go(func() { st.sendReplies(soundInterval, stop) })
+	time.Sleep(beforeHot)
 	interval := usualInterval
 	if st.trouble {
 		interval = hotInterval
