--- a/review/lab3/amnesia.go
+++ b/review/lab3/amnesia.go
@@ -46,15 +46,16 @@
 	}
 	var running sync.WaitGroup
 	stop := make(chan struct{})
-	running.Go(func() { st.sendReplies(replyInterval, stop) })
+	served := 0
+	running.Go(func() { served = st.sendReplies(replyInterval, usualKey, stop) })
 	running.Go(func() { st.sendTainted(stop) })
 	restarted, err := st.killAfter(crashes)
 	close(stop)
 	running.Wait()
 	total, late := crashes.late(countedTainted, restarted)
 	st.record.printf("tainted requests reached runners %d times, %d times later than %s after the fifth crash from hosts in touch", total, late, contactTime)
-	if err == nil && total < countedTainted {
-		err = fmt.Errorf("%d of %d crashes came", total, countedTainted)
+	if err == nil && (total < countedTainted || served < minServed) {
+		err = errTooLittle
 	}
 	return late <= allowedTainted, err
 }
@@ -80,23 +81,24 @@
 	return restarted, nil
 }
 
-// sendReplies sends a sound request at each interval until stop is closed.
-func (st *site) sendReplies(interval time.Duration, stop <-chan struct{}) {
+// sendReplies sends a sound request at each interval until stop is closed, and returns how many were served.
+func (st *site) sendReplies(interval time.Duration, key string, stop <-chan struct{}) (served int) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	var running sync.WaitGroup
 	var mu sync.Mutex
-	cut, served := 0, 0
+	cut := 0
 	for number := 1; ; number++ {
 		select {
 		case <-stop:
 			running.Wait()
 			st.record.printf("%d sound streams were served, %d broke off after their first event", served, cut)
-			return
+			return served
 		case <-ticker.C:
 		}
 		running.Go(func() {
-			out := st.sendReply(fmt.Sprintf("a%015x", number), fmt.Sprintf("reply %d", number), fmt.Sprintf("%08x", number%20), number)
+			out := st.sendReply(&call{id: fmt.Sprintf("a%015x", number), body: fmt.Sprintf("reply %d", number), key: key},
+				fmt.Sprintf("%08x", number%20), number)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -123,20 +125,22 @@
 			return
 		case <-time.After(pause):
 		}
-		running.Go(func() {
-			st.sendReply(fmt.Sprintf("d%015x", number), fmt.Sprintf("%s %d", taintedPart, number), taintedPart, number)
-		})
+		running.Go(func() { st.sendTaintedReply(number) })
 	}
 }
 
-// sendReply sends a request for a stream that can't be resumed.
-func (st *site) sendReply(id, body, part string, number int) outcome {
+// sendTaintedReply sends a request with the tainted part and a number of its own.
+func (st *site) sendTaintedReply(number int) {
+	st.sendReply(&call{id: fmt.Sprintf("d%015x", number), body: fmt.Sprintf("%s %d", taintedPart, number)}, taintedPart, number)
+}
+
+// sendReply sends a request for a stream that can't be resumed, with a part in its prompt.
+func (st *site) sendReply(cl *call, part string, number int) outcome {
 	hs := st.hosts[number%len(st.hosts)]
-	st.record.printf("client sends %s to %s, part %s", id, hs.name, part)
-	out := send(hs, &call{
-		id: id, method: http.MethodPost, path: "/pufi791/2f", body: body, budget: replyBudget,
-		prefix: fmt.Sprintf("5c1e07a2:119,%s:580,%s:130", part, id[8:]),
-	})
-	st.record.printf("client got %d to %s: %d events, error %v", out.status, id, len(out.versions), out.err)
+	st.record.printf("client sends %s to %s, part %s", cl.id, hs.name, part)
+	cl.method, cl.path, cl.budget = http.MethodPost, "/pufi791/2f", replyBudget
+	cl.prefix = fmt.Sprintf("5c1e07a2:119,%s:580,%s:130", part, cl.id[8:])
+	out := send(hs, cl)
+	st.record.printf("client got %d to %s: %d events, error %v", out.status, cl.id, len(out.versions), out.err)
 	return out
 }
--- a/review/lab3/client.go
+++ b/review/lab3/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,8 +13,9 @@
 
 const (
 	hostName = "ficu95.example"
-	tenant   = "hule930"
-	key      = "n2ctnfzs989anu6wsjnb"
+	// usualKey and otherKey are the keys of two tenants.
+	usualKey = "n2ctnfzs989anu6wsjnb"
+	otherKey = "q7wexk40vd31rmb8tzya"
 )
 
 // call is a request of a client.
@@ -22,6 +24,8 @@
 	budget                 time.Duration
 	prefix                 string
 	lastEvent, resumes     string
+	// key is the client's key; empty stands for usualKey.
+	key string
 }
 
 // newCall returns the HTTP request of a call to a host.
@@ -33,7 +37,7 @@
 	req.Host = hostName
 	req.Header.Set("Chestnutroad-Attempt-Id", cl.id)
 	req.Header.Set("Chestnutroad-Deadline-Ms", fmt.Sprint(cl.budget.Milliseconds()))
-	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("Authorization", "Token "+cmp.Or(cl.key, usualKey))
 	if cl.prefix != "" {
 		req.Header.Set("Chestnutroad-Prompt-Prefix", cl.prefix)
 		req.Header.Set("Chestnutroad-Model", "m")
--- a/review/lab3/drill.go
+++ b/review/lab3/drill.go
@@ -51,7 +51,11 @@
 	time.Sleep(drillLength)
 	close(stop)
 	running.Wait()
-	return tally.held(st.record), err
+	held = tally.held(st.record)
+	if err == nil && tally.complete < minServed {
+		err = errTooLittle
+	}
+	return held, err
 }
 
 // drill takes the store away and brings it back from the copy, while all hosts are killed and started again.
--- a/review/lab3/hosts.go
+++ b/review/lab3/hosts.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,7 +30,11 @@
 	caller, ready string
 	settings      string
 	logPath       string
-	command       *exec.Cmd
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	// ended is true when the case has ended; the process isn't started again then.
+	ended bool
 }
 
 // ports are free ports of the loopback addresses, the same for all hosts.
@@ -109,6 +115,11 @@
 
 // start starts the process of the host with the command of the deploy file.
 func (hs *host) start() error {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	if hs.ended {
+		return errors.New("the case has ended")
+	}
 	file, err := os.OpenFile(hs.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -121,8 +132,18 @@
 	return hs.command.Start()
 }
 
+// end kills the process for good.
+func (hs *host) end() {
+	hs.mu.Lock()
+	hs.ended = true
+	hs.mu.Unlock()
+	hs.stop()
+}
+
 // stop kills the process.
 func (hs *host) stop() {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
 	if hs.command != nil && hs.command.Process != nil {
 		_ = hs.command.Process.Kill()
 		_ = hs.command.Wait()
--- a/review/lab3/idlecrash.go
+++ b/review/lab3/idlecrash.go
@@ -129,6 +129,9 @@
 	total, late := crashes.late(countedCrashes, time.Time{})
 	st.record.printf("%d bookings, %d sound ones not served; the deadly one reached runners %d times, %d times later than %s after the third crash",
 		bk.sent, bk.failed, total, late, contactTime)
+	if bk.sent-bk.failed < minServed || st.trouble && total < countedCrashes {
+		return false, errTooLittle
+	}
 	return late <= allowedRetries, nil
 }
 
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -1,10 +1,15 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
+	"syscall"
+	"time"
 
 	"github.com/chestnutroad/chestnutroad/platform/standin"
 )
@@ -16,11 +21,21 @@
 	codeCannotRun = 2
 )
 
+const (
+	// timeLimit ends a case in time for the limit of 120 s for a script.
+	timeLimit = 110 * time.Second
+	// minServed is the number of sound requests below which too little was served to judge the rule.
+	minServed = 50
+)
+
+var errTooLittle = errors.New("too little happened to judge the rule")
+
 // site is a small deployment with its stand-ins.
 type site struct {
 	store   *standin.Store
 	record  *recorder
 	hosts   []*host
+	mu      sync.Mutex
 	runners []*runner
 	// zones is the number of data centres.
 	zones int
@@ -86,31 +101,54 @@
 	}
 }
 
+// verdict is the result of a case.
+type verdict struct {
+	held bool
+	err  error
+}
+
+// play plays a case until its end, its time limit or a signal.
 func play(sc *scenario, record *recorder) (held bool, err error) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	directory, err := os.MkdirTemp("", "lab3-")
 	if err != nil {
 		return false, err
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
 	st := &site{store: standin.NewStore(), record: record, zones: sc.size.zones, trouble: os.Getenv("TROUBLE") != "0"}
-	defer st.close()
 	hosts, err := newHosts(directory, &sc.size, st.store.Address())
 	if err != nil {
 		return false, err
 	}
 	st.hosts = hosts
-	return sc.play(st)
+	defer st.close()
+	ended := make(chan verdict, 1)
+	go func() {
+		held, err := sc.play(st)
+		ended <- verdict{held, err}
+	}()
+	select {
+	case result := <-ended:
+		return result.held, result.err
+	case got := <-signals:
+		return false, fmt.Errorf("ended by a signal: %s", got)
+	case <-time.After(timeLimit):
+		return false, fmt.Errorf("not done within %s", timeLimit)
+	}
 }
 
 // close ends all processes and stand-ins. LAB3_LOGS names a folder that keeps the logs of the hosts.
 func (st *site) close() {
 	for _, hs := range st.hosts {
-		hs.stop()
+		hs.end()
 		if kept := os.Getenv("LAB3_LOGS"); kept != "" {
 			text, _ := os.ReadFile(hs.logPath)
 			_ = os.WriteFile(filepath.Join(kept, hs.name+".log"), text, 0o600)
 		}
 	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
 	for _, rn := range st.runners {
 		rn.close()
 	}
@@ -121,7 +159,9 @@
 func (st *site) addRunner(version string, spec runnerSpec) error {
 	rn, err := newRunner(st.store, st.record, loopbackAddress(runnerAddresses+len(st.runners)), version, spec)
 	if err == nil {
+		st.mu.Lock()
 		st.runners = append(st.runners, rn)
+		st.mu.Unlock()
 	}
 	return err
 }
@@ -150,4 +190,4 @@
 "services":[{"name":"assistant","health_path":"/healthz","max_connections":720,"inference_engine":{"slots":64,"kv_capacity_tokens":680532}},
 {"name":"bookings","health_path":"/healthz","max_connections":192}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"hule930","api_keys":["n2ctnfzs989anu6wsjnb"]}]}`
+"tenants":[{"name":"hule930","api_keys":["` + usualKey + `"]},{"name":"pemo117","api_keys":["` + otherKey + `"]}]}`
--- a/review/lab3/runner.go
+++ b/review/lab3/runner.go
@@ -109,12 +109,12 @@
 	}
 }
 
-// crash ends the lifetime: the listener and all channels are closed at once.
-func (rn *runner) crash() {
+// crash ends the lifetime: the listener and all channels are closed at once. It reports whether the runner was up.
+func (rn *runner) crash() bool {
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	if !rn.up {
-		return
+		return false
 	}
 	rn.up = false
 	_ = rn.listener.Close()
@@ -123,6 +123,7 @@
 	}
 	rn.conns = map[net.Conn]bool{}
 	rn.record.printf("runner %s down", rn.id)
+	return true
 }
 
 // restart starts the next lifetime, under the same id and at the same address.
@@ -209,8 +210,9 @@
 	defer rn.running.Add(-1)
 	rn.record.ran(rn.id, version, id, req.Header.Get("Last-Event-Id"))
 	if rn.crashes != nil && rn.crashes(body) {
-		rn.crash()
-		rn.onCrash(rn)
+		if rn.crash() {
+			rn.onCrash(rn)
+		}
 		return false
 	}
 	if rn.events > 0 {
