--- a/review/lab3/rejoin.go
+++ b/review/lab3/rejoin.go
@@ -9,11 +9,11 @@
 const (
 	rejoinBefore = 5 * time.Second
 	// releaseDelay is the time from the kill of all hosts until runners of the next version join.
-	releaseDelay  = 500 * time.Millisecond
-	newEngines    = 2
-	rejoinLength  = 9 * time.Second
-	rejoinPause   = 1500 * time.Millisecond
-	rejoinTries   = 4
+	releaseDelay = 500 * time.Millisecond
+	rejoinLength = 9 * time.Second
+	// A client takes its stream up once, rejoinPause after it broke: hosts that started again have run for contactTime then.
+	rejoinPause   = 4500 * time.Millisecond
+	rejoinTries   = 2
 	minTakenUp    = 12
 	takenUpFactor = 0.5
 )
@@ -84,10 +84,8 @@
 		st.record.printf("all hosts killed")
 	}
 	time.Sleep(releaseDelay)
-	for index := range newEngines {
-		if err := st.addRunner(newVersion, st.chatRunner(oldEngines+index)); err != nil {
-			return false, err
-		}
+	if err := st.addRunner(newVersion, st.chatRunner(oldEngines)); err != nil {
+		return false, err
 	}
 	time.Sleep(restartDelay - releaseDelay)
 	started := time.Now()
@@ -101,5 +99,9 @@
 	close(stop)
 	running.Wait()
 	tally.held(st.record)
-	return counts.held(st.record), err
+	held = counts.held(st.record)
+	if err == nil && (tally.complete < minServed || st.trouble && counts.takenUp < minTakenUp) {
+		err = errTooLittle
+	}
+	return held, err
 }
