Resume streams of the time with one version after the loss of all hosts

Cause: where streams began was in the memory of hosts only while a service had one version. After the loss of all hosts the version that joined meanwhile could be that of the stream as well.

Change: a stream at a version that joins is in the log before its caller gets the first event, until the version is settled. The store states for each service which versions that holds for, and from which offset of the log on; relays write it under the condition that nobody else has since they read it. A stream that no host knows, and that the log lacks, then began at the version of before. A log with gaps, or of another era than the record, proves nothing, and the stream is refused as before.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -56,6 +56,7 @@
 		return en.overloadRefusal(ex, "the service is overloaded")
 	}
 	defer en.discardUnused(ex)
+	en.streamVersions.avoidLog(ex)
 	for {
 		if err := en.checkQuarantine(ex); err != nil {
 			return en.concludeQuarantined(ex, err)
@@ -516,6 +517,7 @@
 	{errEncoded, "Encoded"},
 	{errCutOff, "CutOff"},
 	{errNotResumed, "NotResumed"},
+	{errNotLogged, "NotLogged"},
 	{errEventTooLong, "EventTooLong"},
 	{errCallerGone, "CallerGone"},
 	{targetconn.ErrBadAnswer, "BadAnswer"},
--- a/internal/entry/link.go
+++ b/internal/entry/link.go
@@ -217,7 +217,7 @@
 		ln.entry.streamVersions.find(ctx, request, answer)
 	}
 	if len(request.Starts) > 0 {
-		answer.StartsTaken = ln.entry.streamVersions.takeHandedStarts(request.Starts)
+		ln.entry.streamVersions.takeHandedStarts(ctx, request, answer)
 	}
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
--- a/internal/entry/metrics_test.go
+++ b/internal/entry/metrics_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
@@ -52,6 +53,8 @@
 	for _, reason := range freshness.Reasons {
 		en.counters.countReason(freshness.Targets, reason)
 	}
+	en.counters.countLogWait(true, time.Millisecond)
+	en.counters.countLogWait(false, time.Second)
 	ex := &exchange{service: "service"}
 	en.counters.countRequest(ex, outcomeOf(ex, nil))
 	en.counters.countRequest(ex, outcomeOf(ex, errCallerGone))
--- a/internal/entry/startcopyfetch_test.go
+++ b/internal/entry/startcopyfetch_test.go
@@ -85,6 +85,13 @@
 // Put does nothing.
 func (ss *slowStore) Put(context.Context, chestnutroad.KeyedStream, string, []byte) error { return nil }
 
+// PutAt does nothing.
+func (ss *slowStore) PutAt(
+	_ context.Context, _ chestnutroad.KeyedStream, _ string, _ []byte, end chestnutroad.Position,
+) (chestnutroad.Position, error) {
+	return end, nil
+}
+
 // largerHost answers state calls after the delay, with what it has.
 type largerHost struct {
 	answer siblings.State
--- a/internal/entry/startread_test.go
+++ b/internal/entry/startread_test.go
@@ -58,6 +58,13 @@
 	return nil
 }
 
+// PutAt does nothing.
+func (ps *pagedStore) PutAt(
+	_ context.Context, _ chestnutroad.KeyedStream, _ string, _ []byte, end chestnutroad.Position,
+) (chestnutroad.Position, error) {
+	return end, nil
+}
+
 // TestReadOfSeveralPages guards against a host that leaves a read of the targets after its first page although it has long been
 // running: it then knew of changes 0.8 s later, and requests reached leaving targets for more than 2 s. Only a host that starts may
 // leave a read once another host has sent it the targets.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -259,6 +259,19 @@
 	return st.pool.ServiceIDs()
 }
 
+// listedVersions returns the software versions of the service's targets.
+func (st *state) listedVersions(service chestnutroad.ServiceID) map[chestnutroad.SoftwareVersion]bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	listed := map[chestnutroad.SoftwareVersion]bool{}
+	st.pool.EachVersion(func(of chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) {
+		if of == service {
+			listed[version] = true
+		}
+	})
+	return listed
+}
+
 // setHostCount sets the number of hosts among which the retry slack is divided.
 func (st *state) setHostCount(count int) {
 	st.mu.Lock()
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -180,7 +180,9 @@
 	// The end is written after the handler returns, when the write deadline of the last event may have passed.
 	_ = http.NewResponseController(ex.writer).SetWriteDeadline(en.now().Add(writeTimeout))
 	if !ex.answerStarted() {
-		en.startStream(ex, an.Header)
+		if err := en.startStream(ex, an.Header); err != nil {
+			return sendResult{end: attempt.Broken, err: err, outcome: placement.Served}
+		}
 	}
 	if ex.stream.received > 0 && ex.stream.received < progressEvents && an.Framed {
 		en.state.recordProgress(en.now(), ex.features())
@@ -201,14 +203,17 @@
 }
 
 // startStream sends the status and headers of a stream.
-func (en *Entry) startStream(ex *exchange, header http.Header) {
-	copyHeader(ex.writer.Header(), header)
-	ex.status = http.StatusOK
-	if ex.version.Load() == nil {
+func (en *Entry) startStream(ex *exchange, header http.Header) error {
+	if ex.callMetadata.LastEvent == "" {
 		ex.setVersion(ex.choice.Entry.SoftwareVersion)
-		en.streamVersions.begin(ex, &ex.choice.Entry)
+		if err := en.streamVersions.begin(ex, &ex.choice.Entry); err != nil {
+			return err
+		}
 	}
+	copyHeader(ex.writer.Header(), header)
+	ex.status = http.StatusOK
 	en.writeHead(ex, http.StatusOK)
+	return nil
 }
 
 // forwardEvents writes complete events to the caller and flushes them.
@@ -217,7 +222,9 @@
 		return nil
 	}
 	if !ex.answerStarted() {
-		en.startStream(ex, header)
+		if err := en.startStream(ex, header); err != nil {
+			return err
+		}
 	}
 	controller := http.NewResponseController(ex.writer)
 	_ = controller.SetWriteDeadline(en.now().Add(writeTimeout))
--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -27,7 +27,7 @@
 // loadStarts waits until the starts of streams that were written before the call have been read.
 func (sv *streamVersions) loadStarts(ctx context.Context) error {
 	if sv.log == nil {
-		return errors.New("there is no log")
+		return errNoLog
 	}
 	return sv.starts.await(ctx)
 }
@@ -53,14 +53,22 @@
 		batch, err := sv.log.Read(ctx, chestnutroad.StreamStarts, sv.next, 0)
 		progress()
 		if errors.Is(err, chestnutroad.ErrRecordsGone) && batch.Oldest != sv.next {
-			sv.next = batch.Oldest
+			sv.continueAt(batch.Oldest, batch.Era)
 			continue
 		}
 		if err != nil {
 			return err
 		}
+		if sv.entry.eras.observe(batch.Era) {
+			return errors.Wrapf(errEarlierEra, "era %d", batch.Era)
+		}
+		if batch.Era != sv.logRead.Era {
+			// The store has assigned offsets again that this host has read.
+			sv.continueAt(0, batch.Era)
+			continue
+		}
 		if skipTo := batch.Next - sv.maxRecords(); first && skipTo > sv.next+chestnutroad.Offset(len(batch.Records)) {
-			sv.next = skipTo
+			sv.continueAt(skipTo, batch.Era)
 			continue
 		}
 		sv.learn(batch.Records)
@@ -71,6 +79,14 @@
 	}
 }
 
+// continueAt lets the log be read on at an offset that does not follow the last record.
+func (sv *streamVersions) continueAt(offset chestnutroad.Offset, era chestnutroad.Era) {
+	sv.next = offset
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.logRead = resumption.LogRange{Era: era, From: offset}
+}
+
 // followStarts keeps a relay's knowledge current while a service has several versions, so that it can answer the other hosts of its data
 // centre: if all of them read the log, it would be sent once for each host.
 func (sv *streamVersions) followStarts(ctx context.Context) {
@@ -128,7 +144,10 @@
 	if found {
 		return nil, nil
 	}
-	return <-listRead, <-logRead
+	if versions, err = <-listRead, <-logRead; err == nil && len(versions) > 1 {
+		versions = sv.possibleVersions(ctx, service)
+	}
+	return versions, err
 }
 
 // search runs lookups at once, until one of them has learned where the stream began or all have ended. It reports whether one has.
@@ -252,6 +271,7 @@
 		starts, err := resumption.DecodeStarts(record.Data)
 		if err != nil {
 			sv.entry.logger.Warn("starts of streams can't be read", "Offset", record.Offset, "Error", err)
+			sv.logRead.From = record.Offset + 1
 			continue
 		}
 		for _, start := range starts {
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,8 +32,17 @@
 
 	mu      sync.Mutex
 	tracker *resumption.Tracker
-	// handed are the starts that were handed to the relay at handedTo a moment ago, the oldest first. Only run uses them and appendedAt, the
-	// time of this host's latest append.
+	// pending counts the starts that were queued for the log, pendingLogged those up to which all that were waited for are in the log.
+	// waiting is the number of streams that wait for that, progress is closed when pendingLogged rises.
+	pending, pendingLogged uint64
+	waiting                int
+	progress               chan struct{}
+	// logFailedAt is when a stream last waited for the log in vain; zero for never.
+	logFailedAt time.Duration
+	// wake ends the pause of the writer of starts.
+	wake chan struct{}
+	// handed are the starts that were handed to the relay at handedTo a moment ago, the oldest first. Only the writer uses them and
+	// appendedAt, the time of this host's latest append.
 	handed     []handedStarts
 	handedTo   string
 	appendedAt time.Duration
@@ -41,37 +51,38 @@
 	reportedTo                chestnutroad.HostID
 	localStarts, remoteStarts []resumption.Start
 
-	// starts reads the log, list the changes of the list of targets.
-	starts, list sharedRead
+	// starts reads the log, list the changes of the list of targets, sets the versions in use.
+	starts, list, sets sharedRead
+	// logRead is the part of the log that this host has read.
+	logRead resumption.LogRange
 	// followedAt is when this host last read the log as a relay. Only run uses it.
 	followedAt time.Duration
 	// next is the offset from which the log is read on. Only the read that goes on uses it.
 	next chestnutroad.Offset
 
-	// versionsMu serialises reads of the versions in use at the start.
+	// versionsMu serialises reads at the start and updates of the versions in use. unsure is true if the store may hold others than this
+	// host knows, since an update failed.
 	versionsMu sync.Mutex
-
-	// written are the versions in use that the store holds as far as this host knows; nil until it has read them as a relay. eras is the
-	// count of eras at that time, retryAt when a failed write is repeated. Only run uses them.
-	written map[string]bool
-	eras    uint64
+	unsure     atomic.Bool
+	// retryAt is when a failed update is repeated. Only run uses it.
 	retryAt time.Duration
 }
 
 func newStreamVersions(en *Entry) *streamVersions {
-	sv := &streamVersions{entry: en, tracker: resumption.New()}
+	sv := &streamVersions{entry: en, tracker: resumption.New(), progress: make(chan struct{}), wake: make(chan struct{}, 1)}
 	if en != nil {
 		sv.starts = sharedRead{elapsed: en.elapsed, read: sv.readLog}
 		sv.list = sharedRead{elapsed: en.elapsed, read: en.readTargetChanges}
+		sv.sets = sharedRead{elapsed: en.elapsed, read: sv.readVersionSets}
 	}
 	return sv
 }
 
 // run writes the starts of streams and, on a relay, the versions in use until ctx ends.
 func (sv *streamVersions) run(ctx context.Context) {
+	go sv.runWriter(ctx)
 	for sleep(ctx, sv.interval()) {
 		sv.observe()
-		sv.writeStarts(ctx)
 		sv.maintainVersions(ctx)
 		sv.followStarts(ctx)
 	}
@@ -89,15 +100,77 @@
 	})
 }
 
-// begin records that a stream began at a target.
-func (sv *streamVersions) begin(ex *exchange, entry *chestnutroad.TargetEntry) {
+// begin records that a stream began at a target. If its start has to be in the log before the caller gets the first event, it waits for
+// that.
+func (sv *streamVersions) begin(ex *exchange, entry *chestnutroad.TargetEntry) error {
+	sv.mu.Lock()
+	now := sv.entry.elapsed()
+	start := resumption.Start{Service: ex.service, Version: entry.SoftwareVersion, Stream: resumption.NewStreamID(ex.callMetadata.ID)}
+	sv.tracker.Begin(now, start)
+	if !ex.rule.Resumable || !sv.tracker.NeedsLog(now, start.Service, start.Version) {
+		sv.mu.Unlock()
+		return nil
+	}
+	wait := sv.newLogWait()
+	sv.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ex.request.Context(), min(startLogTimeout, ex.remaining(sv.entry.now())/2))
+	defer cancel()
+	logged := sv.awaitLogged(ctx, wait)
+	sv.entry.counters.countLogWait(logged, sv.entry.elapsed()-now)
+	if logged || ex.request.Context().Err() != nil {
+		return nil
+	}
+	sv.mu.Lock()
+	sv.logFailedAt = sv.entry.elapsed()
+	sv.mu.Unlock()
+	other, found := sv.unloggedVersion(start.Service, start.Version)
+	sv.entry.logger.Warn("start of a stream was not written to the log in time", "Request", ex.callMetadata.ID, "Service", start.Service,
+		"Version", start.Version, "OtherVersion", other)
+	if !found {
+		return nil
+	}
+	ex.setVersion(other)
+	return errNotLogged
+}
+
+// unloggedVersion returns a listed version of the service, other than the given one, at which streams may begin that are not in the log.
+func (sv *streamVersions) unloggedVersion(
+	service chestnutroad.ServiceID, other chestnutroad.SoftwareVersion,
+) (version chestnutroad.SoftwareVersion, found bool) {
+	listed := sv.entry.state.listedVersions(service)
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	sv.tracker.Begin(sv.entry.elapsed(), resumption.Start{
-		Service: ex.service, Version: entry.SoftwareVersion, Stream: resumption.NewStreamID(ex.callMetadata.ID),
-	})
+	return sv.tracker.UnloggedVersion(service, other, listed)
 }
 
+// avoidLog restricts a new stream to a version whose streams need not be in the log while that can't be written.
+func (sv *streamVersions) avoidLog(ex *exchange) {
+	if !ex.rule.Resumable || ex.callMetadata.LastEvent != "" {
+		return
+	}
+	sv.mu.Lock()
+	failing := sv.logFailedAt > 0 && sv.entry.elapsed()-sv.logFailedAt < logFailureMemory
+	sv.mu.Unlock()
+	if !failing {
+		return
+	}
+	if version, found := sv.unloggedVersion(ex.service, ""); found {
+		ex.setVersion(version)
+	}
+}
+
+const (
+	// startLogTimeout limits the time for which the first event of a stream waits until the start is in the log.
+	startLogTimeout = 500 * time.Millisecond
+	// logFailureMemory is the time for which new streams avoid versions whose starts have to be in the log after one could not be written.
+	logFailureMemory = 2 * time.Second
+)
+
+var (
+	errNotLogged = errors.New("the start of the stream could not be written to the log")
+	errNoLog     = errors.New("there is no log")
+)
+
 // errNotInLog means that the log was read and has no start of the stream.
 var errNotInLog = errors.New("the log has no start of the stream")
 
--- a/internal/entry/versionsinuse.go
+++ b/internal/entry/versionsinuse.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
-	"strings"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/chestnutroad/chestnutroad"
 	"github.com/chestnutroad/chestnutroad/internal/resumption"
+	"github.com/chestnutroad/chestnutroad/internal/siblings"
 )
 
 const (
@@ -19,93 +23,129 @@
 // maintainVersions updates the versions in use in the store if this host is a relay. A host that becomes relay again reads them anew, since
 // another one may have changed them.
 func (sv *streamVersions) maintainVersions(ctx context.Context) {
-	switch {
-	case !sv.entry.link.relaying():
-		sv.written = nil
-	case sv.entry.state.targetsLoaded.Load() && sv.entry.elapsed() >= sv.retryAt:
-		if err := sv.updateVersions(ctx); err != nil && ctx.Err() == nil {
-			sv.retryAt = sv.entry.elapsed() + versionsRetry
-			sv.entry.logger.Warn("software versions in use were not updated", "Error", err)
-		}
+	if !sv.entry.link.relaying() {
+		sv.unsure.Store(true)
+		return
+	}
+	if !sv.entry.state.targetsLoaded.Load() || sv.entry.elapsed() < sv.retryAt {
+		return
+	}
+	err := sv.updateVersions(ctx)
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	sv.entry.logger.Warn("software versions in use were not updated", "Error", err)
+	if !errors.Is(err, chestnutroad.ErrConflict) {
+		sv.retryAt = sv.entry.elapsed() + versionsRetry
 	}
 }
 
-// versionKey is the key of a version in use in the store.
-func versionKey(service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) string {
-	return string(service) + "/" + string(version)
-}
-
-// readInUse returns the keys of the versions in use that the store holds.
-func (sv *streamVersions) readInUse(ctx context.Context) ([]string, error) {
+// readVersionSets reads the versions in use that the store holds.
+func (sv *streamVersions) readVersionSets(ctx context.Context, progress func()) error {
 	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
 	defer cancel()
 	batch, err := sv.entry.store.Newest(ctx, chestnutroad.KeyedVersions, chestnutroad.PageOptions{})
+	progress()
 	if err != nil {
-		return nil, err
+		return err
+	}
+	if sv.entry.eras.observe(batch.Next.Era) {
+		return errors.Wrapf(errEarlierEra, "era %d", batch.Next.Era)
 	}
-	keys := make([]string, 0, len(batch.Records))
+	sets := make(map[chestnutroad.ServiceID]resumption.VersionSet, len(batch.Records))
 	for _, record := range batch.Records {
-		keys = append(keys, record.Key)
+		set, err := resumption.DecodeVersionSet(record.Value)
+		if err != nil {
+			sv.entry.logger.Error("versions in use can't be read", "Service", record.Key, "Error", err)
+			return err
+		}
+		sets[chestnutroad.ServiceID(record.Key)] = set
 	}
-	return keys, nil
+	sv.setVersions(batch.Next, sets)
+	return nil
+}
+
+// setVersions records the versions in use that the store held at a position.
+func (sv *streamVersions) setVersions(at chestnutroad.Position, sets map[chestnutroad.ServiceID]resumption.VersionSet) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.tracker.SetVersions(sv.entry.elapsed(), at, sets)
 }
 
-// updateVersions writes versions that are new in a service, and deletes those that have not been listed for as long as streams last.
+// updateVersions writes the sets of versions that differ from those in the store. Each write depends on that no other host has written since
+// the sets were read.
 func (sv *streamVersions) updateVersions(ctx context.Context) error {
-	if eras := sv.entry.eras.count(); sv.written == nil || sv.eras != eras {
-		keys, err := sv.readInUse(ctx)
-		if err != nil {
+	sv.versionsMu.Lock()
+	defer sv.versionsMu.Unlock()
+	sv.mu.Lock()
+	at, _, known := sv.tracker.Versions()
+	sv.mu.Unlock()
+	if !known || at.Era != sv.entry.eras.current() || sv.unsure.Load() {
+		if err := sv.readVersionSets(ctx, func() {}); err != nil {
 			return err
 		}
-		sv.inherit(keys)
-		sv.written, sv.eras = map[string]bool{}, eras
-		for _, key := range keys {
-			sv.written[key] = true
-		}
+		sv.unsure.Store(false)
 	}
-	inUse := map[string]bool{}
 	for _, service := range sv.entry.state.serviceIDs() {
-		sv.mu.Lock()
-		for version := range sv.tracker.Recent(sv.entry.elapsed(), service) {
-			inUse[versionKey(service, version)] = true
-		}
-		sv.mu.Unlock()
-	}
-	for key := range inUse {
-		if !sv.written[key] {
-			if err := sv.put(ctx, key, []byte("InUse")); err != nil {
-				return err
-			}
-			sv.written[key] = true
-		}
-	}
-	for key := range sv.written {
-		if !inUse[key] && sv.entry.elapsed() >= resumption.Lifetime {
-			if err := sv.put(ctx, key, nil); err != nil {
-				return err
-			}
-			delete(sv.written, key)
+		if err := sv.updateService(ctx, service); err != nil {
+			sv.unsure.Store(true)
+			return err
 		}
 	}
 	return nil
 }
 
-func (sv *streamVersions) put(ctx context.Context, key string, value []byte) error {
+// updateService writes the versions in use of a service if they differ from those in the store.
+func (sv *streamVersions) updateService(ctx context.Context, service chestnutroad.ServiceID) error {
+	sv.mu.Lock()
+	at, sets, _ := sv.tracker.Versions()
+	next, joined, changed := sv.tracker.PlanVersions(sv.entry.elapsed(), service)
+	sv.mu.Unlock()
+	if !changed {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, versionsTimeout)
 	defer cancel()
-	return sv.entry.store.Put(ctx, chestnutroad.KeyedVersions, key, value)
+	if len(joined) > 0 {
+		offset, err := sv.appendMarker(ctx)
+		if err != nil {
+			return err
+		}
+		for _, version := range joined {
+			next.Versions[version] = resumption.VersionUse{State: resumption.Logged, LoggedFrom: offset}
+		}
+	}
+	value, err := resumption.EncodeVersionSet(&next)
+	if err != nil {
+		return err
+	}
+	if len(next.Versions) == 0 {
+		value = nil
+	}
+	end, err := sv.entry.store.PutAt(ctx, chestnutroad.KeyedVersions, string(service), value, at)
+	if err != nil {
+		return err
+	}
+	sets = maps.Clone(sets)
+	sets[service] = next
+	if len(next.Versions) == 0 {
+		delete(sets, service)
+	}
+	sv.setVersions(end, sets)
+	sv.entry.logger.Info("software versions in use written", "Service", service, "Versions", next.Versions, "Joined", joined, "Position", end)
+	return nil
 }
 
-// inherit records the versions in use that the store held.
-func (sv *streamVersions) inherit(keys []string) {
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	for _, key := range keys {
-		// A version may contain slashes, a service may not: the configuration names it.
-		service, version, _ := strings.Cut(key, "/")
-		sv.tracker.Inherit(chestnutroad.ServiceID(service), chestnutroad.SoftwareVersion(version))
+// appendMarker appends a record without starts to the log and returns its offset: streams that begin later are after it.
+func (sv *streamVersions) appendMarker(ctx context.Context) (chestnutroad.Offset, error) {
+	if sv.log == nil {
+		return 0, errNoLog
+	}
+	data, err := resumption.EncodeStarts(nil)
+	if err != nil {
+		return 0, err
 	}
-	sv.tracker.CompleteInherited()
+	return sv.log.Append(ctx, chestnutroad.StreamStarts, data)
 }
 
 // loadInherited reads the versions that were in use before this host started, unless they are known or no longer matter.
@@ -118,9 +158,42 @@
 	if known {
 		return nil
 	}
-	keys, err := sv.readInUse(ctx)
-	if err == nil {
-		sv.inherit(keys)
+	return sv.readVersionSets(ctx, func() {})
+}
+
+// possibleVersions returns the versions at which a stream of the service may have begun that neither the log nor the hosts that were asked
+// know. The list of targets and the log were read after the request for the stream.
+func (sv *streamVersions) possibleVersions(ctx context.Context, service chestnutroad.ServiceID) []chestnutroad.SoftwareVersion {
+	sv.mu.Lock()
+	recent := sv.tracker.Recent(sv.entry.elapsed(), service)
+	sv.mu.Unlock()
+	if len(recent) > 1 {
+		if err := sv.sets.await(ctx); err != nil {
+			sv.entry.logger.Debug("versions in use were not read", "Service", service, "Error", err)
+			return slices.Sorted(maps.Keys(recent))
+		}
+	}
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	versions := sv.tracker.PossibleVersions(sv.entry.elapsed(), service, sv.logRead)
+	at, sets, _ := sv.tracker.Versions()
+	sv.entry.logger.Debug("versions of a stream that is not in the log", "Service", service, "Listed", slices.Sorted(maps.Keys(recent)),
+		"Held", sets[service], "Position", at, "LogRead", sv.logRead, "Possible", versions)
+	return versions
+}
+
+// learnVersions records the versions in use according to another host's answer.
+func (sv *streamVersions) learnVersions(answer *siblings.State) {
+	if answer.VersionsInUse != nil {
+		sv.setVersions(answer.VersionsInUse.Position, answer.VersionsInUse.Sets)
+	}
+}
+
+// addVersions adds the versions in use to the answer to another host.
+func (sv *streamVersions) addVersions(answer *siblings.State) {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if at, sets, known := sv.tracker.Versions(); known {
+		answer.VersionsInUse = &siblings.VersionsInUse{Position: at, Sets: sets}
 	}
-	return err
 }
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -17,6 +17,10 @@
 // maxUnreported bounds the streams that wait to be reported to other hosts.
 const maxUnreported = 2_000
 
+// relistTime is the time without targets of a version after which it counts as new in the list. It is less than Lifetime, after which relays
+// delete the version from the store: some host may list it for longer than they do.
+const relistTime = Lifetime * 2 / 3
+
 // StreamID identifies a stream by the attempt that brought its first event.
 type StreamID uint64
 
@@ -39,6 +43,8 @@
 	knownAt time.Duration
 	// own is true for a stream that began at this host.
 	own bool
+	// contradictory is true if two versions were learned. A host whose start at one could not be written in time begins a stream at another.
+	contradictory bool
 }
 
 // aged is an entry of the queue in which streams expire.
@@ -47,13 +53,25 @@
 	knownAt time.Duration
 }
 
-// versionTimes holds for each version when a target with it was last listed.
-type versionTimes map[chestnutroad.SoftwareVersion]time.Duration
+// listing holds since when targets of a version have been listed, and when one was last listed.
+type listing struct{ since, last time.Duration }
+
+// versionListings holds the listing of each version of a service.
+type versionListings map[chestnutroad.SoftwareVersion]listing
 
 // Tracker tracks for one host the versions of each service's targets and where streams began. Times are the elapsed time since the
 // start of the host. It is not safe for concurrent use.
 type Tracker struct {
-	listed map[chestnutroad.ServiceID]versionTimes
+	listed map[chestnutroad.ServiceID]versionListings
+	// sets are the versions in use by service as the store held them at setsAt, which this host learned at setsLearnedAt. firstEra is the
+	// era in which it first did.
+	sets          map[chestnutroad.ServiceID]VersionSet
+	setsAt        chestnutroad.Position
+	setsKnown     bool
+	setsLearnedAt time.Duration
+	firstEra      chestnutroad.Era
+	// listedAt is when the latest listing began.
+	listedAt time.Duration
 	// inherited holds the versions that were in use before the host started; inheritedKnown is true once they were read.
 	inherited      map[chestnutroad.ServiceID]map[chestnutroad.SoftwareVersion]bool
 	inheritedKnown bool
@@ -61,6 +79,8 @@
 	queue          []aged
 	// unwritten are the streams that began at this host and are not in the log.
 	unwritten []Start
+	// required are those of unwritten that are to be written whatever versions the service has.
+	required map[StreamID]bool
 	// unreported are the streams that began at this host and were not reported to other hosts.
 	unreported []Start
 	// missed holds when streams were first missed in the log; it was last pruned at prunedAt.
@@ -71,24 +91,30 @@
 // New returns the tracker of a host that starts.
 func New() *Tracker {
 	return &Tracker{
-		listed:    map[chestnutroad.ServiceID]versionTimes{},
+		listed:    map[chestnutroad.ServiceID]versionListings{},
 		inherited: map[chestnutroad.ServiceID]map[chestnutroad.SoftwareVersion]bool{},
 		streams:   map[StreamID]stream{},
 		missed:    map[StreamID]time.Duration{},
+		required:  map[StreamID]bool{},
 	}
 }
 
 // Observe records that a target of the service with the version is listed.
 func (tr *Tracker) Observe(now time.Duration, service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) {
-	times := tr.listed[service]
-	if times == nil {
-		times = versionTimes{}
-		tr.listed[service] = times
+	listings := tr.listed[service]
+	if listings == nil {
+		listings = versionListings{}
+		tr.listed[service] = listings
 	}
-	if _, found := times[version]; !found {
-		maps.DeleteFunc(times, func(_ chestnutroad.SoftwareVersion, at time.Duration) bool { return now-at >= Lifetime })
+	held, found := listings[version]
+	if !found {
+		maps.DeleteFunc(listings, func(_ chestnutroad.SoftwareVersion, ls listing) bool { return now-ls.last >= Lifetime })
 	}
-	times[version] = now
+	if !found || now-held.last >= relistTime {
+		held.since, tr.listedAt = now, now
+	}
+	held.last = now
+	listings[version] = held
 }
 
 // Inherit records that a version was in use before the host started, and CompleteInherited that all such versions are recorded.
@@ -108,8 +134,8 @@
 // Recent returns the versions of a service's targets at which streams may have begun that can still be resumed.
 func (tr *Tracker) Recent(now time.Duration, service chestnutroad.ServiceID) map[chestnutroad.SoftwareVersion]bool {
 	recent := map[chestnutroad.SoftwareVersion]bool{}
-	for version, at := range tr.listed[service] {
-		if now-at < Lifetime {
+	for version, ls := range tr.listed[service] {
+		if now-ls.last < Lifetime {
 			recent[version] = true
 		}
 	}
@@ -129,20 +155,31 @@
 	tr.unreported = append(tr.unreported, start)
 }
 
-// Take records where a stream began at another host, for which this host is to write it to the log.
-func (tr *Tracker) Take(now time.Duration, start Start) {
+// Take records where a stream began at another host, for which this host is to write it to the log: at once if that is required, or else as
+// soon as the service has several versions.
+func (tr *Tracker) Take(now time.Duration, start Start, required bool) {
 	tr.Observe(now, start.Service, start.Version)
 	tr.add(now, start, false)
 	tr.unwritten = append(tr.unwritten, start)
+	if required {
+		tr.required[start.Stream] = true
+	}
 }
 
 // Learn records where a stream began at another host, and reports whether the host did not know.
 func (tr *Tracker) Learn(now time.Duration, start Start) (isNew bool) {
-	if known, found := tr.streams[start.Stream]; found && known.service == start.Service && known.version == start.Version {
+	known, found := tr.streams[start.Stream]
+	switch {
+	case !found || known.service != start.Service:
+		tr.add(now, start, false)
+		return true
+	case known.version == start.Version || known.own || known.contradictory:
 		return false
+	default:
+		known.contradictory = true
+		tr.streams[start.Stream] = known
+		return true
 	}
-	tr.add(now, start, false)
-	return true
 }
 
 func (tr *Tracker) add(now time.Duration, start Start, own bool) {
@@ -162,7 +199,7 @@
 // Start returns where a stream of the service began, if the host knows.
 func (tr *Tracker) Start(service chestnutroad.ServiceID, id StreamID) (start Start, found bool) {
 	known, found := tr.streams[id]
-	if !found || known.service != service {
+	if !found || known.service != service || known.contradictory {
 		return Start{}, false
 	}
 	return Start{Service: service, Version: known.version, Stream: id}, true
@@ -192,26 +229,27 @@
 	return false
 }
 
-// TakeUnwritten returns the streams that began at this host, are not in the log yet, and belong to services with several versions.
-// Those of other services stay until a second version appears.
+// TakeUnwritten returns the streams that began at this host, are not in the log yet, and belong to services with several versions or
+// to a version whose streams have to be in the log. The others stay until a second version appears.
 func (tr *Tracker) TakeUnwritten(now time.Duration) []Start {
 	var taken, left []Start
 	several := map[chestnutroad.ServiceID]bool{}
 	for _, start := range tr.unwritten {
 		known, found := tr.streams[start.Stream]
-		if !found || now-known.knownAt >= Lifetime {
+		if !found || now-known.knownAt >= Lifetime || known.version != start.Version {
 			continue
 		}
 		if _, counted := several[start.Service]; !counted {
 			several[start.Service] = len(tr.Recent(now, start.Service)) > 1
 		}
-		if several[start.Service] {
+		if several[start.Service] || tr.required[start.Stream] || tr.NeedsLog(now, start.Service, start.Version) {
 			taken = append(taken, start)
 		} else {
 			left = append(left, start)
 		}
 	}
 	tr.unwritten = left
+	clear(tr.required)
 	return taken
 }
 
@@ -251,7 +289,8 @@
 const (
 	// Known means that the host knows where the stream began.
 	Known Basis = "Known"
-	// OnlyVersion means that the service has had one version for as long as streams last, by a list read after the request.
+	// OnlyVersion means that the stream can't have begun at another version, by what was read after the request: the service has had one
+	// version for as long as streams last, or the log has all streams that began at the others.
 	OnlyVersion Basis = "OnlyVersion"
 	// NeedsVersions means that the versions in use before the host started have to be read.
 	NeedsVersions Basis = "NeedsVersions"
@@ -266,7 +305,7 @@
 }
 
 // Decide returns at which version of the service's targets the stream may be resumed. The versions are all at which it may have begun, as
-// they were read after the caller's request; none if they could not be read.
+// they were read after the caller's request, see Recent and PossibleVersions; none if they could not be read.
 func (tr *Tracker) Decide(
 	now time.Duration, service chestnutroad.ServiceID, id StreamID, versions []chestnutroad.SoftwareVersion,
 ) Decision {
@@ -274,6 +313,8 @@
 	switch {
 	case found:
 		return Decision{Basis: Known, Version: start.Version}
+	case tr.streams[id].contradictory:
+		return Decision{Basis: NeedsStarts}
 	case len(versions) == 1:
 		return Decision{Basis: OnlyVersion, Version: versions[0]}
 	case len(versions) == 0 && !tr.KnowsVersions(now):
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -34,6 +34,8 @@
 	Service chestnutroad.ServiceID `json:",omitempty"`
 	// Starts holds streams that began at the requesting host, as a record of the log, into which the called host is to write them.
 	Starts []byte `json:",omitempty"`
+	// AwaitLog is true if the called host is to answer only once the Starts are in the log.
+	AwaitLog bool `json:",omitempty"`
 	// Held is true if the called host is to answer from memory, without a read of the log or a call to others.
 	Held bool `json:",omitempty"`
 }
@@ -67,6 +69,16 @@
 	Versions []chestnutroad.SoftwareVersion `json:",omitempty"`
 	// StartsTaken is true if the host writes the Starts of the request to the log.
 	StartsTaken bool `json:",omitempty"`
+	// StartsLogged is true if the Starts of the request are in the log.
+	StartsLogged bool `json:",omitempty"`
+	// VersionsInUse are sent with the answer to a request with Starts, if the host knows them.
+	VersionsInUse *VersionsInUse `json:",omitempty"`
+}
+
+// VersionsInUse holds the software versions in use by service that the store held at a position.
+type VersionsInUse struct {
+	Position chestnutroad.Position
+	Sets     map[chestnutroad.ServiceID]resumption.VersionSet
 }
 
 // StateSource provides this host's state for requests of other hosts.
--- a/keyed.go
+++ b/keyed.go
@@ -14,7 +14,7 @@
 	KeyedConfiguration KeyedStream = "Configuration"
 	KeyedTargets       KeyedStream = "Targets"
 	KeyedHosts         KeyedStream = "Hosts"
-	// KeyedVersions holds the software versions in use by service.
+	// KeyedVersions holds for each service the software versions in use.
 	KeyedVersions KeyedStream = "Versions"
 )
 
@@ -25,6 +25,9 @@
 // ErrBadEra is returned when the store states an era that can't be parsed, or more than one era for one result.
 var ErrBadEra = errors.New("invalid or ambiguous era of the store")
 
+// ErrConflict is returned by a conditional write when the stream has other records than the condition states.
+var ErrConflict = errors.New("the stream has changed since it was read")
+
 // KeyedRecord is a record of a keyed stream; an empty value deletes the key.
 type KeyedRecord struct {
 	Position Position
@@ -60,4 +63,7 @@
 	Read(ctx context.Context, stream KeyedStream, from Position, wait time.Duration) (KeyedBatch, error)
 	// Put appends a record with the new value of a key; after an error the write may still take effect.
 	Put(ctx context.Context, stream KeyedStream, key string, value []byte) error
+	// PutAt is Put if the stream ends at the position, and returns the position after the record; otherwise it returns ErrConflict. It does
+	// so, too, for a position of an earlier era than the store's, in which case the write may have taken effect.
+	PutAt(ctx context.Context, stream KeyedStream, key string, value []byte, end Position) (Position, error)
 }
--- a/platform.go
+++ b/platform.go
@@ -31,6 +31,8 @@
 	// Next is the offset that the next appended record gets.
 	Next    Offset
 	Records []Record
+	// Era is the era that the store stated, see Position; zero for logs that know none.
+	Era Era
 }
 
 // Log is the platform's append-only log service.
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -133,3 +133,124 @@
 	}
 	return begun
 }
+
+// TestStreamsOutliveAllHosts guards against streams that are refused, or go on at another software version, after all hosts were lost at the
+// same time around the moment at which a second version joins.
+func TestStreamsOutliveAllHosts(t *testing.T) {
+	t.Parallel()
+	const pause = time.Second
+	binary := buildHost(t)
+	cases := []struct {
+		name string
+		// disrupt kills all hosts and lets the second version join. It returns streams that began at the second version meanwhile.
+		disrupt func(tb *testbed) (second []string)
+	}{
+		{"version joins while no host runs", func(tb *testbed) []string {
+			tb.killHosts()
+			tb.joinSecondVersion()
+			tb.startHosts()
+			return nil
+		}},
+		{"version joins just before", func(tb *testbed) []string {
+			tb.joinSecondVersion()
+			tb.killHosts()
+			tb.startHosts()
+			return nil
+		}},
+		{"version was listed before", func(tb *testbed) []string {
+			tb.joinSecondVersion()
+			second := tb.beginAtSecondVersion(1)
+			tb.killHosts()
+			tb.startHosts()
+			return second
+		}},
+		{"version was listed for longer", func(tb *testbed) []string {
+			tb.joinSecondVersion()
+			time.Sleep(settleTime)
+			second := tb.beginAtSecondVersion(1)
+			time.Sleep(pause)
+			tb.killHosts()
+			tb.startHosts()
+			return second
+		}},
+		{"version joins after", func(tb *testbed) []string {
+			tb.killHosts()
+			tb.startHosts()
+			tb.joinSecondVersion()
+			return nil
+		}},
+		{"lost twice", func(tb *testbed) []string {
+			tb.killHosts()
+			tb.joinSecondVersion()
+			tb.startHosts()
+			second := tb.beginAtSecondVersion(1)
+			tb.killHosts()
+			tb.startHosts()
+			return second
+		}},
+		{"lost for longer", func(tb *testbed) []string {
+			tb.killHosts()
+			time.Sleep(5 * pause)
+			tb.joinSecondVersion()
+			tb.startHosts()
+			return nil
+		}},
+		{"store down at the start", func(tb *testbed) []string {
+			tb.killHosts()
+			tb.joinSecondVersion()
+			tb.store.SetFault(standin.Busy)
+			time.AfterFunc(2*pause, func() { tb.store.SetFault(standin.Healthy) })
+			tb.startHosts()
+			return nil
+		}},
+		{"store forgets its history", func(tb *testbed) []string {
+			tb.joinSecondVersion()
+			time.Sleep(settleTime)
+			second := tb.beginAtSecondVersion(1)
+			tb.killHosts()
+			tb.startHosts()
+			time.Sleep(pause)
+			tb.store.Compact()
+			return second
+		}},
+	}
+	for index, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tb := newTestbed(t, binary, byte(200+index))
+			tb.awaitReady()
+			time.Sleep(settleTime)
+			first := tb.beginStreams(0)
+			time.Sleep(pause)
+			second := tc.disrupt(tb)
+			time.Sleep(settleTime)
+			tb.checkResumable(first, 0)
+			for _, id := range second {
+				ex := tb.sendCall(t.Context(), http.DefaultClient, tb.hosts[0], "chat", &standin.Call{
+					ID: "again-" + id, Key: "k-1", Budget: longBudget, LastEvent: "1", Resumes: id,
+				})
+				if ex.status != http.StatusOK || strings.Contains(ex.body, firstMark) {
+					t.Errorf("%s did not go on at the second version: %+v", id, ex)
+				}
+			}
+		})
+	}
+}
+
+// killHosts kills all hosts at the same time.
+func (tb *testbed) killHosts() {
+	for _, pr := range tb.hosts {
+		pr.signal(syscall.SIGKILL, false)
+	}
+	for _, pr := range tb.hosts {
+		<-pr.exited
+	}
+}
+
+// startHosts starts all hosts after they were killed and waits until they are ready.
+func (tb *testbed) startHosts() {
+	for _, pr := range tb.hosts {
+		pr.start()
+	}
+	tb.awaitReady()
+}
