Keep serving new streams while starts at a new version can't be written

Cause: a relay without the store could not write starts although others could, and the other version was a condition in place of a preference.

Change: a relay hands starts that streams wait for to the relays of the other data centres when its own append fails or takes long. New streams prefer a version that needs no log until a write has succeeded, and begin at the other one where no target is left.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -40,6 +40,9 @@
 	stalledTarget chestnutroad.TargetID
 	// version is the software version at which the stream began; nil before that. The check of a stalled target reads it during a send.
 	version atomic.Pointer[chestnutroad.SoftwareVersion]
+	// prefersUnlogged is true if the version is only preferred, since the log of starts can't be written. acceptsUnlogged is true once no
+	// target of it was left: the stream may begin at another version, without its start in the log.
+	prefersUnlogged, acceptsUnlogged bool
 	// resumption states how the version of a resumed stream is known, for the log; its basis is empty for other requests.
 	resumption resumption.Decision
 	// connection is the connection for the next send; nil when there is none yet.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -107,8 +107,19 @@
 	}
 }
 
-// choose picks a target for the next send: the replacement, if one was chosen during the last send.
+// choose picks a target for the next send, without regard to the version if it is only preferred and has no target left.
 func (en *Entry) choose(ex *exchange) (placement.Choice, bool) {
+	choice, found := en.chooseVersion(ex)
+	if found || !ex.prefersUnlogged {
+		return choice, found
+	}
+	ex.version.Store(nil)
+	ex.prefersUnlogged, ex.acceptsUnlogged = false, true
+	return en.chooseVersion(ex)
+}
+
+// chooseVersion picks a target of the exchange's version, if it has one: the replacement, if one was chosen during the last send.
+func (en *Entry) chooseVersion(ex *exchange) (placement.Choice, bool) {
 	ex.pin(&ex.criteria)
 	if ex.replacement != nil && !ex.criteria.AllowsVersion(&ex.replacement.choice.Entry) {
 		// Events of another version arrived while the replacement was chosen.
--- a/internal/entry/startswriter.go
+++ b/internal/entry/startswriter.go
@@ -21,8 +21,14 @@
 	handPerHost  = time.Millisecond
 	// relayInterval is the time after which a relay appends the starts of its data centre.
 	relayInterval = 100 * time.Millisecond
-	// promptInterval is the least time between two writes while streams wait for their starts to be in the log.
-	promptInterval = 25 * time.Millisecond
+	// promptInterval is the least time between two writes while streams wait for their starts to be in the log, relayPromptInterval that
+	// between two appends of a relay.
+	promptInterval      = 25 * time.Millisecond
+	relayPromptInterval = 50 * time.Millisecond
+	// hedgeDelay is the time after which a relay hands such starts to the relays of other data centres as well.
+	hedgeDelay = 60 * time.Millisecond
+	// probeInterval is the time between two tries to write to the log after that failed while streams waited.
+	probeInterval = time.Second
 	// appendTime is the time in which a partition of the log takes an append.
 	appendTime = 2 * time.Millisecond
 	// appendInterval is the time between two appends of a host without a relay on small installations, and appendPerHost its minimum for
@@ -56,7 +62,11 @@
 		}
 		timer.Stop()
 		sv.writeStarts(ctx)
-		sleep(ctx, promptInterval-(sv.entry.elapsed()-started))
+		pause := promptInterval
+		if sv.entry.link.relaying() {
+			pause = relayPromptInterval
+		}
+		sleep(ctx, pause-(sv.entry.elapsed()-started))
 	}
 }
 
@@ -74,7 +84,7 @@
 	return logWaiter{number: sv.pending}
 }
 
-// awaitLogged waits until the start is in the log, or until ctx ends, and reports whether it is.
+// awaitLogged waits until the start is in the log, until a write has failed, or until ctx ends, and reports whether it is in the log.
 func (sv *streamVersions) awaitLogged(ctx context.Context, waiter logWaiter) (logged bool) {
 	defer func() {
 		sv.mu.Lock()
@@ -83,11 +93,11 @@
 	}()
 	for {
 		sv.mu.Lock()
-		progress := sv.progress
+		progress, failed := sv.progress, sv.pendingFailed >= waiter.number
 		logged = sv.pendingLogged >= waiter.number
 		sv.mu.Unlock()
-		if logged {
-			return true
+		if logged || failed {
+			return logged
 		}
 		select {
 		case <-progress:
@@ -97,13 +107,16 @@
 	}
 }
 
-// recordLogged records that the starts queued up to a number are in the log; sv.mu must be held.
-func (sv *streamVersions) recordLogged(number uint64) {
-	if number > sv.pendingLogged {
+// recordWrite records whether the starts queued up to a number, for which streams wait, are in the log; sv.mu must be held.
+func (sv *streamVersions) recordWrite(number uint64, logged bool) {
+	if logged {
 		sv.pendingLogged = number
-		close(sv.progress)
-		sv.progress = make(chan struct{})
+	} else {
+		sv.pendingFailed = number
 	}
+	sv.logFailing = !logged
+	close(sv.progress)
+	sv.progress = make(chan struct{})
 }
 
 // interval returns the time until the next write of starts.
@@ -157,8 +170,11 @@
 	sv.mu.Lock()
 	sv.returnHanded(now, call.address)
 	starts, number, prompt := sv.tracker.TakeUnwritten(now), sv.pending, sv.waiting > 0
+	if sv.logFailing && now-sv.probedAt >= probeInterval {
+		sv.probedAt, prompt = now, true
+	}
 	sv.mu.Unlock()
-	if len(starts) == 0 {
+	if len(starts) == 0 && !prompt {
 		return
 	}
 	data, err := resumption.EncodeStarts(starts)
@@ -166,34 +182,66 @@
 		sv.entry.logger.Error("starts of streams can't be encoded", "Count", len(starts), "Error", err)
 		return
 	}
-	if hasRelay && call.fresh {
-		taken, logged := sv.handStarts(ctx, &call, data, prompt)
-		if taken && (logged || !prompt) {
-			sv.mu.Lock()
-			defer sv.mu.Unlock()
-			if !logged {
-				sv.handedTo, sv.handed = call.address, append(sv.handed, handedStarts{at: now, starts: starts})
-				return
-			}
-			sv.recordLogged(number)
-			return
+	if prompt {
+		logged := hasRelay && sv.handAwaited(ctx, &call, data) || sv.logPromptly(ctx, starts, data)
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		sv.recordWrite(number, logged)
+		if !logged {
+			sv.tracker.ReturnUnwritten(starts)
 		}
+		return
+	}
+	if hasRelay && call.fresh && sv.handStarts(ctx, &call, data) {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		sv.handedTo, sv.handed = call.address, append(sv.handed, handedStarts{at: now, starts: starts})
+		return
+	}
+	if !sv.appendStarts(ctx, data, len(starts)) {
+		sv.mu.Lock()
+		defer sv.mu.Unlock()
+		sv.tracker.ReturnUnwritten(starts)
 	}
-	sv.appendTaken(ctx, starts, data, number, prompt)
 }
 
-// appendTaken appends starts that were taken from the tracker to the log, or returns them.
-func (sv *streamVersions) appendTaken(ctx context.Context, starts []resumption.Start, data []byte, number uint64, prompt bool) {
-	prepared := !prompt || sv.prepareLog(ctx, starts)
-	appended := sv.appendStarts(ctx, data, len(starts), prompt)
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	switch {
-	case !appended || !prepared:
-		sv.tracker.ReturnUnwritten(starts)
-	case prompt:
-		sv.recordLogged(number)
+// logPromptly writes starts to the log for which streams wait, and reports whether they are there. A relay whose append takes long hands them
+// to the relays of the other data centres as well, which may still reach the store.
+func (sv *streamVersions) logPromptly(ctx context.Context, starts []resumption.Start, data []byte) (logged bool) {
+	ctx, cancel := context.WithTimeout(ctx, logWait)
+	defer cancel()
+	_, remote := sv.entry.link.holders()
+	results := make(chan bool, 1+len(remote))
+	go func() { results <- sv.prepareLog(ctx, starts) && sv.append(ctx, data, len(starts)) }()
+	delay := hedgeDelay
+	if sv.appendFailed.Load() {
+		delay = 0
 	}
+	hedge := time.NewTimer(delay)
+	defer hedge.Stop()
+	open, hedged := 1, !sv.entry.link.relaying()
+	for open > 0 {
+		select {
+		case logged := <-results:
+			if logged {
+				return true
+			}
+			open--
+		case <-hedge.C:
+		}
+		if !hedged {
+			hedged = true
+			for _, address := range remote {
+				open++
+				go func() {
+					call := relayCall{request: sv.entry.link.newStateRequest(), address: address}
+					call.request.Relayed = true
+					results <- sv.handAwaited(ctx, &call, data)
+				}()
+			}
+		}
+	}
+	return false
 }
 
 // prepareLog ensures that the store states which versions of the starts are in the log, and from where on, and reports whether it does.
@@ -233,25 +281,34 @@
 	sv.handedTo, sv.handed = relay, nil
 }
 
-// handStarts hands starts to the relay and reports whether it has taken them and, if the streams wait for that, written them to the log.
-func (sv *streamVersions) handStarts(ctx context.Context, call *relayCall, data []byte, prompt bool) (taken, logged bool) {
-	timeout := askTimeout
-	if prompt {
-		timeout += logWait
-	}
+// handStarts hands starts to the relay and reports whether it has taken them.
+func (sv *streamVersions) handStarts(ctx context.Context, call *relayCall, data []byte) (taken bool) {
+	answer := sv.hand(ctx, call, data, askTimeout)
+	return answer != nil && answer.StartsTaken
+}
+
+// handAwaited hands starts to a relay and reports whether it has written them to the log.
+func (sv *streamVersions) handAwaited(ctx context.Context, call *relayCall, data []byte) (logged bool) {
+	call.request.AwaitLog = true
+	answer := sv.hand(ctx, call, data, askTimeout+logWait)
+	return answer != nil && answer.StartsLogged
+}
+
+// hand hands starts to a relay. It returns nil if the relay doesn't answer.
+func (sv *streamVersions) hand(ctx context.Context, call *relayCall, data []byte, timeout time.Duration) *siblings.State {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	call.request.Starts, call.request.AwaitLog = data, prompt
+	call.request.Starts = data
 	answer, err := siblings.Fetch(ctx, call.address, call.request)
 	if err != nil {
 		sv.entry.logger.Debug("starts of streams were not handed to the relay", "Address", call.address, "Error", err)
-		return false, false
+		return nil
 	}
 	sv.learnVersions(answer)
-	return answer.StartsTaken, answer.StartsLogged
+	return answer
 }
 
-// takeHandedStarts takes the starts of streams at another host of the data centre, which this host appends to the log.
+// takeHandedStarts takes the starts of streams at another host, which this host appends to the log if it is a relay.
 func (sv *streamVersions) takeHandedStarts(ctx context.Context, request *siblings.StateRequest, answer *siblings.State) {
 	if sv.log == nil || !sv.entry.link.relaying() {
 		return
@@ -261,6 +318,13 @@
 		sv.entry.logger.Warn("starts of streams of another host can't be read", "Error", err)
 		return
 	}
+	defer sv.addVersions(answer)
+	if request.Relayed {
+		ctx, cancel := context.WithTimeout(ctx, logWait)
+		defer cancel()
+		answer.StartsLogged = sv.prepareLog(ctx, starts) && sv.append(ctx, request.Starts, len(starts))
+		return
+	}
 	sv.mu.Lock()
 	for _, start := range starts {
 		sv.tracker.Take(sv.entry.elapsed(), start, request.AwaitLog)
@@ -276,19 +340,28 @@
 		defer cancel()
 		answer.StartsLogged = sv.awaitLogged(ctx, waiter)
 	}
-	sv.addVersions(answer)
 }
 
-// appendStarts appends starts to the log and reports whether that succeeded. A host that is no relay waits for its turn unless streams wait.
-func (sv *streamVersions) appendStarts(ctx context.Context, data []byte, count int, prompt bool) (appended bool) {
+// appendStarts appends starts to the log and reports whether that succeeded. A host that is no relay waits for its turn.
+func (sv *streamVersions) appendStarts(ctx context.Context, data []byte, count int) (appended bool) {
 	now := sv.entry.elapsed()
-	if sv.log == nil || !prompt && !sv.entry.link.relaying() && now-sv.appendedAt < sv.ownAppendInterval() {
+	if !sv.entry.link.relaying() && now-sv.appendedAt < sv.ownAppendInterval() {
 		return false
 	}
 	sv.appendedAt = now
+	return sv.append(ctx, data, count)
+}
+
+// append appends starts to the log and reports whether that succeeded.
+func (sv *streamVersions) append(ctx context.Context, data []byte, count int) (appended bool) {
+	if sv.log == nil {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := sv.log.Append(ctx, chestnutroad.StreamStarts, data); err != nil {
+	_, err := sv.log.Append(ctx, chestnutroad.StreamStarts, data)
+	sv.appendFailed.Store(err != nil)
+	if err != nil {
 		sv.entry.logger.Warn("starts of streams were not written", "Count", count, "Error", err)
 		return false
 	}
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -33,19 +33,23 @@
 	mu      sync.Mutex
 	tracker *resumption.Tracker
 	// pending counts the starts that were queued for the log, pendingLogged those up to which all that were waited for are in the log.
-	// waiting is the number of streams that wait for that, progress is closed when pendingLogged rises.
-	pending, pendingLogged uint64
-	waiting                int
-	progress               chan struct{}
-	// logFailedAt is when a stream last waited for the log in vain; zero for never.
-	logFailedAt time.Duration
+	// pendingFailed counts those up to which the latest failed write went.
+	// waiting is the number of streams that wait for that, progress is closed when one of the counts rises.
+	pending, pendingLogged, pendingFailed uint64
+	waiting                               int
+	progress                              chan struct{}
+	// logFailing is true after starts that streams wait for could not be written, until some were.
+	logFailing bool
+	// appendFailed is true if this host's latest append to the log failed.
+	appendFailed atomic.Bool
 	// wake ends the pause of the writer of starts.
 	wake chan struct{}
-	// handed are the starts that were handed to the relay at handedTo a moment ago, the oldest first. Only the writer uses them and
-	// appendedAt, the time of this host's latest append.
+	// handed are the starts that were handed to the relay at handedTo a moment ago, the oldest first. Only the writer uses them,
+	// appendedAt, the time of this host's latest append, and probedAt, that of the latest try while logFailing.
 	handed     []handedStarts
 	handedTo   string
 	appendedAt time.Duration
+	probedAt   time.Duration
 	// reportedTo is the relay to which starts were last reported; empty while this host relays. localStarts and remoteStarts are what a
 	// relay has learned of streams in its own and in other data centres and has not passed on.
 	reportedTo                chestnutroad.HostID
@@ -101,13 +105,13 @@
 }
 
 // begin records that a stream began at a target. If its start has to be in the log before the caller gets the first event, it waits for
-// that.
+// that. With an error, the run must not reach the caller, and the exchange prefers a version without that condition.
 func (sv *streamVersions) begin(ex *exchange, entry *chestnutroad.TargetEntry) error {
 	sv.mu.Lock()
 	now := sv.entry.elapsed()
 	start := resumption.Start{Service: ex.service, Version: entry.SoftwareVersion, Stream: resumption.NewStreamID(ex.callMetadata.ID)}
 	sv.tracker.Begin(now, start)
-	if !ex.rule.Resumable || !sv.tracker.NeedsLog(now, start.Service, start.Version) {
+	if !ex.rule.Resumable || ex.acceptsUnlogged || !sv.tracker.NeedsLog(now, start.Service, start.Version) {
 		sv.mu.Unlock()
 		return nil
 	}
@@ -120,19 +124,26 @@
 	if logged || ex.request.Context().Err() != nil {
 		return nil
 	}
-	sv.mu.Lock()
-	sv.logFailedAt = sv.entry.elapsed()
-	sv.mu.Unlock()
-	other, found := sv.unloggedVersion(start.Service, start.Version)
+	found := sv.preferUnlogged(ex, start.Version)
 	sv.entry.logger.Warn("start of a stream was not written to the log in time", "Request", ex.callMetadata.ID, "Service", start.Service,
-		"Version", start.Version, "OtherVersion", other)
+		"Version", start.Version, "OtherVersion", found)
 	if !found {
 		return nil
 	}
-	ex.setVersion(other)
 	return errNotLogged
 }
 
+// preferUnlogged restricts the exchange to a version, other than the given one, whose streams need not be in the log, as long as a target of
+// it can be chosen. It reports whether there is such a version.
+func (sv *streamVersions) preferUnlogged(ex *exchange, other chestnutroad.SoftwareVersion) (found bool) {
+	version, found := sv.unloggedVersion(ex.service, other)
+	if found {
+		ex.setVersion(version)
+		ex.prefersUnlogged = true
+	}
+	return found
+}
+
 // unloggedVersion returns a listed version of the service, other than the given one, at which streams may begin that are not in the log.
 func (sv *streamVersions) unloggedVersion(
 	service chestnutroad.ServiceID, other chestnutroad.SoftwareVersion,
@@ -143,28 +154,21 @@
 	return sv.tracker.UnloggedVersion(service, other, listed)
 }
 
-// avoidLog restricts a new stream to a version whose streams need not be in the log while that can't be written.
+// avoidLog lets a new stream prefer a version whose streams need not be in the log while that can't be written.
 func (sv *streamVersions) avoidLog(ex *exchange) {
 	if !ex.rule.Resumable || ex.callMetadata.LastEvent != "" {
 		return
 	}
 	sv.mu.Lock()
-	failing := sv.logFailedAt > 0 && sv.entry.elapsed()-sv.logFailedAt < logFailureMemory
+	failing := sv.logFailing
 	sv.mu.Unlock()
-	if !failing {
-		return
-	}
-	if version, found := sv.unloggedVersion(ex.service, ""); found {
-		ex.setVersion(version)
+	if failing {
+		sv.preferUnlogged(ex, "")
 	}
 }
 
-const (
-	// startLogTimeout limits the time for which the first event of a stream waits until the start is in the log.
-	startLogTimeout = 500 * time.Millisecond
-	// logFailureMemory is the time for which new streams avoid versions whose starts have to be in the log after one could not be written.
-	logFailureMemory = 2 * time.Second
-)
+// startLogTimeout limits the time for which the first event of a stream waits until the start is in the log.
+const startLogTimeout = 500 * time.Millisecond
 
 var (
 	errNotLogged = errors.New("the start of the stream could not be written to the log")
@@ -242,6 +246,7 @@
 
 // pin restricts the criteria to the software version at which the exchange's stream began, if it has begun.
 func (ex *exchange) pin(criteria *placement.Request) {
+	criteria.Pinned = false
 	if version := ex.version.Load(); version != nil {
 		criteria.Pinned, criteria.SoftwareVersion = true, *version
 	}
--- a/internal/entry/versionsinuse.go
+++ b/internal/entry/versionsinuse.go
@@ -34,10 +34,12 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	sv.entry.logger.Warn("software versions in use were not updated", "Error", err)
-	if !errors.Is(err, chestnutroad.ErrConflict) {
-		sv.retryAt = sv.entry.elapsed() + versionsRetry
+	if errors.Is(err, chestnutroad.ErrConflict) {
+		sv.entry.logger.Debug("another relay has updated the software versions in use")
+		return
 	}
+	sv.entry.logger.Warn("software versions in use were not updated", "Error", err)
+	sv.retryAt = sv.entry.elapsed() + versionsRetry
 }
 
 // readVersionSets reads the versions in use that the store holds.
--- a/internal/resumption/versionset.go
+++ b/internal/resumption/versionset.go
@@ -11,6 +11,9 @@
 	"github.com/chestnutroad/chestnutroad"
 )
 
+// resumeTime is the age up to which streams that are in no host's memory are resumed.
+const resumeTime = Lifetime / 2
+
 // settleTime is how long a version has to be listed until its streams need not be in the log any more. Within it, hosts that are in touch
 // have read the list and have written the streams that began at the other versions before.
 const settleTime = 5 * time.Second
@@ -153,7 +156,7 @@
 		case !recorded && complete:
 			next.Versions[version] = VersionUse{State: Logged}
 			joined = append(joined, version)
-		case !recorded || use.State == Logged && remembers && tr.isSettled(now, service, version):
+		case !recorded || use.State == Logged && now >= resumeTime && tr.isSettled(now, service, version):
 			next.Versions[version] = VersionUse{State: Unlogged}
 		default:
 			continue
--- a/internal/siblings/state.go
+++ b/internal/siblings/state.go
@@ -36,6 +36,8 @@
 	Starts []byte `json:",omitempty"`
 	// AwaitLog is true if the called host is to answer only once the Starts are in the log.
 	AwaitLog bool `json:",omitempty"`
+	// Relayed is true if the Starts are those of another data centre, whose relay can't reach the log. AwaitLog is set, too.
+	Relayed bool `json:",omitempty"`
 	// Held is true if the called host is to answer from memory, without a read of the log or a call to others.
 	Held bool `json:",omitempty"`
 }
