Keep crash evidence in the store, so that it outlasts the loss of all hosts

Cause: evidence was in the memory of hosts only. The log shows it: the first suspicion after the kill counts two crashes, those of after it.

Change: the relay of each data centre keeps the evidence about parts and requests with two crashes or more in the store, with its age, and a host that becomes relay reads it and tells the others. No host waits for that when it starts. A refusal ends when it would have ended without the loss; a record of the future is ignored.

--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -20,6 +20,8 @@
 	// quarantined counts the requests refused for a suspected prompt part, and crashEvidence the parts accused of crashes.
 	quarantined   *metrics.Counter
 	crashEvidence *metrics.Counter
+	// evidenceWrites counts the writes of crash evidence to the store.
+	evidenceWrites *metrics.Counter
 	// ignoredFields counts the fields of configurations whose values can't be used.
 	ignoredFields *metrics.Counter
 	// evacuationsInvalid counts the records and lists of evacuations that can't be read, and unknown data centres in them.
@@ -31,6 +33,7 @@
 	cn.controlBytes = cn.set.NewCounter("chestnutroad_control_bytes_sent_total")
 	cn.quarantined = cn.set.NewCounter("chestnutroad_requests_quarantined_total")
 	cn.crashEvidence = cn.set.NewCounter("chestnutroad_part_crash_evidence_total")
+	cn.evidenceWrites = cn.set.NewCounter("chestnutroad_crash_evidence_writes_total")
 	cn.ignoredFields = cn.set.NewCounter("chestnutroad_configuration_fields_ignored_total")
 	cn.evacuationsInvalid = cn.set.NewCounter("chestnutroad_evacuations_invalid_total")
 	return cn
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -197,6 +197,7 @@
 	}()
 	go en.followStore(work)
 	go en.streamVersions.run(work)
+	go (&evidenceStore{entry: en}).run(work)
 	go en.sweepIdle(work)
 	en.logger.Info("started", "Callers", en.settings.CallerAddress, "Ready", en.settings.ReadyAddress)
 	select {
--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -27,10 +27,7 @@
 			hashes = append(hashes, hash)
 		}
 	}
-	// The subjects with the most crashes come first, and the order is the same each time.
-	slices.SortFunc(hashes, func(a, b chestnutroad.SubjectHash) int {
-		return cmp.Or(cmp.Compare(len(tr.subjects[b].crashes), len(tr.subjects[a].crashes)), cmp.Compare(a, b))
-	})
+	tr.sortByCrashes(hashes)
 	var items []chestnutroad.CrashEvidence
 	for _, hash := range hashes {
 		items = tr.takeNew(now, hash, items)
@@ -52,6 +49,13 @@
 	return items
 }
 
+// sortByCrashes sorts subjects so that those with the most crashes come first, and the order is the same each time.
+func (tr *Tracker) sortByCrashes(hashes []chestnutroad.SubjectHash) {
+	slices.SortFunc(hashes, func(a, b chestnutroad.SubjectHash) int {
+		return cmp.Or(cmp.Compare(len(tr.subjects[b].crashes), len(tr.subjects[a].crashes)), cmp.Compare(a, b))
+	})
+}
+
 // repeatDue reports whether the crashes of the subject are to be sent again.
 func (tr *Tracker) repeatDue(now time.Time, sb *subject) bool {
 	return len(sb.crashes) >= minCrashes && now.Sub(sb.repeatedAt) >= repeatInterval && tr.meetsThreshold(now, sb)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -52,41 +52,43 @@
 	return steps
 }
 
+// checkCases are decisions on a prompt after observations of one host.
+var checkCases = []struct {
+	name  string
+	steps []step
+	at    float64
+	parts []string
+	want  bool
+}{
+	{"no evidence", nil, 1, []string{"a", "b"}, false},
+	{"one crash", deadly(0, 1, "a"), 0.1, []string{"a"}, false},
+	{"two targets", deadly(0, 2, "a"), 1.1, []string{"a"}, true},
+	{"in the middle of a prompt", deadly(0, 2, "b"), 1.1, []string{"a", "b", "c"}, true},
+	{"the same target twice", []step{{0, 1, []string{"a"}}, {1, 1, []string{"a"}}}, 1.1, []string{"a"}, false},
+	{"two targets at one time", []step{{0, 1, []string{"a"}}, {0.05, 2, []string{"a"}}}, 0.1, []string{"a"}, false},
+	{"served since", append(deadly(0, 4, "a"), step{3.5, 0, []string{"a"}}), 3.6, []string{"a"}, false},
+	{"served just before", append([]step{{0, 0, []string{"a"}}}, deadly(1, 4, "a")...), 4.1, []string{"a"}, false},
+	{"proven, four crashes", append([]step{{0, 0, []string{"a"}}}, deadly(6, 4, "a")...), 9.1, []string{"a"}, false},
+	{"proven, five crashes", append([]step{{0, 0, []string{"a"}}}, deadly(6, 5, "a")...), 10.1, []string{"a"}, true},
+	{"served long before", append([]step{{0, 0, []string{"a"}}}, deadly(70, 2, "a")...), 71.1, []string{"a"}, true},
+	{"explained by another part", append(deadly(0, 3, "a"), step{1, 101, []string{"b"}}, step{2, 102, []string{"b"}}), 2.1, []string{"b"}, false},
+	{"the part that explains another", append(deadly(0, 3, "a"), step{1, 101, []string{"b"}}, step{2, 102, []string{"b"}}), 2.1, []string{"a"}, true},
+	{"all parts of a group", deadly(0, 2, "a", "b"), 1.1, []string{"a", "b"}, true},
+	{"one part of a group", deadly(0, 2, "a", "b"), 1.1, []string{"b"}, false},
+	{"two such parts", append(deadly(0, 2, "a"), deadly(1, 2, "b")...), 2.1, []string{"c", "b"}, true},
+	{"weak suspicion over", deadly(0, 4, "a"), 13.1, []string{"a"}, false},
+	{"crash after a weak suspicion", append(deadly(0, 4, "a"), step{40, 9, []string{"a"}}), 45, []string{"a"}, true},
+	{"firm suspicion", deadly(0, 5, "a"), 63.9, []string{"a"}, true},
+	{"firm suspicion over", deadly(0, 5, "a"), 124.1, []string{"a"}, false},
+	{"second round", append(deadly(0, 5, "a"), step{70, 9, []string{"a"}}), 189, []string{"a"}, true},
+	{"second round over", append(deadly(0, 5, "a"), step{70, 9, []string{"a"}}), 310.1, []string{"a"}, false},
+}
+
 // TestCheck guards against requests with a part that crashes targets that go on to further targets, and against refusals of
 // sound parts that were at crashed targets.
 func TestCheck(t *testing.T) {
 	t.Parallel()
-	cases := []struct {
-		name  string
-		steps []step
-		at    float64
-		parts []string
-		want  bool
-	}{
-		{"no evidence", nil, 1, []string{"a", "b"}, false},
-		{"one crash", deadly(0, 1, "a"), 0.1, []string{"a"}, false},
-		{"two targets", deadly(0, 2, "a"), 1.1, []string{"a"}, true},
-		{"in the middle of a prompt", deadly(0, 2, "b"), 1.1, []string{"a", "b", "c"}, true},
-		{"the same target twice", []step{{0, 1, []string{"a"}}, {1, 1, []string{"a"}}}, 1.1, []string{"a"}, false},
-		{"two targets at one time", []step{{0, 1, []string{"a"}}, {0.05, 2, []string{"a"}}}, 0.1, []string{"a"}, false},
-		{"served since", append(deadly(0, 4, "a"), step{3.5, 0, []string{"a"}}), 3.6, []string{"a"}, false},
-		{"served just before", append([]step{{0, 0, []string{"a"}}}, deadly(1, 4, "a")...), 4.1, []string{"a"}, false},
-		{"proven, four crashes", append([]step{{0, 0, []string{"a"}}}, deadly(6, 4, "a")...), 9.1, []string{"a"}, false},
-		{"proven, five crashes", append([]step{{0, 0, []string{"a"}}}, deadly(6, 5, "a")...), 10.1, []string{"a"}, true},
-		{"served long before", append([]step{{0, 0, []string{"a"}}}, deadly(70, 2, "a")...), 71.1, []string{"a"}, true},
-		{"explained by another part", append(deadly(0, 3, "a"), step{1, 101, []string{"b"}}, step{2, 102, []string{"b"}}), 2.1, []string{"b"}, false},
-		{"the part that explains another", append(deadly(0, 3, "a"), step{1, 101, []string{"b"}}, step{2, 102, []string{"b"}}), 2.1, []string{"a"}, true},
-		{"all parts of a group", deadly(0, 2, "a", "b"), 1.1, []string{"a", "b"}, true},
-		{"one part of a group", deadly(0, 2, "a", "b"), 1.1, []string{"b"}, false},
-		{"two such parts", append(deadly(0, 2, "a"), deadly(1, 2, "b")...), 2.1, []string{"c", "b"}, true},
-		{"weak suspicion over", deadly(0, 4, "a"), 13.1, []string{"a"}, false},
-		{"crash after a weak suspicion", append(deadly(0, 4, "a"), step{40, 9, []string{"a"}}), 45, []string{"a"}, true},
-		{"firm suspicion", deadly(0, 5, "a"), 63.9, []string{"a"}, true},
-		{"firm suspicion over", deadly(0, 5, "a"), 124.1, []string{"a"}, false},
-		{"second round", append(deadly(0, 5, "a"), step{70, 9, []string{"a"}}), 189, []string{"a"}, true},
-		{"second round over", append(deadly(0, 5, "a"), step{70, 9, []string{"a"}}), 310.1, []string{"a"}, false},
-	}
-	for _, tc := range cases {
+	for _, tc := range checkCases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			tr := quarantine.New()
--- a/keyed.go
+++ b/keyed.go
@@ -16,6 +16,8 @@
 	KeyedHosts         KeyedStream = "Hosts"
 	// KeyedVersions holds for each service the software versions in use.
 	KeyedVersions KeyedStream = "Versions"
+	// KeyedEvidence holds for each data centre the crash evidence of its hosts.
+	KeyedEvidence KeyedStream = "Evidence"
 )
 
 // ErrRecordsGone is returned when the store does not have the requested offset; the caller must read the newest record of each
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -216,13 +217,14 @@
 	return tb.sendCall(ctx, client, pr, kind, &standin.Call{ID: id, Key: key, Budget: budget})
 }
 
-// sendCall completes a call of a kind and sends it to a host.
+// sendCall completes a call of a kind, whose body and prefix may be set, and sends it to a host.
 func (tb *testbed) sendCall(ctx context.Context, client *http.Client, pr *process, kind string, call *standin.Call) (ex exchange) {
 	ex = exchange{id: call.ID, kind: kind, key: call.Key, started: time.Now()}
 	defer func() { ex.ended = time.Now() }()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	call.Method, call.Path, call.Body, call.Prefix = http.MethodPost, "/"+kind+"/x", call.ID, "a:10,b:20"
+	call.Method, call.Path = http.MethodPost, "/"+kind+"/x"
+	call.Body, call.Prefix = cmp.Or(call.Body, call.ID), cmp.Or(call.Prefix, "a:10,b:20")
 	req, err := standin.NewRequest(ctx, fmt.Sprintf("%s:%d", pr.address, callerPort), call)
 	if err != nil {
 		ex.err = err
