Refuse streams of unknown versions while a restored store may lack targets

Cause: a host that has just started took the list of targets for complete. The store had lost the entry of the version that joined, the record of its use and the starts in the log.

While a host that has just started finds one of an earlier era, it takes the list for complete only 3 s after it first read it, when targets have registered again.

Test: TestRestoredStoreDoesNotJoinVersions failed before where a second version had joined, and passes. With one version streams go on after that time, before and after.

--- a/internal/entry/streamstarts.go
+++ b/internal/entry/streamstarts.go
@@ -44,7 +44,11 @@
 	}
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	return slices.Sorted(maps.Keys(sv.tracker.Recent(sv.entry.elapsed(), service))), nil
+	now := sv.entry.elapsed()
+	if sv.tracker.MayLack(now, service) {
+		return nil, errRestored
+	}
+	return slices.Sorted(maps.Keys(sv.tracker.Recent(now, service))), nil
 }
 
 // readLog reads the records since the last read, or those of the last startsHorizon if there are more.
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -173,6 +173,7 @@
 var (
 	errNotLogged = errors.New("the start of the stream could not be written to the log")
 	errNoLog     = errors.New("there is no log")
+	errRestored  = errors.New("targets may be missing since the store came back from an older copy")
 )
 
 // errNotInLog means that the log was read and has no start of the stream.
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -70,8 +70,8 @@
 	setsKnown     bool
 	setsLearnedAt time.Duration
 	firstEra      chestnutroad.Era
-	// listedAt is when the latest listing began.
-	listedAt time.Duration
+	// listedAt is when the latest listing began, firstListedAt when the first one did.
+	listedAt, firstListedAt time.Duration
 	// inherited holds the versions that were in use before the host started; inheritedKnown is true once they were read.
 	inherited      map[chestnutroad.ServiceID]map[chestnutroad.SoftwareVersion]bool
 	inheritedKnown bool
@@ -101,6 +101,9 @@
 
 // Observe records that a target of the service with the version is listed.
 func (tr *Tracker) Observe(now time.Duration, service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) {
+	if len(tr.listed) == 0 {
+		tr.firstListedAt = now
+	}
 	listings := tr.listed[service]
 	if listings == nil {
 		listings = versionListings{}
--- a/internal/resumption/versionset.go
+++ b/internal/resumption/versionset.go
@@ -85,6 +85,17 @@
 	return tr.setsAt, tr.sets, tr.setsKnown && tr.setsLearnedAt >= tr.listedAt
 }
 
+// registerTime is how long targets take to be listed again after the store came back from an older copy, with a margin.
+const registerTime = 3 * time.Second
+
+// MayLack reports whether the list of targets may lack a version at which streams began. The store may have lost the latest entries as well as
+// the record of their version if it was restored since that was written. A host that ran before that remembers them.
+func (tr *Tracker) MayLack(now time.Duration, service chestnutroad.ServiceID) bool {
+	set, found := tr.sets[service]
+	restored := found && set.Era < tr.setsAt.Era || !found && tr.setsAt.Era > 0
+	return restored && now < Lifetime && now-tr.firstListedAt < registerTime
+}
+
 // NeedsLog reports whether a stream that begins at the version has to be in the log before its caller gets the first event. As long as the
 // host doesn't know the state of the version, it does if the service has several.
 func (tr *Tracker) NeedsLog(now time.Duration, service chestnutroad.ServiceID, version chestnutroad.SoftwareVersion) bool {
--- a/internal/resumption/versionset_test.go
+++ b/internal/resumption/versionset_test.go
@@ -180,6 +180,36 @@
 	}
 }
 
+// TestMayLack guards against a host that takes the list of targets for complete just after the store came back from an older copy, and against
+// one that refuses streams without need.
+func TestMayLack(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		now      time.Duration
+		sets     map[chestnutroad.ServiceID]resumption.VersionSet
+		storeEra chestnutroad.Era
+		want     bool
+	}{
+		{"set of the era", time.Second, versionSets(2, versionUses{"v1": unlogged}), 2, false},
+		{"set of an earlier era", time.Second, versionSets(1, versionUses{"v1": unlogged}), 2, true},
+		{"set of an earlier era, targets are back", 4 * time.Second, versionSets(1, versionUses{"v1": unlogged}), 2, false},
+		{"no set", time.Second, nil, 2, true},
+		{"no set, first era", time.Second, nil, 0, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tr := resumption.New()
+			tr.Observe(0, service, "v1")
+			tr.SetVersions(0, chestnutroad.Position{Era: tc.storeEra}, tc.sets)
+			if got := tr.MayLack(tc.now, service); got != tc.want {
+				t.Errorf("got %t, want %t", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestNeedsLog guards against first events that wait for the log without need, and against ones that do not wait although the store states
 // that all streams of the version are in the log.
 func TestNeedsLog(t *testing.T) {
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -254,3 +254,41 @@
 	}
 	tb.awaitReady()
 }
+
+// TestRestoredStoreDoesNotJoinVersions guards against streams that go on at the only version in the list of targets after all hosts were lost, while
+// a store that came back from an older copy has lost the entry, and all other traces, of the version at which they began.
+func TestRestoredStoreDoesNotJoinVersions(t *testing.T) {
+	t.Parallel()
+	binary := buildHost(t)
+	for index, second := range []bool{true, false} {
+		t.Run(fmt.Sprintf("second version joined: %t", second), func(t *testing.T) {
+			t.Parallel()
+			tb := newTestbed(t, binary, byte(160+index))
+			tb.awaitReady()
+			time.Sleep(settleTime)
+			first, joinedAt := tb.beginStreams(0), time.Now()
+			var lost []string
+			if second {
+				tb.joinSecondVersion()
+				lost = tb.beginAtSecondVersion(1)
+			}
+			tb.killHosts()
+			tb.store.Restore(standin.RestorePlan{
+				BackupAge: time.Since(joinedAt) + 100*time.Millisecond, Downtime: time.Second, RewriteTime: 3 * time.Second / 2,
+			})
+			tb.startHosts()
+			for _, id := range lost {
+				ex := tb.sendCall(t.Context(), http.DefaultClient, tb.hosts[0], "chat", &standin.Call{
+					ID: "again-" + id, Key: "k-1", Budget: longBudget, LastEvent: "1", Resumes: id,
+				})
+				if strings.Contains(ex.body, firstMark) {
+					t.Errorf("%s went on at the first version: %+v", id, ex)
+				}
+			}
+			time.Sleep(2 * settleTime)
+			if !second {
+				tb.checkResumable(first, 0)
+			}
+		})
+	}
+}
