Don't let each stream wait for a log that is known not to take starts

While the last write failed, a stream at a version that joined a moment ago goes to another version at once, or begins without its start in the log where there is none. Found by reading; TestStreamAvoidsVersionWithoutLog passes as before.

--- a/internal/entry/startswriter.go
+++ b/internal/entry/startswriter.go
@@ -84,8 +84,15 @@
 	return logWaiter{number: sv.pending}
 }
 
-// awaitLogged waits until the start is in the log, until a write has failed, or until ctx ends, and reports whether it is in the log.
-func (sv *streamVersions) awaitLogged(ctx context.Context, waiter logWaiter) (logged bool) {
+// awaitLogged waits until the exchange's start is in the log, but not longer than startLogTimeout, and reports whether it is.
+func (sv *streamVersions) awaitLogged(ex *exchange, waiter logWaiter) (logged bool) {
+	ctx, cancel := context.WithTimeout(ex.request.Context(), min(startLogTimeout, ex.remaining(sv.entry.now())/2))
+	defer cancel()
+	return sv.awaitWrite(ctx, waiter)
+}
+
+// awaitWrite waits until the start is in the log, until a write has failed, or until ctx ends, and reports whether it is in the log.
+func (sv *streamVersions) awaitWrite(ctx context.Context, waiter logWaiter) (logged bool) {
 	defer func() {
 		sv.mu.Lock()
 		defer sv.mu.Unlock()
@@ -338,7 +345,7 @@
 	if request.AwaitLog {
 		ctx, cancel := context.WithTimeout(ctx, logWait)
 		defer cancel()
-		answer.StartsLogged = sv.awaitLogged(ctx, waiter)
+		answer.StartsLogged = sv.awaitWrite(ctx, waiter)
 	}
 }
 
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -32,9 +32,8 @@
 
 	mu      sync.Mutex
 	tracker *resumption.Tracker
-	// pending counts the starts that were queued for the log, pendingLogged those up to which all that were waited for are in the log.
-	// pendingFailed counts those up to which the latest failed write went.
-	// waiting is the number of streams that wait for that, progress is closed when one of the counts rises.
+	// pending counts the streams that have waited for their start to be in the log. Those up to the number pendingLogged are there, for
+	// those up to pendingFailed a write has failed. waiting is the number of streams that wait now; progress is closed after each write.
 	pending, pendingLogged, pendingFailed uint64
 	waiting                               int
 	progress                              chan struct{}
@@ -115,15 +114,22 @@
 		sv.mu.Unlock()
 		return nil
 	}
-	wait := sv.newLogWait()
+	if sv.logFailing {
+		sv.mu.Unlock()
+		return sv.dropUnlogged(ex, &start)
+	}
+	waiter := sv.newLogWait()
 	sv.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ex.request.Context(), min(startLogTimeout, ex.remaining(sv.entry.now())/2))
-	defer cancel()
-	logged := sv.awaitLogged(ctx, wait)
+	logged := sv.awaitLogged(ex, waiter)
 	sv.entry.counters.countLogWait(logged, sv.entry.elapsed()-now)
 	if logged || ex.request.Context().Err() != nil {
 		return nil
 	}
+	return sv.dropUnlogged(ex, &start)
+}
+
+// dropUnlogged returns an error if a stream, whose start could not be written to the log, can begin at another version.
+func (sv *streamVersions) dropUnlogged(ex *exchange, start *resumption.Start) error {
 	found := sv.preferUnlogged(ex, start.Version)
 	sv.entry.logger.Warn("start of a stream was not written to the log in time", "Request", ex.callMetadata.ID, "Service", start.Service,
 		"Version", start.Version, "OtherVersion", found)
