--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -217,7 +217,7 @@
 	for index, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			tb := newTestbed(t, binary, byte(200+index))
+			tb := newTestbed(t, binary, byte(165+index))
 			tb.awaitReady()
 			time.Sleep(settleTime)
 			first := tb.beginStreams(0)
