--- a/internal/resumption/versionset.go
+++ b/internal/resumption/versionset.go
@@ -143,28 +143,15 @@
 func (tr *Tracker) PlanVersions(
 	now time.Duration, service chestnutroad.ServiceID,
 ) (next VersionSet, joined []chestnutroad.SoftwareVersion, changed bool) {
-	recent, era := tr.Recent(now, service), tr.setsAt.Era
 	held, found := tr.sets[service]
-	next = VersionSet{Era: held.Era, Versions: maps.Clone(held.Versions)}
-	if next.Versions == nil {
-		next.Versions = map[chestnutroad.SoftwareVersion]VersionUse{}
-	}
-	remembers := now >= Lifetime
-	switch {
-	case !found:
-		next.Era = era
-	case held.Era != era && (remembers || tr.firstEra <= held.Era):
-		// Streams of which the store has lost the log may have begun at any of the versions.
-		next.Era, changed = era, true
-		for version := range next.Versions {
-			next.Versions[version] = VersionUse{State: Unlogged}
-		}
-	}
-	complete := found && held.Era == era && hasUnlogged(&held)
+	next, changed = tr.continueSet(now, &held, found)
+	recent := tr.Recent(now, service)
+	// Without a version of before, to which streams that are not in the log belong, none may be Logged.
+	mayLog := found && held.Era == tr.setsAt.Era && held.hasUnlogged()
 	for version := range recent {
 		use, recorded := next.Versions[version]
 		switch {
-		case !recorded && complete:
+		case !recorded && mayLog:
 			next.Versions[version] = VersionUse{State: Logged}
 			joined = append(joined, version)
 		case !recorded || use.State == Logged && now >= resumeTime && tr.isSettled(now, service, version):
@@ -175,7 +162,7 @@
 		changed = true
 	}
 	for version := range next.Versions {
-		if remembers && !recent[version] {
+		if now >= Lifetime && !recent[version] {
 			delete(next.Versions, version)
 			changed = true
 		}
@@ -183,8 +170,27 @@
 	return next, joined, changed
 }
 
-func hasUnlogged(set *VersionSet) bool {
-	for _, use := range set.Versions {
+// continueSet returns the set that the store holds, if it does, as that of the store's era, unless versions may be missing in it: only a
+// host that ran before the restore, or has run for long since, knows all of them.
+func (tr *Tracker) continueSet(now time.Duration, held *VersionSet, found bool) (next VersionSet, changed bool) {
+	next = VersionSet{Era: tr.setsAt.Era, Versions: map[chestnutroad.SoftwareVersion]VersionUse{}}
+	if !found {
+		return next, false
+	}
+	if held.Era == next.Era || now < Lifetime && tr.firstEra > held.Era {
+		next.Era = held.Era
+		maps.Copy(next.Versions, held.Versions)
+		return next, false
+	}
+	for version := range held.Versions {
+		// The store may have lost starts that were in the log.
+		next.Versions[version] = VersionUse{State: Unlogged}
+	}
+	return next, true
+}
+
+func (vs *VersionSet) hasUnlogged() bool {
+	for _, use := range vs.Versions {
 		if use.State == Unlogged {
 			return true
 		}
