--- a/platform.go
+++ b/platform.go
@@ -31,8 +31,8 @@
 	// Next is the offset that the next appended record gets.
 	Next    Offset
 	Records []Record
-	// Era is the era that the store stated, see Position; zero for logs that know none.
-	Era Era
+	// Era is the era that the store stated, see Position; logs of the product's own interface know none.
+	Era Era `json:"-"`
 }
 
 // Log is the platform's append-only log service.
