Don't count versions anew for each stream that is not in the log

Each host passed four times a second over the streams of the last 30 s and asked for each whether its start has to be in the log, which counted the versions of its service anew. A wrapper with one caller and a type around one number are gone, behaviour unchanged.

--- a/internal/entry/startswriter.go
+++ b/internal/entry/startswriter.go
@@ -70,29 +70,26 @@
 	}
 }
 
-// logWaiter is a stream that waits until its start is in the log.
-type logWaiter struct{ number uint64 }
-
-// newLogWait registers that a stream, whose start was queued last, waits until it is in the log; sv.mu must be held.
-func (sv *streamVersions) newLogWait() logWaiter {
+// newLogWait registers that a stream, whose start was queued last, waits until it is in the log, and returns its number; sv.mu must be held.
+func (sv *streamVersions) newLogWait() (waiter uint64) {
 	sv.pending++
 	sv.waiting++
 	select {
 	case sv.wake <- struct{}{}:
 	default:
 	}
-	return logWaiter{number: sv.pending}
+	return sv.pending
 }
 
 // awaitLogged waits until the exchange's start is in the log, but not longer than startLogTimeout, and reports whether it is.
-func (sv *streamVersions) awaitLogged(ex *exchange, waiter logWaiter) (logged bool) {
+func (sv *streamVersions) awaitLogged(ex *exchange, waiter uint64) (logged bool) {
 	ctx, cancel := context.WithTimeout(ex.request.Context(), min(startLogTimeout, ex.remaining(sv.entry.now())/2))
 	defer cancel()
 	return sv.awaitWrite(ctx, waiter)
 }
 
 // awaitWrite waits until the start is in the log, until a write has failed, or until ctx ends, and reports whether it is in the log.
-func (sv *streamVersions) awaitWrite(ctx context.Context, waiter logWaiter) (logged bool) {
+func (sv *streamVersions) awaitWrite(ctx context.Context, waiter uint64) (logged bool) {
 	defer func() {
 		sv.mu.Lock()
 		defer sv.mu.Unlock()
@@ -100,8 +97,8 @@
 	}()
 	for {
 		sv.mu.Lock()
-		progress, failed := sv.progress, sv.pendingFailed >= waiter.number
-		logged = sv.pendingLogged >= waiter.number
+		progress, failed := sv.progress, sv.pendingFailed >= waiter
+		logged = sv.pendingLogged >= waiter
 		sv.mu.Unlock()
 		if logged || failed {
 			return logged
@@ -337,7 +334,7 @@
 		sv.tracker.Take(sv.entry.elapsed(), start, request.AwaitLog)
 	}
 	answer.StartsTaken = true
-	var waiter logWaiter
+	var waiter uint64
 	if request.AwaitLog {
 		waiter = sv.newLogWait()
 	}
--- a/internal/entry/streamversions.go
+++ b/internal/entry/streamversions.go
@@ -142,7 +142,10 @@
 // preferUnlogged restricts the exchange to a version, other than the given one, whose streams need not be in the log, as long as a target of
 // it can be chosen. It reports whether there is such a version.
 func (sv *streamVersions) preferUnlogged(ex *exchange, other chestnutroad.SoftwareVersion) (found bool) {
-	version, found := sv.unloggedVersion(ex.service, other)
+	listed := sv.entry.state.listedVersions(ex.service)
+	sv.mu.Lock()
+	version, found := sv.tracker.UnloggedVersion(ex.service, other, listed)
+	sv.mu.Unlock()
 	if found {
 		ex.setVersion(version)
 		ex.prefersUnlogged = true
@@ -150,16 +153,6 @@
 	return found
 }
 
-// unloggedVersion returns a listed version of the service, other than the given one, at which streams may begin that are not in the log.
-func (sv *streamVersions) unloggedVersion(
-	service chestnutroad.ServiceID, other chestnutroad.SoftwareVersion,
-) (version chestnutroad.SoftwareVersion, found bool) {
-	listed := sv.entry.state.listedVersions(service)
-	sv.mu.Lock()
-	defer sv.mu.Unlock()
-	return sv.tracker.UnloggedVersion(service, other, listed)
-}
-
 // avoidLog lets a new stream prefer a version whose streams need not be in the log while that can't be written.
 func (sv *streamVersions) avoidLog(ex *exchange) {
 	if !ex.rule.Resumable || ex.callMetadata.LastEvent != "" {
--- a/internal/resumption/tracker.go
+++ b/internal/resumption/tracker.go
@@ -245,7 +245,8 @@
 		if _, counted := several[start.Service]; !counted {
 			several[start.Service] = len(tr.Recent(now, start.Service)) > 1
 		}
-		if several[start.Service] || tr.required[start.Stream] || tr.NeedsLog(now, start.Service, start.Version) {
+		logged := tr.sets[start.Service].Versions[start.Version].State == Logged
+		if several[start.Service] || logged || tr.required[start.Stream] {
 			taken = append(taken, start)
 		} else {
 			left = append(left, start)
